--- /dev/null
+++ b/internal/agent/announce/announce.go
@@ -0,0 +1,146 @@
+// Package announce tells the entries about the agent's endpoint and learns from
+// their replies who the other entries and the shard owners are.
+package announce
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/events"
+	"chervilridge/internal/peer"
+)
+
+const (
+	callTimeout = 700 * time.Millisecond
+	// forgetAfter drops a learned entry that did not answer for so long.
+	forgetAfter = time.Minute
+)
+
+// Describe returns the announcement of this moment, without its sequence.
+type Describe func() *pb.AnnounceRequest
+
+// Announcer sends heartbeats to all known entries. One lock guards what it has
+// learned.
+type Announcer struct {
+	pool     *peer.Pool
+	interval time.Duration
+	describe Describe
+
+	mu       sync.Mutex
+	seeds    map[string]bool
+	answered map[string]time.Time // entry address -> last answer
+	failing  map[string]bool
+	owners   map[uint32]*pb.ShardOwner
+	sequence uint64
+}
+
+// New returns an announcer that begins with the seeds.
+func New(pool *peer.Pool, seeds []string, interval time.Duration, describe Describe) *Announcer {
+	a := &Announcer{
+		pool: pool, interval: interval, describe: describe,
+		seeds: map[string]bool{}, answered: map[string]time.Time{}, failing: map[string]bool{},
+		owners: map[uint32]*pb.ShardOwner{},
+	}
+	for _, s := range seeds {
+		a.seeds[s] = true
+	}
+	return a
+}
+
+// Owner returns the newest owner known of a shard, or nil.
+func (a *Announcer) Owner(shard uint32) *pb.ShardOwner {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.owners[shard]
+}
+
+// Run announces until the context ends.
+func (a *Announcer) Run(ctx context.Context) {
+	t := time.NewTicker(a.interval)
+	defer t.Stop()
+	for {
+		a.Announce(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Announce sends one heartbeat to each entry and waits for the answers.
+func (a *Announcer) Announce(ctx context.Context) {
+	req := a.describe()
+	a.mu.Lock()
+	a.sequence++
+	req.Sequence = a.sequence
+	entries := a.entries(time.Now())
+	a.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, address := range entries {
+		wg.Go(func() { a.call(ctx, address, req) })
+	}
+	wg.Wait()
+}
+
+func (a *Announcer) entries(now time.Time) []string {
+	set := maps.Clone(a.seeds)
+	for address, at := range a.answered {
+		if now.Sub(at) > forgetAfter {
+			delete(a.answered, address)
+			continue
+		}
+		set[address] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+func (a *Announcer) call(ctx context.Context, address string, req *pb.AnnounceRequest) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := a.pool.Get(address)
+	if err != nil {
+		a.noteFailure(address, err)
+		return
+	}
+	reply, err := pb.NewRegistryClient(conn).Announce(ctx, req)
+	if err != nil {
+		a.noteFailure(address, err)
+		return
+	}
+	a.learn(address, reply)
+}
+
+func (a *Announcer) noteFailure(address string, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.failing[address] {
+		return
+	}
+	a.failing[address] = true
+	events.AnnounceFailed.LogError(err, "peer", address)
+}
+
+func (a *Announcer) learn(address string, reply *pb.AnnounceReply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	delete(a.failing, address)
+	a.answered[address] = now
+	for _, e := range reply.Entries {
+		if _, known := a.answered[e]; !known && !a.seeds[e] {
+			a.answered[e] = now
+			events.EntryLearned.Log("peer", e, "from", address)
+		}
+	}
+	for _, o := range reply.Owners {
+		if held := a.owners[o.Shard]; held == nil || held.Epoch < o.Epoch {
+			a.owners[o.Shard] = o
+			events.OwnerLearned.Log("shard", o.Shard, "epoch", o.Epoch, "agent", o.Agent)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/health.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/agent/admission"
+	"chervilridge/internal/agent/latency"
+	"chervilridge/internal/agent/runner"
+	"chervilridge/internal/process"
+	"chervilridge/internal/table/view"
+)
+
+const milli = 1000
+
+// health probes the endpoint and keeps the newest answer.
+type health struct {
+	run *runner.Runner
+	ok  atomic.Bool
+}
+
+func newHealth(run *runner.Runner, bg *process.Background) *health {
+	h := &health{run: run}
+	bg.Go(h.loop)
+	return h
+}
+
+func (h *health) good() bool { return h.ok.Load() }
+
+func (h *health) loop(ctx context.Context) {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		h.ok.Store(h.run.Probe(ctx))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serviceView is what the worker's side needs to know of the service.
+type serviceView struct {
+	service string
+	slots   int
+	window  *latency.Window
+	gate    *admission.Gate
+	run     *runner.Runner
+	table   *view.View
+}
+
+func newServiceView(o *Options, w *latency.Window, g *admission.Gate, run *runner.Runner, v *view.View) *serviceView {
+	return &serviceView{service: *o.Service, slots: int(*o.Slots), window: w, gate: g, run: run, table: v}
+}
+
+// Name returns the name of the service.
+func (s *serviceView) Name() string { return s.service }
+
+// Latency returns the service's 99th percentile and its target.
+func (s *serviceView) Latency() (p99, target time.Duration) {
+	p99, _ = s.window.P99()
+	row := s.table.Row(pb.RowKind_ROW_KIND_SERVICE, s.service)
+	return p99, time.Duration(row.GetLatencyTargetMs()) * time.Millisecond
+}
+
+// LoadMilli returns the share of the slots in use in thousandths.
+func (s *serviceView) LoadMilli() uint32 {
+	running, _ := s.gate.Load()
+	return uint32(running * milli / s.slots)
+}
+
+// Leaving reports whether the agent is in a planned stop.
+func (s *serviceView) Leaving() bool { return s.run.Leaving() }
--- /dev/null
+++ b/internal/agent/module.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/agent/admission"
+	"chervilridge/internal/agent/announce"
+	"chervilridge/internal/agent/execution"
+	"chervilridge/internal/agent/grants"
+	"chervilridge/internal/agent/latency"
+	"chervilridge/internal/agent/runner"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/ident"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/peer"
+	"chervilridge/internal/platform"
+	"chervilridge/internal/platform/platformhttp"
+	"chervilridge/internal/process"
+	"chervilridge/internal/settings"
+	"chervilridge/internal/table"
+	"chervilridge/internal/table/view"
+	"chervilridge/internal/telemetry"
+)
+
+const (
+	latencyWindow = 10 * time.Second
+	probeEvery    = time.Second
+	// firstServiceTime judges the wait for a slot before any was measured.
+	firstServiceTime = 5 * time.Millisecond
+)
+
+// Identity is what an agent is called; the incarnation is new at each start.
+type Identity struct {
+	Name        string
+	Incarnation string
+	Began       time.Time
+}
+
+// Module returns the parts of an agent.
+func Module(set *settings.Set, options *Options) fx.Option {
+	return fx.Options(
+		fx.Supply(set, options),
+		fx.Provide(
+			process.NewBackground, telemetry.New, peer.NewPool, peer.NewServer,
+			newIdentity, newLog, newTable, newView, newRunner, newGate, newStore, newLatency,
+			newHealth, newServiceView, newAnnouncer, newShardOwners,
+		),
+		fx.Invoke(serveMetrics, runWorker, serveGRPC, leave),
+	)
+}
+
+func newIdentity(o *Options) Identity {
+	return Identity{Name: *o.Name, Incarnation: ident.New(), Began: time.Now()}
+}
+
+func newLog(o *Options) platform.Log { return platformhttp.NewLog(*o.LogAddress) }
+
+func newTable(o *Options, log platform.Log, bg *process.Background) *ledger.Follower[*table.Table] {
+	f := ledger.NewFollower(log, table.Stream, *o.TablePoll, table.New)
+	f.OnApply(table.LogChange)
+	bg.Go(f.Run)
+	return f
+}
+
+func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
+
+func newGate(o *Options) *admission.Gate {
+	return admission.New(admission.Options{Slots: int(*o.Slots), MaxQueue: int(*o.Queue), MaxPerSlot: firstServiceTime})
+}
+
+func newStore(o *Options) *execution.Store { return execution.NewStore(*o.AnswerRetention) }
+
+func newLatency() *latency.Window { return latency.NewWindow(latencyWindow) }
+
+func newRunner(o *Options, id Identity, gate *admission.Gate, store *execution.Store, window *latency.Window) *runner.Runner {
+	return runner.New(runner.Options{
+		Agent: id.Name, Incarnation: id.Incarnation, Service: *o.Service,
+		Endpoint: *o.Endpoint, Connections: int(*o.Connections),
+	}, gate, store, window)
+}
+
+func newAnnouncer(o *Options, id Identity, gate *admission.Gate, run *runner.Runner, h *health,
+	owners *shardOwners, v *view.View, pool *peer.Pool, bg *process.Background) *announce.Announcer {
+	describe := func() *pb.AnnounceRequest {
+		running, queued := gate.Load()
+		return &pb.AnnounceRequest{
+			Endpoint: &pb.Endpoint{
+				Agent: id.Name, Incarnation: id.Incarnation, Address: *o.GRPCAddress, Service: *o.Service,
+				Region: *o.Region, DataCentre: *o.DataCentre, Slots: uint32(*o.Slots), Connections: uint32(*o.Connections),
+			},
+			Leaving: run.Leaving(), Running: uint32(running), Queued: uint32(queued),
+			Shards: owners.held(), TableVersion: v.Version(), Healthy: h.good(), Worker: *o.Worker,
+		}
+	}
+	a := announce.New(pool, *o.Entries, *o.AnnounceEvery, describe)
+	bg.Go(a.Run)
+	return a
+}
+
+// runWorker follows the worker beside the agent, if there is one.
+func runWorker(o *Options, id Identity, server *grpc.Server, a *announce.Announcer, s *serviceView, pool *peer.Pool, bg *process.Background) {
+	if *o.Worker == "" {
+		return
+	}
+	worker := platformhttp.NewWorker(*o.WorkerAddress, *o.Worker)
+	g := grants.New(grants.Options{
+		Incarnation: id.Incarnation, Began: id.Began, Shard: ident.Shard(*o.Worker, uint32(*o.Shards)),
+	}, worker)
+	pb.RegisterTaskRunnerServer(server, g)
+	bg.Go(grants.NewBeater(g, a, s, pool, *o.GRPCAddress, *o.BeatEvery).Run)
+}
+
+func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
+		OnStop:  t.Stop,
+	})
+}
+
+func serveGRPC(lc fx.Lifecycle, o *Options, server *grpc.Server, run *runner.Runner, owners *shardOwners) {
+	pb.RegisterRunnerServer(server, run)
+	pb.RegisterShardOwnerServiceServer(server, owners)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := net.Listen("tcp", *o.GRPCAddress)
+			if err != nil {
+				return fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, *o.GRPCAddress, "cannot listen")
+			}
+			go func() { _ = server.Serve(l) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			peer.StopServer(ctx, server)
+			return nil
+		},
+	})
+}
+
+// leave runs first at a planned stop: announce, refuse new requests, finish
+// those in flight.
+func leave(lc fx.Lifecycle, run *runner.Runner, a *announce.Announcer) {
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		run.BeginLeave()
+		a.Announce(ctx)
+		return run.FinishLeave(ctx)
+	}})
+}
--- /dev/null
+++ b/internal/agent/runner/probe.go
@@ -0,0 +1,32 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const probeTimeout = 2 * time.Second
+
+// Probe reports whether the endpoint answers its health check.
+func (r *Runner) Probe(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.options.Endpoint+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	res, err := r.http.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/agent/shards.go
@@ -0,0 +1,107 @@
+package agent
+
+import (
+	"context"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/peer"
+	"chervilridge/internal/platform"
+	"chervilridge/internal/process"
+	"chervilridge/internal/scheduler/owner"
+	"chervilridge/internal/scheduler/ownership"
+	"chervilridge/internal/shard"
+	"chervilridge/internal/table"
+)
+
+// shardOwners are the shards that this agent is a candidate for. It hands each
+// call of the ShardOwnerService to the shard it names.
+type shardOwners struct {
+	pb.UnimplementedShardOwnerServiceServer
+
+	owners []*owner.Owner
+	leases []*ownership.Lease
+}
+
+func newShardOwners(o *Options, id Identity, log platform.Log, rows *ledger.Follower[*table.Table],
+	pool *peer.Pool, bg *process.Background) *shardOwners {
+	s := &shardOwners{}
+	for n := range uint32(*o.Shards) {
+		s.add(o, id, n, log, rows, pool, bg)
+	}
+	return s
+}
+
+func (s *shardOwners) add(o *Options, id Identity, n uint32, log platform.Log, rows *ledger.Follower[*table.Table],
+	pool *peer.Pool, bg *process.Background) {
+	name := id.Name + "/" + id.Incarnation
+	state := ledger.NewFollower(log, shard.Stream(n), *o.TablePoll, shard.New)
+	bg.Go(state.Run)
+	committer := ledger.NewCommitter(log, state, name, *o.AppendBudget)
+	bg.Go(committer.Run)
+	lease := ownership.New(ownership.Options{
+		Shard: n, Owner: name, Address: *o.GRPCAddress, Lease: *o.ShardLease,
+	}, state, committer)
+	bg.Go(lease.Run)
+	scheduler := owner.New(owner.Options{
+		Shard: n, Grant: *o.Grant, WorkerSilence: 4 * *o.BeatEvery,
+	}, lease, state, rows, committer, pool)
+	bg.Go(scheduler.Run)
+	s.owners = append(s.owners, scheduler)
+	s.leases = append(s.leases, lease)
+}
+
+// held returns the shards whose lease is held now.
+func (s *shardOwners) held() []*pb.OwnedShard {
+	var out []*pb.OwnedShard
+	for n, l := range s.leases {
+		if epoch, ok := l.Held(); ok {
+			out = append(out, &pb.OwnedShard{Shard: uint32(n), Epoch: epoch})
+		}
+	}
+	return out
+}
+
+func (s *shardOwners) find(n uint32) (*owner.Owner, error) {
+	if int(n) >= len(s.owners) {
+		return nil, fault.Newf(fault.CodeBadRequest, fault.StepSubmit, "", "no shard %d", n)
+	}
+	return s.owners[n], nil
+}
+
+// Beat implements the ShardOwnerService.
+func (s *shardOwners) Beat(ctx context.Context, req *pb.BeatRequest) (*pb.BeatReply, error) {
+	o, err := s.find(req.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.Beat(ctx, req)
+}
+
+// GetJob implements the ShardOwnerService.
+func (s *shardOwners) GetJob(ctx context.Context, req *pb.GetJobRequest) (*pb.GetJobReply, error) {
+	o, err := s.find(req.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.GetJob(ctx, req)
+}
+
+// SubmitJob implements the ShardOwnerService.
+func (s *shardOwners) SubmitJob(ctx context.Context, req *pb.SubmitJobRequest) (*pb.LedgerReply, error) {
+	o, err := s.find(req.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.SubmitJob(ctx, req)
+}
+
+// CancelJobs implements the ShardOwnerService.
+func (s *shardOwners) CancelJobs(ctx context.Context, req *pb.CancelJobsRequest) (*pb.LedgerReply, error) {
+	o, err := s.find(req.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.CancelJobs(ctx, req)
+}
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"chervilridge/internal/entry/api"
+	"chervilridge/internal/fault"
+)
+
+const waitPoll = 200 * time.Millisecond
+
+func (sh *shell) fleet(cmd *cobra.Command) (api.Fleet, error) {
+	var f api.Fleet
+	_, err := sh.client.Do(cmd.Context(), Call{Method: http.MethodGet, Path: "/v1/fleet"}, &f)
+	return f, err
+}
+
+func (sh *shell) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Shows entries, agents, shard owners and their table versions", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			f, err := sh.fleet(cmd)
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "entry %s at table version %d\n", f.Entry, f.TableVersion)
+			for _, m := range f.Members {
+				fmt.Fprintf(out, "agent %-12s %-12s %-10s worker %-10s version %-4d running %-3d queued %-3d healthy %v leaving %v\n",
+					m.Agent, m.Service, m.DataCentre, m.Worker, m.TableVersion, m.Running, m.Queued, m.Healthy, m.Leaving)
+			}
+			for _, o := range f.Owners {
+				fmt.Fprintf(out, "shard %d owned by %s in epoch %d\n", o.Shard, o.Agent, o.Epoch)
+			}
+			return nil
+		},
+	}
+}
+
+// waitCommand waits until every live process reports the version, asking every
+// entry that is named.
+func (sh *shell) waitCommand() *cobra.Command {
+	var version uint64
+	var timeout time.Duration
+	cmd := &cobra.Command{
+		Use: "wait", Short: "Waits until a table version is in force everywhere and names who lags", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			deadline := time.Now().Add(timeout)
+			for {
+				lagging, err := sh.lagging(cmd, &version)
+				if err == nil && len(lagging) == 0 {
+					fmt.Fprintf(cmd.OutOrStdout(), "table version %d is in force everywhere\n", version)
+					return nil
+				}
+				if time.Now().After(deadline) {
+					return waitFailed(version, lagging, err)
+				}
+				time.Sleep(waitPoll)
+			}
+		},
+	}
+	cmd.Flags().Uint64Var(&version, "version", 0, "table version to wait for; 0 means the newest")
+	cmd.Flags().DurationVar(&timeout, "timeout", 16*time.Second, "how long to wait")
+	return cmd
+}
+
+func waitFailed(version uint64, lagging []string, err error) error {
+	if err != nil {
+		return err
+	}
+	return fault.Newf(fault.CodeStaleView, fault.StepConfig, strings.Join(lagging, ","),
+		"table version %d is not in force at %s", version, strings.Join(lagging, ", "))
+}
+
+// lagging returns the processes below the version, over all named entries.
+func (sh *shell) lagging(cmd *cobra.Command, version *uint64) ([]string, error) {
+	fleets, err := sh.fleets(cmd)
+	if err != nil {
+		return nil, err
+	}
+	if *version == 0 {
+		for _, f := range fleets {
+			*version = max(*version, f.TableVersion)
+		}
+	}
+	var out []string
+	for _, f := range fleets {
+		if f.TableVersion < *version {
+			out = append(out, "entry "+f.Entry)
+		}
+		for _, m := range f.Members {
+			if m.TableVersion < *version {
+				out = append(out, "agent "+m.Agent)
+			}
+		}
+	}
+	return out, nil
+}
+
+func (sh *shell) fleets(cmd *cobra.Command) ([]api.Fleet, error) {
+	var out []api.Fleet
+	for _, entry := range *sh.entries {
+		var f api.Fleet
+		one := NewClient([]string{entry}, *sh.operator)
+		if _, err := one.Do(cmd.Context(), Call{Method: http.MethodGet, Path: "/v1/fleet"}, &f); err != nil {
+			return nil, err
+		}
+		out = append(out, f)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/entry/module.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/fx"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/claims"
+	"chervilridge/internal/entry/api"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/jobs"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/membership"
+	"chervilridge/internal/peer"
+	"chervilridge/internal/platform"
+	"chervilridge/internal/platform/platformhttp"
+	"chervilridge/internal/process"
+	"chervilridge/internal/request"
+	"chervilridge/internal/request/admit"
+	"chervilridge/internal/request/claim"
+	"chervilridge/internal/request/classify"
+	"chervilridge/internal/request/pick"
+	"chervilridge/internal/request/retry"
+	"chervilridge/internal/request/send"
+	"chervilridge/internal/request/verify"
+	"chervilridge/internal/settings"
+	"chervilridge/internal/table"
+	"chervilridge/internal/table/view"
+	"chervilridge/internal/telemetry"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	drainPoll         = 20 * time.Millisecond
+	retryBurst        = 50 // repeats allowed at once
+)
+
+// Module returns the parts of an entry.
+func Module(set *settings.Set, options *Options) fx.Option {
+	return fx.Options(
+		fx.Supply(set, options),
+		fx.Provide(
+			process.NewBackground, telemetry.New, peer.NewPool,
+			newLog, newTable, newTableCommitter, newView, newRegistry, newPipeline, newJobs, newHandler,
+		),
+		fx.Invoke(serveMetrics, serveGRPC, serveHTTP),
+	)
+}
+
+func newLog(o *Options) platform.Log { return platformhttp.NewLog(*o.LogAddress) }
+
+func newTable(o *Options, log platform.Log, bg *process.Background) *ledger.Follower[*table.Table] {
+	f := ledger.NewFollower(log, table.Stream, *o.TablePoll, table.New)
+	f.OnApply(table.LogChange)
+	bg.Go(f.Run)
+	return f
+}
+
+func newTableCommitter(o *Options, log platform.Log, f *ledger.Follower[*table.Table], bg *process.Background) *ledger.Committer {
+	c := ledger.NewCommitter(log, f, *o.Name, *o.AppendBudget)
+	bg.Go(c.Run)
+	return c
+}
+
+func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
+
+func newRegistry(o *Options, v *view.View, bg *process.Background) *membership.Registry {
+	r := membership.NewRegistry(*o.EndpointLease, func() membership.EntryInfo {
+		return membership.EntryInfo{Entries: []string{*o.GRPCAddress}, TableVersion: v.Version()}
+	})
+	bg.Go(r.Run)
+	return r
+}
+
+// pipeline is the request path with the stage that a planned stop needs.
+type pipeline struct {
+	head    request.Handler
+	admit   *admit.Filter
+	leaving atomic.Bool // fails the balancer's check
+}
+
+// newPipeline joins the stages: classify, admit, claim, retry, pick, verify,
+// send. The claim comes before the retries, so that one request claims once.
+func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool, bg *process.Background) *pipeline {
+	keys := ledger.NewFollower(log, claims.Stream, *o.TablePoll, claims.New)
+	bg.Go(keys.Run)
+	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
+	bg.Go(committer.Run)
+
+	picked := pick.New(verify.New(send.New(pool)), reg, v, newPolicy(*o.Policy))
+	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
+	claimed := claim.New(retry.New(picked, budget, int(*o.MaxTries)), committer)
+	admitted := admit.New(claimed, *o.MaxInFlight)
+	return &pipeline{head: classify.New(admitted, v, reg), admit: admitted}
+}
+
+func newPolicy(name string) pick.Policy {
+	switch name {
+	case "random":
+		return pick.Random{}
+	case "round-robin":
+		return &pick.RoundRobin{}
+	}
+	return pick.TwoChoices{}
+}
+
+func newJobs(o *Options, reg *membership.Registry, pool *peer.Pool) *jobs.Client {
+	return jobs.New(reg, pool, uint32(*o.Shards))
+}
+
+func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry, pool *peer.Pool,
+	j *jobs.Client, v *view.View, c *ledger.Committer) http.Handler {
+	return api.New(api.Parts{
+		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg, pool),
+		Jobs: j, Table: v, Writer: c, Entry: *o.Name,
+		Ready:    func() bool { return !p.leaving.Load() },
+		Settings: func() any { return set.InForce() },
+	})
+}
+
+func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
+		OnStop:  t.Stop,
+	})
+}
+
+func serveGRPC(lc fx.Lifecycle, o *Options, reg *membership.Registry) {
+	server := peer.NewServer()
+	pb.RegisterRegistryServer(server, reg)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := listen(*o.GRPCAddress)
+			if err != nil {
+				return err
+			}
+			go func() { _ = server.Serve(l) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			peer.StopServer(ctx, server)
+			return nil
+		},
+	})
+}
+
+// serveHTTP stops in the order: fail the balancer's check, wait, refuse new
+// requests, finish those in flight, close.
+func serveHTTP(lc fx.Lifecycle, o *Options, handler http.Handler, p *pipeline) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			l, err := listen(*o.HTTPAddress)
+			if err != nil {
+				return err
+			}
+			go func() { _ = server.Serve(l) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			p.leaving.Store(true)
+			pause(ctx, *o.DrainWait)
+			p.admit.Leave()
+			drain(ctx, p.admit)
+			return server.Shutdown(ctx)
+		},
+	})
+}
+
+func drain(ctx context.Context, f *admit.Filter) {
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for f.InFlight() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, address, "cannot listen")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/events/events_test.go
@@ -0,0 +1,28 @@
+package events
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var row = regexp.MustCompile(`(?m)^\| (\d{4}) \| (\w+) \| ([^|]+) \|`)
+
+// TestCatalogueMatchesPage compares the catalogue with docs/EVENTS.md both ways.
+func TestCatalogueMatchesPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/EVENTS.md")
+	assert.NilError(t, err)
+	documented := map[string]bool{}
+	for _, m := range row.FindAllStringSubmatch(string(page), -1) {
+		documented[fmt.Sprintf("%s %s %s", m[1], m[2], m[3])] = true
+	}
+	for n, e := range All() {
+		key := fmt.Sprintf("%d %s %s", n, e.Severity, e.Text)
+		assert.Check(t, documented[key], "not in docs/EVENTS.md: %s", key)
+		delete(documented, key)
+	}
+	assert.Equal(t, len(documented), 0, "in docs/EVENTS.md only: %v", documented)
+}
--- /dev/null
+++ b/internal/events/task.go
@@ -0,0 +1,25 @@
+package events
+
+// Events of shards, jobs and tasks.
+var (
+	ShardClaimed        = define(4001, Info, "shard claimed")
+	ShardClaimLost      = define(4002, Info, "shard claim lost")
+	ShardLapsed         = define(4003, Warning, "shard lease lapsed, owner stops acting")
+	ShardReleased       = define(4004, Info, "shard lease given up")
+	JobAccepted         = define(5001, Info, "job accepted")
+	JobRefused          = define(5002, Info, "job refused")
+	JobCancelled        = define(5003, Info, "jobs cancelled")
+	TaskPlaced          = define(5101, Info, "task placed")
+	TaskUnplaced        = define(5102, Info, "task not placed")
+	TaskStarted         = define(5103, Info, "task started")
+	TaskStartRefused    = define(5104, Warning, "task start refused")
+	TaskFinished        = define(5105, Info, "task finished")
+	TaskReleased        = define(5106, Info, "task released")
+	TaskFenced          = define(5107, Info, "attempt fenced")
+	TaskGrantLapsed     = define(5108, Warning, "grant lapsed, attempt stopped")
+	TaskStopped         = define(5109, Info, "attempt stopped")
+	WorkerJoined        = define(5201, Info, "worker joined")
+	WorkerSilent        = define(5202, Warning, "worker silent")
+	WorkerQuarantined   = define(5203, Warning, "worker quarantined")
+	WorkerRehabilitated = define(5204, Info, "worker back from quarantine")
+)
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,206 @@
+// Package fault defines the error type of the whole system: each error carries
+// the step and the peer at which it arose and whether the request was run.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome says whether the request that failed was run.
+type Outcome string
+
+// Outcomes as clients read them.
+const (
+	NotRun  Outcome = "not run"
+	Done    Outcome = "done"
+	Unknown Outcome = "unknown"
+)
+
+// Code is the kind of an error, stable for clients.
+type Code string
+
+// Codes of all errors that reach a client or an operator.
+const (
+	CodeBadRequest      Code = "bad_request"
+	CodeUnknownService  Code = "unknown_service"
+	CodeNotFound        Code = "not_found"
+	CodeTooLarge        Code = "body_too_large"
+	CodeNoEndpoint      Code = "no_endpoint"
+	CodeOverloaded      Code = "overloaded"
+	CodeTooLate         Code = "too_late"
+	CodeLeaving         Code = "leaving"
+	CodeLogDown         Code = "log_down"
+	CodeOutcomeUnknown  Code = "outcome_unknown"
+	CodeConflict        Code = "conflict"
+	CodeInfeasible      Code = "infeasible"
+	CodeStaleView       Code = "stale_view"
+	CodeNotOwner        Code = "not_owner"
+	CodeFenced          Code = "fenced"
+	CodeWorkerFault     Code = "worker_fault"
+	CodeBadSetting      Code = "bad_setting"
+	CodeInternal        Code = "internal"
+	CodePeerUnreachable Code = "peer_unreachable"
+)
+
+// Step is the stage of the pipeline or protocol at which an error arose.
+type Step string
+
+// Steps of requests, jobs and the processes' own protocols.
+const (
+	StepParse    Step = "parse"
+	StepClassify Step = "classify"
+	StepAdmit    Step = "admit"
+	StepClaim    Step = "claim"
+	StepPick     Step = "pick"
+	StepSend     Step = "send"
+	StepVerify   Step = "verify"
+	StepReply    Step = "reply"
+	StepExecute  Step = "execute"
+	StepResolve  Step = "resolve"
+	StepAnnounce Step = "announce"
+	StepAppend   Step = "append"
+	StepRead     Step = "read"
+	StepReplay   Step = "replay"
+	StepRestore  Step = "restore"
+	StepSubmit   Step = "submit"
+	StepPlace    Step = "place"
+	StepStart    Step = "start"
+	StepStop     Step = "stop"
+	StepFence    Step = "fence"
+	StepBeat     Step = "beat"
+	StepConfig   Step = "configure"
+	StepSettings Step = "settings"
+	StepWorker   Step = "worker"
+)
+
+// Error is a failure with the step and the peer at which it arose.
+type Error struct {
+	Code    Code
+	Step    Step
+	Peer    string // name or address of the other side; empty if there is none
+	Outcome Outcome
+	Message string
+	// RetryAfter is how long a client should wait; 0 gives no advice.
+	RetryAfter time.Duration
+	// RequestID lets a client ask again for an unknown outcome.
+	RequestID string
+	Cause     error
+}
+
+// New returns an error whose request did not run.
+func New(code Code, step Step, peer, message string) *Error {
+	return &Error{Code: code, Step: step, Peer: peer, Outcome: NotRun, Message: message}
+}
+
+// Newf is New with a formatted message.
+func Newf(code Code, step Step, peer, format string, args ...any) *Error {
+	return New(code, step, peer, fmt.Sprintf(format, args...))
+}
+
+// Wrap returns an error of the given kind that keeps its cause.
+func Wrap(cause error, code Code, step Step, peer, message string) *Error {
+	e := New(code, step, peer, message)
+	e.Cause = cause
+	return e
+}
+
+// WithOutcome returns a copy of e with another outcome.
+func (e *Error) WithOutcome(o Outcome) *Error {
+	c := *e
+	c.Outcome = o
+	return &c
+}
+
+// WithRequest returns a copy of e that names the request.
+func (e *Error) WithRequest(id string) *Error {
+	c := *e
+	c.RequestID = id
+	return &c
+}
+
+// WithRetryAfter returns a copy of e that advises a pause.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error returns code, step, peer, message and cause in one line.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%s at %s", e.Code, e.Step)
+	if e.Peer != "" {
+		s += " with " + e.Peer
+	}
+	s += ": " + e.Message
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// As returns err as an *Error, wrapping a foreign error as internal with an
+// unknown outcome.
+func As(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, CodeInternal, StepReply, "", "unexpected error").WithOutcome(Unknown)
+}
+
+// Is reports whether err is an *Error with the given code.
+func Is(err error, code Code) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Code == code
+}
+
+var statuses = map[Code]int{
+	CodeBadRequest:      http.StatusBadRequest,
+	CodeUnknownService:  http.StatusNotFound,
+	CodeNotFound:        http.StatusNotFound,
+	CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	CodeNoEndpoint:      http.StatusServiceUnavailable,
+	CodeOverloaded:      http.StatusTooManyRequests,
+	CodeTooLate:         http.StatusServiceUnavailable,
+	CodeLeaving:         http.StatusServiceUnavailable,
+	CodeLogDown:         http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:  http.StatusGatewayTimeout,
+	CodeConflict:        http.StatusConflict,
+	CodeInfeasible:      http.StatusUnprocessableEntity,
+	CodeStaleView:       http.StatusServiceUnavailable,
+	CodeNotOwner:        http.StatusServiceUnavailable,
+	CodePeerUnreachable: http.StatusBadGateway,
+}
+
+// Status returns the HTTP status for the error's code.
+func (e *Error) Status() int {
+	if s, ok := statuses[e.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Body is the JSON form of an error.
+type Body struct {
+	Code      Code    `json:"code"`
+	Step      Step    `json:"step"`
+	Peer      string  `json:"peer,omitempty"`
+	Outcome   Outcome `json:"outcome"`
+	Message   string  `json:"message"`
+	RequestID string  `json:"request_id,omitempty"`
+}
+
+// Body returns the error as clients see it.
+func (e *Error) Body() Body {
+	msg := e.Message
+	if e.Cause != nil {
+		msg += ": " + e.Cause.Error()
+	}
+	return Body{Code: e.Code, Step: e.Step, Peer: e.Peer, Outcome: e.Outcome, Message: msg, RequestID: e.RequestID}
+}
--- /dev/null
+++ b/internal/request/classify/classify.go
@@ -0,0 +1,48 @@
+// Package classify looks up a request's service and client in the table.
+package classify
+
+import (
+	"context"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/request"
+)
+
+// Rows finds rows of the table in force; nil if there is none.
+type Rows interface {
+	Row(kind pb.RowKind, name string) *pb.Row
+}
+
+// Services tells which services have announced endpoints.
+type Services interface {
+	Known(service string) bool
+}
+
+// Filter is the stage.
+type Filter struct {
+	next     request.Handler
+	rows     Rows
+	services Services
+}
+
+// New returns the stage in front of next.
+func New(next request.Handler, rows Rows, services Services) *Filter {
+	return &Filter{next: next, rows: rows, services: services}
+}
+
+// Handle sets weight, limit and allowed data centres, and refuses a service
+// that neither the table nor an endpoint knows.
+func (f *Filter) Handle(ctx context.Context, r *request.Request) (*request.Answer, error) {
+	service := f.rows.Row(pb.RowKind_ROW_KIND_SERVICE, r.Service)
+	if service == nil && !f.services.Known(r.Service) {
+		return nil, fault.Newf(fault.CodeUnknownService, fault.StepClassify, r.Service, "no service %q", r.Service)
+	}
+	r.Allowed = service.GetDataCentres()
+	r.Weight = 1
+	if client := f.rows.Row(pb.RowKind_ROW_KIND_CLIENT, r.Client); client != nil {
+		r.Weight = client.Weight
+		r.ClientLimit = client.Limit
+	}
+	return f.next.Handle(ctx, r)
+}
--- /dev/null
+++ b/internal/scheduler/owner/owner.go
@@ -0,0 +1,189 @@
+// Package owner acts as the scheduler of one shard while this process holds the
+// shard's lease: it plans, commits, starts, renews, stops and records.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/peer"
+	"chervilridge/internal/scheduler/ownership"
+	"chervilridge/internal/shard"
+	"chervilridge/internal/table"
+)
+
+const (
+	tickInterval  = 100 * time.Millisecond
+	commitTimeout = 5 * time.Second
+	callTimeout   = 2 * time.Second
+	// startAllowance is how late a start may reach the agent after it was sent.
+	startAllowance = time.Second
+	// tableFreshness is how old the view of the table may be at a start.
+	tableFreshness = 1500 * time.Millisecond
+	// confirmAfter is how long a granted attempt may go unreported before the
+	// agent is asked about it.
+	confirmAfter = 3 * time.Second
+	// grantMarginShare is the part of a grant added for clocks that run at
+	// different rates.
+	grantMarginShare = 10
+)
+
+// Options describe the owner.
+type Options struct {
+	Shard uint32
+	Grant time.Duration
+	// WorkerSilence is how long a worker may be silent and still get tasks.
+	WorkerSilence time.Duration
+}
+
+// Owner schedules one shard. One lock guards what it knows of workers and
+// attempts beyond the ledger; that is lost with the process and learned anew.
+type Owner struct {
+	pb.UnimplementedShardOwnerServiceServer
+
+	options   Options
+	lease     *ownership.Lease
+	state     *ledger.Follower[*shard.State]
+	table     *ledger.Follower[*table.Table]
+	committer *ledger.Committer
+	pool      *peer.Pool
+
+	mu       sync.Mutex
+	epoch    uint64 // epoch that the maps below belong to
+	workers  map[string]*workerView
+	attempts map[attemptKey]*attemptView
+}
+
+// attemptKey names an attempt in the owner's maps.
+type attemptKey struct {
+	ref     shard.TaskRef
+	attempt uint32
+}
+
+// workerView is what beats told of a worker.
+type workerView struct {
+	incarnation string
+	address     string
+	clock       time.Duration // the agent's clock at the newest beat
+	seen        time.Time     // when that beat came
+	leaving     bool
+}
+
+// attemptView is what the owner knows of a granted attempt beyond the ledger.
+type attemptView struct {
+	granted     time.Time // when this owner took notice of the grant
+	mayRunUntil time.Time
+	confirmed   time.Time // newest beat that reported it
+	busy        bool      // a start, stop, fence or commit is under way
+}
+
+// New returns an owner that does nothing until the lease is held.
+func New(options Options, lease *ownership.Lease, state *ledger.Follower[*shard.State],
+	rows *ledger.Follower[*table.Table], committer *ledger.Committer, pool *peer.Pool) *Owner {
+	return &Owner{
+		options: options, lease: lease, state: state, table: rows, committer: committer, pool: pool,
+		workers: map[string]*workerView{}, attempts: map[attemptKey]*attemptView{},
+	}
+}
+
+// Run acts in rounds until the context ends.
+func (o *Owner) Run(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		changed := o.state.Changed()
+		o.round(ctx)
+		select {
+		case <-t.C:
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round does what the lease allows now. The lease is checked again after each
+// wait, since a paused process wakes up late.
+func (o *Owner) round(ctx context.Context) {
+	epoch, held := o.lease.Held()
+	if !held {
+		return
+	}
+	o.enter(epoch)
+	o.reconcile(ctx, epoch)
+	o.schedule(ctx, epoch)
+}
+
+// enter forgets what was learned under an older epoch.
+func (o *Owner) enter(epoch uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.epoch == epoch {
+		return
+	}
+	o.epoch = epoch
+	o.workers = map[string]*workerView{}
+	o.attempts = map[attemptKey]*attemptView{}
+}
+
+// margin covers clocks that run at different rates.
+func (o *Owner) margin() time.Duration { return o.options.Grant / grantMarginShare }
+
+// view returns the view of an attempt; a new one assumes the worst, that the
+// attempt was granted just now.
+func (o *Owner) view(key attemptKey) *attemptView {
+	v := o.attempts[key]
+	if v == nil {
+		now := time.Now()
+		v = &attemptView{granted: now, mayRunUntil: now.Add(startAllowance + o.options.Grant + o.margin())}
+		o.attempts[key] = v
+	}
+	return v
+}
+
+// occupy marks an attempt as busy; false if it was already.
+func (o *Owner) occupy(key attemptKey) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	v := o.view(key)
+	if v.busy {
+		return false
+	}
+	v.busy = true
+	return true
+}
+
+func (o *Owner) vacate(key attemptKey) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if v := o.attempts[key]; v != nil {
+		v.busy = false
+	}
+}
+
+// commit writes a record under the epoch and returns replay's verdict.
+func (o *Owner) commit(ctx context.Context, epoch uint64, rec *pb.Record) (ledger.Verdict, error) {
+	if held, ok := o.lease.Held(); !ok || held != epoch {
+		return ledger.Verdict{}, fault.New(fault.CodeNotOwner, fault.StepAppend, "", "shard lease is not held")
+	}
+	rec.Epoch = epoch
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	return o.committer.Commit(ctx, rec)
+}
+
+// GetJob implements the ShardOwnerService.
+func (o *Owner) GetJob(_ context.Context, req *pb.GetJobRequest) (*pb.GetJobReply, error) {
+	reply := &pb.GetJobReply{AgeMs: o.state.Age(time.Now()).Milliseconds()}
+	o.state.View(func(s *shard.State) {
+		reply.Epoch = s.Epoch()
+		if job := s.Job(req.JobId); job != nil {
+			reply.Found, reply.Job = true, cloneJob(job)
+		}
+	})
+	return reply, nil
+}
--- /dev/null
+++ b/internal/scheduler/owner/schedule.go
@@ -0,0 +1,179 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/events"
+	"chervilridge/internal/scheduler/placement"
+	"chervilridge/internal/shard"
+	"chervilridge/internal/table"
+)
+
+func cloneJob(j *pb.Job) *pb.Job { return proto.CloneOf(j) }
+
+// schedule plans the waiting tasks and carries the plan out.
+func (o *Owner) schedule(ctx context.Context, epoch uint64) {
+	if !o.table.FreshWithin(tableFreshness) {
+		return
+	}
+	snapshot := o.snapshot()
+	if len(snapshot.Tasks) == 0 {
+		return
+	}
+	plan := placement.Make(snapshot)
+	for _, a := range plan.Assignments {
+		key := attemptKey{a.Task.Ref, a.Task.Attempt + 1}
+		if o.occupy(key) {
+			go o.assign(ctx, epoch, key, a)
+		}
+	}
+	for _, u := range plan.Impossible {
+		o.rejectJob(ctx, epoch, u)
+	}
+}
+
+// snapshot copies what planning needs out of ledger, table and beats. Tasks
+// whose assignment is under way are left out, and so is the room they take.
+func (o *Owner) snapshot() placement.Snapshot {
+	var snap placement.Snapshot
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.View(func(t *table.Table) {
+		o.state.View(func(s *shard.State) {
+			for ref, task := range s.Pending() {
+				if v := o.attempts[attemptKey{ref, task.Attempt + 1}]; v == nil || !v.busy {
+					snap.Tasks = append(snap.Tasks, planTask(t, s.Job(ref.JobID), ref, task))
+				}
+			}
+			for name, w := range s.Workers() {
+				snap.Workers = append(snap.Workers, o.planWorker(t, name, w))
+			}
+		})
+	})
+	return snap
+}
+
+func planTask(t *table.Table, job *pb.Job, ref shard.TaskRef, task *pb.Task) placement.Task {
+	class := t.Row(pb.RowKind_ROW_KIND_JOB_CLASS, job.Spec.JobClass)
+	return placement.Task{
+		Ref: ref, Attempt: task.Attempt, Team: job.Spec.Team, JobClass: job.Spec.JobClass,
+		Need: job.Spec.Resources, Urgent: class.GetUrgent(), Since: job.SubmittedMs,
+		DataCentres: class.GetDataCentres(),
+	}
+}
+
+func (o *Owner) planWorker(t *table.Table, name string, w *shard.Worker) placement.Worker {
+	view := o.workers[name]
+	live := view != nil && !view.leaving && time.Since(view.seen) <= o.options.WorkerSilence
+	return placement.Worker{
+		Name: name, DataCentre: w.Registered.DataCentre, Rack: w.Registered.Rack,
+		Capacity: w.Registered.Capacity, Free: w.Free(),
+		Ready: live && !w.Quarantined && !t.DataCentreOut(w.Registered.DataCentre),
+	}
+}
+
+// assign commits one assignment and, once replay has accepted it, starts it.
+func (o *Owner) assign(ctx context.Context, epoch uint64, key attemptKey, a placement.Assignment) {
+	defer o.vacate(key)
+	v, err := o.commit(ctx, epoch, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
+		JobId: key.ref.JobID, Index: key.ref.Index, Attempt: key.attempt, Worker: a.Worker, Reserved: a.Reserved,
+	}}})
+	if err != nil || v.Rejection != nil {
+		events.TaskUnplaced.Log("job", key.ref.JobID, "index", key.ref.Index, "worker", a.Worker, "error", err, "rejection", v.Rejection)
+		return
+	}
+	events.TaskPlaced.Log("job", key.ref.JobID, "index", key.ref.Index, "attempt", key.attempt,
+		"worker", a.Worker, "score", a.Score, "epoch", epoch, "offset", v.Offset)
+	o.start(ctx, epoch, key, a.Worker)
+}
+
+// start sends the start, unless the lease, the worker or its data centre have
+// gone meanwhile; then the attempt is given back as never started.
+func (o *Owner) start(ctx context.Context, epoch uint64, key attemptKey, worker string) {
+	req, address, ok := o.startRequest(epoch, key, worker)
+	if held, valid := o.lease.Held(); !valid || held != epoch {
+		return
+	}
+	if !ok || !o.table.FreshWithin(tableFreshness) {
+		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_NOT_STARTED, nil, "worker or data centre went away before the start")
+		return
+	}
+	conn, err := o.pool.Get(address)
+	if err != nil {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := pb.NewTaskRunnerClient(conn).StartTask(callCtx, req)
+	switch {
+	case err != nil:
+		events.TaskStartRefused.LogError(err, "job", key.ref.JobID, "index", key.ref.Index, "attempt", key.attempt, "peer", worker)
+	case reply.Started:
+		o.confirm(key)
+	case reply.WorkerFault:
+		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT, nil, reply.Reason)
+	default:
+		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_NOT_STARTED, nil, reply.Reason)
+	}
+}
+
+func (o *Owner) startRequest(epoch uint64, key attemptKey, worker string) (*pb.StartTaskRequest, string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	view := o.workers[worker]
+	if view == nil {
+		return nil, "", false
+	}
+	now := time.Now()
+	o.view(key).mayRunUntil = now.Add(startAllowance + o.options.Grant + o.margin())
+	req := &pb.StartTaskRequest{
+		Attempt: o.message(key), Epoch: epoch, Incarnation: view.incarnation,
+		NotAfterMs: (view.clock + now.Sub(view.seen) + startAllowance).Milliseconds(),
+		GrantMs:    o.options.Grant.Milliseconds(),
+	}
+	return req, view.address, o.fill(req, key, worker)
+}
+
+// fill adds what the ledger has of the task; false if the worker's data centre
+// is out.
+func (o *Owner) fill(req *pb.StartTaskRequest, key attemptKey, worker string) bool {
+	usable := false
+	o.table.View(func(t *table.Table) {
+		o.state.View(func(s *shard.State) {
+			job, task := s.Task(key.ref)
+			w := s.Workers()[worker]
+			if task == nil || w == nil {
+				return
+			}
+			req.Reserved, req.Checkpoint = task.Reserved, task.Checkpoint
+			req.Payload, req.JobClass, req.DurationMs = job.Spec.Payload, job.Spec.JobClass, job.Spec.DurationMs
+			req.DataCentre = w.Registered.DataCentre
+			usable = !t.DataCentreOut(w.Registered.DataCentre) && !job.Cancelled
+		})
+	})
+	return usable
+}
+
+func (o *Owner) message(key attemptKey) *pb.Attempt {
+	return &pb.Attempt{Shard: o.options.Shard, JobId: key.ref.JobID, Index: key.ref.Index, Attempt: key.attempt}
+}
+
+func (o *Owner) confirm(key attemptKey) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view(key).confirmed = time.Now()
+}
+
+// rejectJob ends a job that can never run, so that it blocks nobody.
+func (o *Owner) rejectJob(ctx context.Context, epoch uint64, u placement.Unplaced) {
+	v, err := o.commit(ctx, epoch, &pb.Record{Body: &pb.Record_JobRejected{JobRejected: &pb.JobRejected{
+		JobId: u.Task.Ref.JobID, Reason: u.Reason,
+	}}})
+	if err == nil && v.Rejection == nil {
+		events.JobRefused.Log("job", u.Task.Ref.JobID, "reason", u.Reason)
+	}
+}
--- /dev/null
+++ b/internal/shard/task.go
@@ -0,0 +1,123 @@
+package shard
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/resources"
+)
+
+// assign grants the next attempt of a waiting task to a worker, within the
+// worker's capacity.
+func (s *State) assign(rec *pb.Record, a *pb.TaskAssigned) *ledger.Rejection {
+	ref := TaskRef{a.JobId, a.Index}
+	_, task := s.Task(ref)
+	worker := s.workers[a.Worker]
+	switch {
+	case task == nil:
+		return ledger.Reject(ledger.ReasonNotFound, "no task %s/%d", a.JobId, a.Index)
+	case worker == nil:
+		return ledger.Reject(ledger.ReasonNotFound, "no worker %s", a.Worker)
+	case task.State != pb.TaskState_TASK_STATE_PENDING:
+		return ledger.Reject(ledger.ReasonWrongState, "task %s/%d is %s", a.JobId, a.Index, task.State)
+	case a.Attempt != task.Attempt+1:
+		return ledger.Reject(ledger.ReasonStaleVersion, "attempt %d of %s/%d, the last is %d", a.Attempt, a.JobId, a.Index, task.Attempt)
+	case worker.Quarantined:
+		return ledger.Reject(ledger.ReasonWrongState, "worker %s is quarantined", a.Worker)
+	case !resources.Valid(a.Reserved) || !resources.Fits(a.Reserved, worker.Free()):
+		return ledger.Reject(ledger.ReasonOvercommitted, "worker %s has no room for %s/%d", a.Worker, a.JobId, a.Index)
+	}
+	task.State = pb.TaskState_TASK_STATE_ASSIGNED
+	task.Attempt = a.Attempt
+	task.Worker = a.Worker
+	task.Reserved = proto.CloneOf(a.Reserved)
+	worker.Reserved = resources.Add(worker.Reserved, a.Reserved)
+	worker.Assigned[ref] = task
+	delete(s.pending, ref)
+	note(rec, task, "assigned", "")
+	return nil
+}
+
+// current returns the task if the attempt is the one granted now.
+func (s *State) current(ref TaskRef, attempt uint32) (*pb.Job, *pb.Task, *ledger.Rejection) {
+	job, task := s.Task(ref)
+	switch {
+	case task == nil:
+		return nil, nil, ledger.Reject(ledger.ReasonNotFound, "no task %s/%d", ref.JobID, ref.Index)
+	case task.State != pb.TaskState_TASK_STATE_ASSIGNED:
+		return nil, nil, ledger.Reject(ledger.ReasonWrongState, "task %s/%d is %s", ref.JobID, ref.Index, task.State)
+	case task.Attempt != attempt:
+		return nil, nil, ledger.Reject(ledger.ReasonStaleVersion, "attempt %d of %s/%d, the last is %d", attempt, ref.JobID, ref.Index, task.Attempt)
+	}
+	return job, task, nil
+}
+
+// release ends an attempt without a result; the task waits again, fails for
+// good, or is cancelled.
+func (s *State) release(rec *pb.Record, r *pb.TaskReleased) *ledger.Rejection {
+	ref := TaskRef{r.JobId, r.Index}
+	job, task, rej := s.current(ref, r.Attempt)
+	if rej != nil {
+		return rej
+	}
+	s.freeWorker(ref, task)
+	if len(r.Checkpoint) > 0 {
+		task.Checkpoint = r.Checkpoint
+	}
+	if r.Reason == pb.ReleaseReason_RELEASE_REASON_FAILED {
+		task.Failures++
+	}
+	task.Reason = r.Detail
+	note(rec, task, r.Reason.String(), r.Detail)
+	s.settle(ref, job, task)
+	return nil
+}
+
+// settle decides what a released task becomes.
+func (s *State) settle(ref TaskRef, job *pb.Job, task *pb.Task) {
+	switch {
+	case job.Cancelled:
+		task.State = pb.TaskState_TASK_STATE_CANCELLED
+	case task.Failures >= job.Spec.MaxFailures:
+		task.State = pb.TaskState_TASK_STATE_FAILED
+	default:
+		task.State = pb.TaskState_TASK_STATE_PENDING
+		s.pending[ref] = task
+	}
+}
+
+// finish ends a task with its result, also one whose job was cancelled while
+// it ran: work that is done is not thrown away.
+func (s *State) finish(rec *pb.Record, f *pb.TaskFinished) *ledger.Rejection {
+	ref := TaskRef{f.JobId, f.Index}
+	_, task, rej := s.current(ref, f.Attempt)
+	if rej != nil {
+		return rej
+	}
+	s.freeWorker(ref, task)
+	task.State = pb.TaskState_TASK_STATE_FINISHED
+	task.Result = f.Result
+	task.Checkpoint = nil
+	note(rec, task, "finished", "")
+	return nil
+}
+
+func (s *State) freeWorker(ref TaskRef, task *pb.Task) {
+	w := s.workers[task.Worker]
+	w.Reserved = resources.Sub(w.Reserved, task.Reserved)
+	delete(w.Assigned, ref)
+	task.Reserved = nil
+}
+
+// note adds a step to the task's history; the oldest goes when it is full.
+func note(rec *pb.Record, task *pb.Task, what, detail string) {
+	task.ChangedMs = rec.TimeMs
+	task.History = append(task.History, &pb.TaskEvent{
+		TimeMs: rec.TimeMs, What: what, Attempt: task.Attempt,
+		Worker: task.Worker, Detail: detail, Epoch: rec.Epoch,
+	})
+	if len(task.History) > maxHistory {
+		task.History = task.History[1:]
+	}
+}
--- /dev/null
+++ b/internal/table/log.go
@@ -0,0 +1,36 @@
+package table
+
+import (
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/events"
+	"chervilridge/internal/ledger"
+)
+
+// LogChange writes the event of an applied record of the table.
+func LogChange(rec *pb.Record, v ledger.Verdict) {
+	if v.Rejection != nil {
+		events.RecordRejected.Log("stream", Stream, "offset", v.Offset, "author", rec.Author, "reason", v.Rejection.Error())
+		return
+	}
+	if c := rec.GetDataCentreChange(); c != nil {
+		event := events.DataCentreBack
+		if c.Out {
+			event = events.DataCentreOut
+		}
+		event.Log("dataCentre", c.Name, "offset", v.Offset, "author", rec.Author)
+		return
+	}
+	events.TableChanged.Log("offset", v.Offset, "author", rec.Author, "row", changedRow(rec))
+}
+
+func changedRow(rec *pb.Record) string {
+	switch body := rec.Body.(type) {
+	case *pb.Record_RowPut:
+		return body.RowPut.Row.Name
+	case *pb.Record_RowDelete:
+		return body.RowDelete.Name
+	case *pb.Record_NoticeGiven:
+		return body.NoticeGiven.Client
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/table/view/view.go
@@ -0,0 +1,51 @@
+// Package view reads the table in force through its follower.
+package view
+
+import (
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/table"
+)
+
+// View is safe for concurrent use.
+type View struct {
+	follower *ledger.Follower[*table.Table]
+}
+
+// New returns a view of the follower's table.
+func New(follower *ledger.Follower[*table.Table]) *View { return &View{follower: follower} }
+
+// Row returns a row, or nil. The caller must not change it.
+func (v *View) Row(kind pb.RowKind, name string) *pb.Row {
+	var row *pb.Row
+	v.follower.View(func(t *table.Table) { row = t.Row(kind, name) })
+	return row
+}
+
+// Rows returns all rows by kind and name.
+func (v *View) Rows() []*pb.Row {
+	var rows []*pb.Row
+	v.follower.View(func(t *table.Table) { rows = t.Rows() })
+	return rows
+}
+
+// Notices returns the notices given.
+func (v *View) Notices() []*pb.NoticeGiven {
+	var out []*pb.NoticeGiven
+	v.follower.View(func(t *table.Table) { out = t.Notices() })
+	return out
+}
+
+// DataCentreOut reports whether a data centre is out of service.
+func (v *View) DataCentreOut(name string) bool {
+	out := false
+	v.follower.View(func(t *table.Table) { out = t.DataCentreOut(name) })
+	return out
+}
+
+// Version returns the version in force.
+func (v *View) Version() uint64 {
+	var n uint64
+	v.follower.View(func(t *table.Table) { n = t.Version() })
+	return n
+}
