End-to-end tests with real processes under kill, pause, outage and drain

Cause: the demo shows the path only without faults. Change: internal/e2e builds the programs, starts them as separate processes and kills, pauses and restarts them; the recorder at the workers and the run counts of the endpoints give the verdicts. Ruled out: one fleet shared by all tests, since a fault would leak into others.

--- /dev/null
+++ b/internal/e2e/requests_test.go
@@ -0,0 +1,127 @@
+package e2e
+
+import (
+	"bytes"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilridge/internal/fault"
+	"chervilridge/internal/ident"
+)
+
+func TestBadInput(t *testing.T) {
+	f := newFleet(t, 1)
+	big := string(bytes.Repeat([]byte("x"), 200_000))
+	cases := []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		code                     fault.Code
+		step                     fault.Step
+	}{
+		{"unknown route", "GET", "/v1/nothing", "", nil, 404, fault.CodeNotFound, fault.StepParse},
+		{"unknown service", "POST", "/v1/services/nosuch/requests", "{}", nil, 404, fault.CodeUnknownService, fault.StepClassify},
+		{"oversized body", "POST", "/v1/services/quotedesk/requests", big, nil, 413, fault.CodeTooLarge, fault.StepParse},
+		{"bad deadline", "POST", "/v1/services/quotedesk/requests", "{}", map[string]string{"X-Chervil-Deadline-Ms": "soon"}, 400, fault.CodeBadRequest, fault.StepParse},
+		{"bad request id", "POST", "/v1/services/quotedesk/requests", "{}", map[string]string{"X-Chervil-Request-Id": "7"}, 400, fault.CodeBadRequest, fault.StepParse},
+		{"bad repeatable", "POST", "/v1/services/quotedesk/requests", "{}", map[string]string{"X-Chervil-Repeatable": "maybe"}, 400, fault.CodeBadRequest, fault.StepParse},
+		{"job is no JSON", "POST", "/v1/jobs", "{", nil, 400, fault.CodeBadRequest, fault.StepParse},
+		{"job with unknown field", "POST", "/v1/jobs", `{"taem":"x"}`, nil, 400, fault.CodeBadRequest, fault.StepParse},
+		{"job without team", "POST", "/v1/jobs", `{"tasks":1}`, nil, 400, fault.CodeBadRequest, fault.StepSubmit},
+		{"unknown job", "GET", "/v1/jobs/01ARZ3NDEKTSV4RRFFQ69G5FAV", "", nil, 404, fault.CodeNotFound, fault.StepRead},
+		{"malformed row", "PUT", "/v1/table/rows", "kind,name,weight\nservice,x,none\n", nil, 400, fault.CodeBadRequest, fault.StepParse},
+		{"unknown data centre", "POST", "/v1/data-centres/pnw-z/out", "", nil, 404, fault.CodeNotFound, fault.StepConfig},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			status, body := f.call(c.method, f.entries[0], c.path, []byte(c.body), c.header)
+			assert.Equal(t, status, c.status, string(body))
+			b := errorBody(t, body)
+			assert.Equal(t, b.Code, c.code)
+			assert.Equal(t, b.Step, c.step)
+			assert.Equal(t, b.Outcome, fault.NotRun)
+		})
+	}
+}
+
+func TestJobThatFitsNoWorkerIsRefusedWithTheReason(t *testing.T) {
+	f := newFleet(t, 2)
+	huge := []byte(`{"team":"cascade","job_class":"layout-quote","tasks":1,"cpu_milli":900000,"memory_mb":1}`)
+	id := f.submit(huge, "huge")
+	small := f.submit(jobBody(2, 50), "small")
+	f.finish(small, 2)
+	f.eventually("huge job rejected", func() bool { v, ok := f.job(id); return ok && v.Rejected != "" })
+}
+
+func TestBadSettingsExitWithTwoAndAreAllNamed(t *testing.T) {
+	for _, program := range []string{"chervil-entry", "chervil-agent"} {
+		out, err := exec.Command(filepath.Join(programs(t), program), "--grpc-address", "nowhere", "--shards", "0").CombinedOutput()
+		exit, ok := err.(*exec.ExitError)
+		assert.Assert(t, ok, "%s: %v", program, err)
+		assert.Equal(t, exit.ExitCode(), 2)
+		for _, want := range []string{"2 bad settings", "--grpc-address", "--shards", "CHERVIL_SHARDS", "1 to 1024"} {
+			assert.Assert(t, strings.Contains(string(out), want), "%s: %s", program, out)
+		}
+	}
+}
+
+func TestKilledAgentRunsNothingTwice(t *testing.T) {
+	f := newFleet(t, 3)
+	const requests = 24
+	statuses := make(chan int, requests)
+	ids := make([]string, requests)
+	for i := range ids {
+		ids[i] = ident.New()
+		header := map[string]string{"X-Chervil-Request-Id": ids[i], "X-Chervil-Repeatable": "false", "X-Chervil-Deadline-Ms": "6000"}
+		go func() {
+			status, body := f.request(i%2, `{"work_ms":600}`, header)
+			if status != http.StatusOK && errorBody(t, body).Outcome == fault.Done {
+				status = -1
+			}
+			statuses <- status
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.procs["agent-1"].kill()
+	answered := 0
+	for range ids {
+		if <-statuses == http.StatusOK {
+			answered++
+		}
+	}
+	assert.Assert(t, answered > 0)
+	runs := f.runs()
+	for _, id := range ids {
+		assert.Assert(t, runs[id] <= 1, "request %s ran %d times", id, runs[id])
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 3)
+	const requests = 12
+	results := make(chan string, requests)
+	for i := range requests {
+		go func() {
+			status, body := f.request(i%2, `{"work_ms":1500}`, map[string]string{"X-Chervil-Repeatable": "false"})
+			if status != http.StatusOK {
+				results <- string(body)
+				return
+			}
+			results <- ""
+		}()
+	}
+	f.eventually("requests running", func() bool { return len(f.runs()) == requests })
+	f.procs["agent-1"].signal(t, syscall.SIGTERM)
+	f.procs["entry-1"].signal(t, syscall.SIGTERM)
+	for range requests {
+		assert.Equal(t, <-results, "")
+	}
+	f.eventually("agent ended", func() bool { return f.procs["agent-1"].cmd.ProcessState != nil })
+}
