Runs that switch a mechanism off and expect its tests to fail

Cause: the end-to-end tests had never been seen to fail. Seen: with drained work left running, TestNoStartInADataCentreThatIsOut still passed, and so did the planned stop without the agent's own wait, since gRPC's graceful stop waits as well.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build generate test demo lint
+.PHONY: build generate test demo lint mechanisms
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,3 +20,7 @@
 	@test -z "$$(gofmt -l $(GOFILES))"
 	go vet ./...
 	go tool staticcheck ./...
+
+# Switches each listed mechanism off in a scratch copy; its tests must fail.
+mechanisms:
+	go run ./tools/mechanisms
--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -131,7 +131,7 @@
 
 func TestNoStartInADataCentreThatIsOut(t *testing.T) {
 	f := newFleet(t, 3)
-	first := f.submit(jobBody(6, 4000), "running")
+	first := f.submit(jobBody(6, 8000), "running")
 	f.eventually("job started", func() bool { v, ok := f.job(first); return ok && v.States["assigned"] == 6 })
 	status, body := f.call(http.MethodPost, f.entries[0], "/v1/data-centres/pnw-b/out", nil, nil)
 	assert.Equal(t, status, http.StatusOK, string(body))
@@ -143,4 +143,8 @@
 	f.finish(first, 6)
 	f.finish(second, 8)
 	f.kept()
+	v, _ := f.job(first)
+	for _, task := range v.Tasks {
+		assert.Assert(t, task.Worker != "worker-2", "task %d ended in the data centre that is out", task.Index)
+	}
 }
