make bench-capacity: slopes per agent, worker, task and row

Change: internal/bench/capacity measures announcements, beats, a shard's ledger, the table and idle processes at three sizes or more.

--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 # Switches each listed mechanism off in a scratch copy; its tests must fail.
 mechanisms:
 	go run ./tools/mechanisms
+
+# Prints the slopes that docs/CAPACITY.md works with.
+bench-capacity: build
+	go run ./tools/bench-capacity
--- /dev/null
+++ b/tools/bench-capacity/main.go
@@ -0,0 +1,52 @@
+// Command bench-capacity prints the slopes that docs/CAPACITY.md works with.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"k8s.io/klog/v2"
+
+	"chervilridge/internal/bench/capacity"
+)
+
+type measurement struct {
+	run   func(size int) ([]capacity.Row, error)
+	sizes []int
+}
+
+func main() {
+	klog.LogToStderr(false)
+	klog.SetOutput(discard{})
+	klog.InitFlags(flag.NewFlagSet("klog", flag.ContinueOnError))
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+func run() error {
+	var rows []capacity.Row
+	for _, m := range []measurement{
+		{capacity.Announcements, []int{11, 100, 500, 1000}},
+		{capacity.Beats, []int{11, 100, 400}},
+		{capacity.Tasks, []int{1000, 10_000, 30_000}},
+		{capacity.Rows, []int{100, 1000, 10_000}},
+		{capacity.Processes, []int{4, 8, 16}},
+	} {
+		for _, size := range m.sizes {
+			out, err := m.run(size)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, out...)
+		}
+	}
+	capacity.Print(os.Stdout, rows)
+	return nil
+}
