--- a/tools/bench-capacity/main.go
+++ b/tools/bench-capacity/main.go
@@ -12,6 +12,7 @@
 )
 
 type measurement struct {
+	name  string
 	run   func(size int) ([]capacity.Row, error)
 	sizes []int
 }
@@ -32,13 +33,19 @@
 
 func run() error {
 	var rows []capacity.Row
+	only := flag.String("only", "", "run only the measurement with this name")
+	flag.Parse()
 	for _, m := range []measurement{
-		{capacity.Announcements, []int{11, 100, 500, 1000}},
-		{capacity.Beats, []int{11, 100, 400}},
-		{capacity.Tasks, []int{1000, 10_000, 30_000}},
-		{capacity.Rows, []int{100, 1000, 10_000}},
-		{capacity.Processes, []int{4, 8, 16}},
+		{"announcements", capacity.Announcements, []int{11, 100, 500, 1000}},
+		{"beats", capacity.Beats, []int{11, 100, 400}},
+		{"tasks", capacity.Tasks, []int{1000, 10_000, 30_000}},
+		{"rows", capacity.Rows, []int{100, 1000, 10_000}},
+		{"processes", capacity.Processes, []int{4, 8, 16}},
+		{"requests", capacity.Requests, []int{50, 200, 800}},
 	} {
+		if *only != "" && *only != m.name {
+			continue
+		}
 		for _, size := range m.sizes {
 			out, err := m.run(size)
 			if err != nil {
