--- /dev/null
+++ b/internal/proofs/doc.go
@@ -0,0 +1,2 @@
+// Package proofs checks that docs/PROOFS.md names only tests that exist.
+package proofs
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,5 +1,5 @@
-// Package telemetry gives a process its metrics scope and serves metrics and
-// the settings in force on the metrics address.
+// Package telemetry gives a process its metrics scope and serves metrics,
+// profiles and the settings in force on the metrics address.
 package telemetry
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -38,6 +39,9 @@
 	}, reportInterval)
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", reporter.HTTPHandler())
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
+	mux.HandleFunc("/debug/pprof/goroutine", pprof.Handler("goroutine").ServeHTTP)
 	mux.HandleFunc("/settings", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(set.InForce())
