Submissions survive a lost answer and a shard that changes hands

Cause: one failed call to the shard's owner ended a submission as unknown, and a stale owner's refusal came back to the client although a new owner was there. Ruled out: a second job on repeat, since the job id comes from the key and replay rejects a second record of it. Change: internal/jobs tries again until an owner has written or refused the record; what may have taken effect is never reported as not run.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -38,7 +38,8 @@
 }
 
 // Submit enters a job. The same key of the same team always gets the same job,
-// so a submission whose outcome is unknown can be repeated.
+// so a submission whose outcome is unknown can be repeated; Submit does so
+// itself until the context ends.
 func (c *Client) Submit(ctx context.Context, key string, spec *pb.JobSpec) (Submission, error) {
 	if err := shard.CheckSpec(spec); err != nil {
 		return Submission{}, fault.New(fault.CodeBadRequest, fault.StepSubmit, spec.GetTeam(), err.Error())
@@ -47,22 +48,21 @@
 	if key != "" {
 		id = ident.FromKey(spec.Team, key)
 	}
-	owner, client, err := c.owner(id)
+	reply, doubted, err := c.write(ctx, id, func(ctx context.Context, owner *pb.ShardOwner, to pb.ShardOwnerServiceClient) (*pb.LedgerReply, error) {
+		return to.SubmitJob(ctx, &pb.SubmitJobRequest{Shard: owner.Shard, JobId: id, Spec: spec})
+	})
 	if err != nil {
 		return Submission{}, err
 	}
-	reply, err := client.SubmitJob(ctx, &pb.SubmitJobRequest{Shard: owner.Shard, JobId: id, Spec: spec})
-	if err := check(reply, err, owner, id); err != nil {
-		return Submission{}, err
-	}
 	switch ledger.Reason(reply.Rejection) {
 	case "":
-		events.JobAccepted.Log("job", id, "team", spec.Team, "tasks", spec.Tasks, "shard", owner.Shard)
+		events.JobAccepted.Log("job", id, "team", spec.Team, "tasks", spec.Tasks)
 	case ledger.ReasonDuplicate:
-		return Submission{JobID: id, Duplicate: true}, nil
+		// After a doubted try, the known job may be this one.
+		return Submission{JobID: id, Duplicate: !doubted}, nil
 	default:
 		events.JobRefused.Log("job", id, "team", spec.Team, "reason", reply.Detail)
-		return Submission{}, fault.New(fault.CodeBadRequest, fault.StepSubmit, owner.Agent, reply.Detail)
+		return Submission{}, fault.New(fault.CodeBadRequest, fault.StepSubmit, spec.Team, reply.Detail)
 	}
 	return Submission{JobID: id}, nil
 }
@@ -83,18 +83,16 @@
 }
 
 func (c *Client) cancelGroup(ctx context.Context, ids []string) error {
-	owner, client, err := c.owner(ids[0])
+	reply, _, err := c.write(ctx, ids[0], func(ctx context.Context, owner *pb.ShardOwner, to pb.ShardOwnerServiceClient) (*pb.LedgerReply, error) {
+		return to.CancelJobs(ctx, &pb.CancelJobsRequest{Shard: owner.Shard, JobIds: ids})
+	})
 	if err != nil {
 		return err
 	}
-	reply, err := client.CancelJobs(ctx, &pb.CancelJobsRequest{Shard: owner.Shard, JobIds: ids})
-	if err := check(reply, err, owner, ids[0]); err != nil {
-		return err
-	}
 	if reply.Rejection != "" {
-		return fault.New(fault.CodeNotFound, fault.StepSubmit, owner.Agent, reply.Detail)
+		return fault.New(fault.CodeNotFound, fault.StepSubmit, "", reply.Detail)
 	}
-	events.JobCancelled.Log("jobs", len(ids), "shard", owner.Shard)
+	events.JobCancelled.Log("jobs", len(ids))
 	return nil
 }
 
@@ -126,19 +124,3 @@
 	}
 	return owner, pb.NewShardOwnerServiceClient(conn), nil
 }
-
-// check turns a failed call or a refusal into an error with its outcome.
-func check(reply *pb.LedgerReply, err error, owner *pb.ShardOwner, id string) error {
-	if err != nil {
-		return fault.Wrap(err, fault.CodeOutcomeUnknown, fault.StepSubmit, owner.Agent, "shard owner did not answer").
-			WithOutcome(fault.Unknown).WithRequest(id)
-	}
-	switch reply.Outcome {
-	case pb.Outcome_OUTCOME_DONE:
-		return nil
-	case pb.Outcome_OUTCOME_NOT_RUN:
-		return fault.New(fault.CodeLogDown, fault.StepSubmit, owner.Agent, reply.Detail).WithRequest(id)
-	}
-	return fault.New(fault.CodeOutcomeUnknown, fault.StepSubmit, owner.Agent, reply.Detail).
-		WithOutcome(fault.Unknown).WithRequest(id)
-}
--- a/internal/scheduler/owner/submit.go
+++ b/internal/scheduler/owner/submit.go
@@ -25,7 +25,7 @@
 func (o *Owner) write(ctx context.Context, shard uint32, rec *pb.Record) *pb.LedgerReply {
 	epoch, held := o.lease.Held()
 	if !held || shard != o.options.Shard {
-		return &pb.LedgerReply{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Detail: "this agent does not own the shard"}
+		return &pb.LedgerReply{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Detail: "this agent does not own the shard", NotOwner: true}
 	}
 	v, err := o.commit(ctx, epoch, rec)
 	if err != nil {
