Metrics: a counter for each event, outcomes and latency by service

Cause: tally served an empty page; what the users measure was nowhere. Ruled out: counters beside each log line, which would say everything twice. Change: each logged event counts itself; request/observe counts outcomes and keeps a latency histogram by service, behind classify so that only known services become tags; the registry is the process's own.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -24,6 +24,7 @@
 	"chervilridge/internal/request/admit"
 	"chervilridge/internal/request/claim"
 	"chervilridge/internal/request/classify"
+	"chervilridge/internal/request/observe"
 	"chervilridge/internal/request/pick"
 	"chervilridge/internal/request/retry"
 	"chervilridge/internal/request/send"
@@ -85,9 +86,10 @@
 	leaving atomic.Bool // fails the balancer's check
 }
 
-// newPipeline joins the stages: classify, admit, claim, retry, pick, verify,
+// newPipeline joins the stages: classify, observe, admit, claim, retry, pick, verify,
 // send. The claim comes before the retries, so that one request claims once.
-func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool, bg *process.Background) *pipeline {
+func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool,
+	t *telemetry.Server, bg *process.Background) *pipeline {
 	keys := ledger.NewFollower(log, claims.Stream, *o.TablePoll, claims.New)
 	bg.Go(keys.Run)
 	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
@@ -97,7 +99,8 @@
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
 	claimed := claim.New(retry.New(picked, budget, int(*o.MaxTries)), committer)
 	admitted := admit.New(claimed, *o.MaxInFlight)
-	return &pipeline{head: classify.New(admitted, v, reg), admit: admitted}
+	observed := observe.New(admitted, t.Scope())
+	return &pipeline{head: classify.New(observed, v, reg), admit: admitted}
 }
 
 func newPolicy(name string) pick.Policy {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 )
@@ -38,6 +39,19 @@
 	return e
 }
 
+// observer is told of each logged event; nil until Observe is called.
+var observer atomic.Pointer[func(Event)]
+
+// Observe sets the function that is told of each logged event, such as a
+// counter. It must be safe for concurrent use and quick.
+func Observe(do func(Event)) { observer.Store(&do) }
+
+func (e Event) notify() {
+	if do := observer.Load(); do != nil {
+		(*do)(e)
+	}
+}
+
 // All returns the catalogue by number.
 func All() map[int]Event {
 	out := make(map[int]Event, len(catalogue))
@@ -49,12 +63,14 @@
 
 // Log writes the event with alternating keys and values.
 func (e Event) Log(keysAndValues ...any) {
+	e.notify()
 	kv := append([]any{"event", e.Number, "severity", string(e.Severity)}, keysAndValues...)
 	klog.InfoSDepth(1, e.Text, kv...)
 }
 
 // LogError writes the event with its error and alternating keys and values.
 func (e Event) LogError(err error, keysAndValues ...any) {
+	e.notify()
 	kv := append([]any{"event", e.Number, "severity", string(e.Severity), "error", err}, keysAndValues...)
 	klog.InfoSDepth(1, e.Text, kv...)
 }
--- /dev/null
+++ b/internal/request/observe/observe_test.go
@@ -0,0 +1,38 @@
+package observe
+
+import (
+	"context"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"chervilridge/internal/fault"
+	"chervilridge/internal/request"
+)
+
+type next struct{ err error }
+
+func (n next) Handle(context.Context, *request.Request) (*request.Answer, error) {
+	return &request.Answer{}, n.err
+}
+
+func TestOutcomesAreCountedByService(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	refusal := fault.New(fault.CodeOverloaded, fault.StepAdmit, "", "full")
+	for _, err := range []error{nil, nil, refusal, refusal.WithOutcome(fault.Unknown)} {
+		f := New(next{}, scope)
+		if err != nil {
+			f = New(next{err}, scope)
+		}
+		_, _ = f.Handle(context.Background(), &request.Request{Service: "quotedesk"})
+	}
+	counters := scope.Snapshot().Counters()
+	for key, want := range map[string]int64{
+		"requests+outcome=done,service=quotedesk":    2,
+		"requests+outcome=not run,service=quotedesk": 1,
+		"requests+outcome=unknown,service=quotedesk": 1,
+	} {
+		assert.Equal(t, counters[key].Value(), want, key)
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,11 +9,14 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"strconv"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
 	"chervilridge/internal/settings"
 )
@@ -23,6 +26,18 @@
 	readHeaderTimeout = 5 * time.Second
 )
 
+// latencyBuckets are the upper bounds of latency histograms in seconds.
+var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120}
+
+// countEvents returns a counter for each event of the catalogue.
+func countEvents(scope tally.Scope) func(events.Event) {
+	counters := map[int]tally.Counter{}
+	for n := range events.All() {
+		counters[n] = scope.Tagged(map[string]string{"event": strconv.Itoa(n)}).Counter("events")
+	}
+	return func(e events.Event) { counters[e.Number].Inc(1) }
+}
+
 // Server owns the root scope and the admin listener of one process.
 type Server struct {
 	scope  tally.Scope
@@ -32,11 +47,16 @@
 
 // New returns a server whose metric names begin with the program's name.
 func New(set *settings.Set) *Server {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry, DefaultTimerType: prometheus.HistogramTimerType,
+		DefaultHistogramBuckets: latencyBuckets,
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "chervil", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, reportInterval)
+	events.Observe(countEvents(scope))
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", reporter.HTTPHandler())
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
