Ledger: second copies void for everybody, doubts read back, bad records harm nobody

Cause: the committer appended anew 200 ms after an unknown outcome, without reading to the tail and outside its budget, and relied on each record's own precondition to void the second copy. That does not hold for all records. Seen failing before the change (go test ./internal/ledger): - doubled append of a notice: version 2 with 2 notices instead of 1; - a row's creation that lands late after the row was deleted brought the row back (version 3 a=1@3 instead of version 2); - 10 appends against a budget of 3 while the outcome stayed unknown; - a record with text that is not UTF-8 failed its whole group, its neighbour got 'outcome unknown'; an append of 4 MB was sent in one piece; - a panic in the machine ended the process, at each start again; - a log that ends below what was read, and entries that begin above the next offset, left the view 'fresh'. After an unknown outcome the committer waits for a read that was sent later and reached the tail, repeats only what it did not show, within the budget. Records are encoded before they share an append, appends are at most 1 MiB, a panic of the machine is a rejection with event 3021, and answers that do not join on to the state are refused. Conclusion: one mechanism for lost answers, doubles and late landings.

--- a/internal/events/ledger.go
+++ b/internal/events/ledger.go
@@ -18,4 +18,8 @@
 	DataCentreBack    = define(3104, Info, "data centre back in service")
 	RestoredFromPeer  = define(3011, Warning, "state taken from a peer while the log is down")
 	SnapshotForgotten = define(3012, Warning, "incomplete snapshot ignored")
+	ReplayPanicked    = define(3021, Fault, "record made replay fail, rejected")
+	LogWentBack       = define(3022, Fault, "log ends below what was read from it, view not trusted")
+	RecordRepeated    = define(3023, Info, "second copy of a record ignored")
+	SnapshotFailed    = define(3024, Warning, "snapshot not written, tried again later")
 )
--- /dev/null
+++ b/internal/ledger/committer_test.go
@@ -0,0 +1,216 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/standin/logstore"
+	"chervilridge/internal/table"
+)
+
+func TestLostAnswerIsReadBackWithoutSecondEffect(t *testing.T) {
+	r := newRig(t, logstore.New(logstore.Options{}), ample)
+	loaded(t, r.follower)
+	r.store.SetFaults(logstore.Faults{LoseAnswers: 1})
+	rec := putRow("a", 1, 0)
+	v := r.commit(t, rec)
+	assert.Assert(t, v.Rejection == nil)
+	assert.Equal(t, copies(t, r.store, rec.Id), 1)
+	r.agree(t)
+	assert.Equal(t, content(r.follower), "version 1 a=1@1 notices 0")
+}
+
+func TestDoubledAppendHasOneEffect(t *testing.T) {
+	r := newRig(t, logstore.New(logstore.Options{}), ample)
+	loaded(t, r.follower)
+	r.store.SetFaults(logstore.Faults{DoubleAppends: 1})
+	notice := &pb.Record{Body: &pb.Record_NoticeGiven{NoticeGiven: &pb.NoticeGiven{Client: "a", Subject: "pnw-a"}}}
+	assert.Assert(t, r.commit(t, notice).Rejection == nil)
+	r.agree(t)
+	assert.Equal(t, content(r.follower), "version 1 notices 1")
+}
+
+// TestAppendThatLandsLateChangesNothing holds a row's creation in flight while
+// its caller repeats it, then deletes the row, then lets it land.
+func TestAppendThatLandsLateChangesNothing(t *testing.T) {
+	r := newRig(t, logstore.New(logstore.Options{}), ample)
+	loaded(t, r.follower)
+	r.store.SetFaults(logstore.Faults{HoldAppends: 1})
+	rec := putRow("a", 1, 0)
+	assert.Assert(t, r.commit(t, rec).Rejection == nil)
+	assert.Assert(t, r.commit(t, deleteRow("a", 1)).Rejection == nil)
+	r.store.Land()
+	r.agree(t)
+	assert.Equal(t, copies(t, r.store, rec.Id), 2)
+	assert.Equal(t, content(r.follower), "version 2 notices 0")
+}
+
+func TestUnknownIsToldWhileAnAppendIsInFlight(t *testing.T) {
+	r := newRig(t, logstore.New(logstore.Options{}), ample)
+	loaded(t, r.follower)
+	r.store.SetFaults(logstore.Faults{HoldAppends: 1 << 20})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := r.committer.Commit(ctx, putRow("a", 1, 0))
+	assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
+	r.store.SetFaults(logstore.Faults{})
+	r.store.Land()
+	r.agree(t)
+	assert.Equal(t, content(r.follower), "version 1 a=1@1 notices 0")
+}
+
+func TestRefusedAppendIsNotRun(t *testing.T) {
+	r := newRig(t, logstore.New(logstore.Options{}), ample)
+	loaded(t, r.follower)
+	r.store.SetFaults(logstore.Faults{Down: true})
+	rec := putRow("a", 1, 0)
+	_, err := r.committer.Commit(context.Background(), rec)
+	assert.Assert(t, fault.Is(err, fault.CodeLogDown))
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+	r.store.SetFaults(logstore.Faults{})
+	assert.Assert(t, r.commit(t, putRow("b", 1, 0)).Rejection == nil)
+	assert.Equal(t, copies(t, r.store, rec.Id), 0)
+}
+
+// TestCallerThatGivesUpFirstIsNeverAppended blocks the writer with a slow
+// append, so that the second record is given up before it is taken.
+func TestCallerThatGivesUpFirstIsNeverAppended(t *testing.T) {
+	store := logstore.New(logstore.Options{})
+	f := follow(t, store)
+	c := ledger.NewCommitter(store, f, "writer", ample) // not running yet
+	rec := putRow("a", 1, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() {
+		_, err := c.Commit(ctx, rec)
+		done <- err
+	}()
+	cancel()
+	err := <-done
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+	start(t, c.Run)
+	ctx, cancel = context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err = c.Commit(ctx, putRow("b", 1, 0))
+	assert.NilError(t, err)
+	assert.Equal(t, copies(t, store, rec.Id), 0)
+}
+
+// TestConcurrentCommitsShareAppends counts appends: all that waits goes into one.
+func TestConcurrentCommitsShareAppends(t *testing.T) {
+	const commits = 200
+	store := logstore.New(logstore.Options{})
+	f := follow(t, store)
+	c := ledger.NewCommitter(store, f, "writer", ample)
+	var wg sync.WaitGroup
+	for i := range commits {
+		wg.Go(func() {
+			_, err := c.Commit(context.Background(), putRow(fmt.Sprintf("c%d", i), 1, 0))
+			assert.Check(t, err)
+		})
+	}
+	eventually(t, "all records queued", func() bool { return c.Waiting() == commits })
+	start(t, c.Run)
+	wg.Wait()
+	appends, _ := store.Totals()
+	assert.Equal(t, appends, uint64(1))
+}
+
+// TestAppendsStayWithinBudget uses a budget that the test cannot refill, so the
+// count of appends does not depend on time.
+func TestAppendsStayWithinBudget(t *testing.T) {
+	store := logstore.New(logstore.Options{})
+	store.SetFaults(logstore.Faults{HoldAppends: 1 << 20})
+	budget := &countedBudget{left: 3}
+	f := follow(t, store)
+	c := ledger.NewCommitter(store, f, "writer", ample)
+	c.SetBudget(budget)
+	start(t, c.Run)
+	loaded(t, f)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := c.Commit(ctx, putRow("a", 1, 0))
+	assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
+	assert.Assert(t, store.Held() <= 3, "%d appends", store.Held())
+}
+
+// countedBudget allows a number of appends and then none.
+type countedBudget struct {
+	mu   sync.Mutex
+	left int
+}
+
+func (b *countedBudget) Wait(ctx context.Context) error {
+	b.mu.Lock()
+	ok := b.left > 0
+	b.left--
+	b.mu.Unlock()
+	if ok {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestRecordThatCannotBeEncodedHarmsNobody commits text that is not UTF-8, as a
+// spreadsheet may export it, beside a good record.
+func TestRecordThatCannotBeEncodedHarmsNobody(t *testing.T) {
+	store := logstore.New(logstore.Options{})
+	f := follow(t, store)
+	c := ledger.NewCommitter(store, f, "writer", ample)
+	bad := putRow("a", 1, 0)
+	bad.GetRowPut().Row.Notice = "caf\xe9"
+	failed := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := c.Commit(ctx, bad)
+		failed <- err
+	}()
+	good := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_, err := c.Commit(ctx, putRow("b", 1, 0))
+		good <- err
+	}()
+	eventually(t, "records queued", func() bool { return c.Waiting() >= 1 })
+	start(t, c.Run)
+	assert.NilError(t, <-good)
+	err := <-failed
+	assert.Equal(t, fault.As(err).Outcome, fault.NotRun)
+	assert.Assert(t, fault.Is(err, fault.CodeBadRequest))
+}
+
+func TestAppendStaysUnderItsSize(t *testing.T) {
+	store := logstore.New(logstore.Options{})
+	f := ledger.NewFollower(store, table.Stream, shortPoll, table.New)
+	c := ledger.NewCommitter(store, f, "writer", ample)
+	var wg sync.WaitGroup
+	const records, size = 8, 512 << 10
+	for i := range records {
+		part := &pb.Record{Body: &pb.Record_SnapshotPart{SnapshotPart: &pb.SnapshotPart{
+			SnapshotId: fmt.Sprint(i), Parts: 2, Data: make([]byte, size),
+		}}}
+		wg.Go(func() {
+			_, err := c.Commit(context.Background(), part)
+			assert.Check(t, err)
+		})
+	}
+	eventually(t, "records queued", func() bool { return c.Waiting() == records })
+	start(t, f.Run, c.Run)
+	wg.Wait()
+	res, err := store.Read(context.Background(), table.Stream, 0, 100, 0)
+	assert.NilError(t, err)
+	for _, e := range res.Entries {
+		assert.Assert(t, len(e.Payload) <= ledger.MaxAppendBytes, "append of %d bytes", len(e.Payload))
+	}
+}
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"errors"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
@@ -19,7 +15,6 @@
 const (
 	readLimit   = 512                    // entries in one read
 	retryPause  = 100 * time.Millisecond // between reads while the log is down
-	farAhead    = math.MaxUint64         // an offset that no stream reaches
 	maxPollWait = 30 * time.Second
 )
 
@@ -30,16 +25,22 @@
 	stream string
 	fresh  func() M
 	poll   time.Duration
+	now    func() time.Time
 
 	mu       sync.RWMutex
 	machine  M
+	recent   *recentIDs
 	next     uint64    // offset of the next entry to apply
-	loaded   bool      // whether the state is whole
+	loaded   bool      // whether the stream is followed from next on
 	tailAt   time.Time // when the newest read that reached the tail was sent
 	reached  bool
+	sent     uint64 // reads sent
+	tailRead uint64 // number of the newest read that reached the tail
+	seed     seed
 	down     bool
 	changed  chan struct{}
 	expected map[string][]chan Verdict
+	snaps    snapshotTracker
 	onApply  []func(rec *pb.Record, v Verdict)
 }
 
@@ -47,16 +48,21 @@
 // empty machine, poll is how long one read waits at the tail.
 func NewFollower[M Machine](log platform.Log, stream string, poll time.Duration, fresh func() M) *Follower[M] {
 	return &Follower[M]{
-		log: log, stream: stream, fresh: fresh, poll: min(poll, maxPollWait),
-		machine: fresh(), changed: make(chan struct{}), expected: map[string][]chan Verdict{},
+		log: log, stream: stream, fresh: fresh, poll: min(poll, maxPollWait), now: time.Now,
+		machine: fresh(), recent: newRecentIDs(nil), changed: make(chan struct{}), expected: map[string][]chan Verdict{},
+		snaps: snapshotTracker{scan: newSnapshotScan(0)},
 	}
 }
 
+// SetClock replaces the clock. It must be called before Run.
+func (f *Follower[M]) SetClock(now func() time.Time) { f.now = now }
+
 // Stream returns the name of the followed stream.
 func (f *Follower[M]) Stream() string { return f.stream }
 
 // OnApply adds a function that is called after each applied record, under the
-// follower's lock. It must be added before Run.
+// follower's lock. It must be added before Run. Records that a restored snapshot
+// covers are not applied and not told.
 func (f *Follower[M]) OnApply(do func(rec *pb.Record, v Verdict)) { f.onApply = append(f.onApply, do) }
 
 // View calls read with the machine under the read lock.
@@ -74,7 +80,8 @@
 }
 
 // Age returns how old the view is: the time since the newest read that reached
-// the tail was sent. It is negative while no read has reached it.
+// the tail was sent. It is negative while no read has reached it; a state taken
+// from a peer does not count.
 func (f *Follower[M]) Age(now time.Time) time.Duration {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -86,11 +93,11 @@
 
 // FreshWithin reports whether the view is at most limit old.
 func (f *Follower[M]) FreshWithin(limit time.Duration) bool {
-	age := f.Age(time.Now())
+	age := f.Age(f.now())
 	return age >= 0 && age <= limit
 }
 
-// Changed returns a channel that is closed at the next applied entry.
+// Changed returns a channel that is closed at the next read that came back.
 func (f *Follower[M]) Changed() <-chan struct{} {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -126,13 +133,15 @@
 
 // step loads the state if it is not whole, else reads on once.
 func (f *Follower[M]) step(ctx context.Context) error {
-	f.mu.RLock()
+	f.mu.Lock()
 	loaded, from := f.loaded, f.next
-	f.mu.RUnlock()
+	f.sent++
+	number := f.sent
+	f.mu.Unlock()
 	if !loaded {
 		return f.load(ctx)
 	}
-	sent := time.Now()
+	sent := f.now()
 	res, err := f.log.Read(ctx, f.stream, from, readLimit, f.poll)
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.noteGap(from)
@@ -141,8 +150,7 @@
 	if err != nil {
 		return err
 	}
-	f.take(res, sent)
-	return nil
+	return f.take(res, sent, number)
 }
 
 // noteGap marks the state as not whole; it is loaded anew from a snapshot.
@@ -164,9 +172,21 @@
 	events.LogUnreachable.LogError(err, "stream", f.stream, "offset", f.next)
 }
 
-func (f *Follower[M]) take(res platform.ReadResult, sent time.Time) {
+// take applies what a read returned. An answer that does not join on to the
+// state is refused: entries that begin above the next offset are a gap, and a
+// log that ends below it has lost what was read.
+func (f *Follower[M]) take(res platform.ReadResult, sent time.Time, number uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(res.Entries) > 0 && res.Entries[0].Offset > f.next {
+		f.loaded, f.reached = false, false
+		events.ReplayGap.Log("stream", f.stream, "offset", f.next, "first", res.Entries[0].Offset)
+		return fault.Newf(fault.CodeStaleView, fault.StepRead, f.stream, "entries from %d on were skipped", f.next)
+	}
+	if res.Next < f.next {
+		f.reached = false
+		return f.shorter(res.Next)
+	}
 	if f.down {
 		f.down = false
 		events.LogReachable.Log("stream", f.stream, "offset", f.next)
@@ -175,67 +195,19 @@
 		f.applyEntry(e)
 	}
 	if f.next >= res.Next {
-		f.tailAt, f.reached = sent, true
+		f.tailAt, f.reached, f.tailRead = sent, true, number
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
+	return nil
 }
 
-func (f *Follower[M]) applyEntry(e platform.Entry) {
-	if e.Offset != f.next {
-		return
-	}
-	f.next = e.Offset + 1
-	batch := &pb.Batch{}
-	if err := proto.Unmarshal(e.Payload, batch); err != nil {
-		events.RecordMalformed.LogError(err, "stream", f.stream, "offset", e.Offset)
-		return
-	}
-	for _, rec := range batch.Records {
-		f.applyRecord(e.Offset, rec)
-	}
-}
-
-func (f *Follower[M]) applyRecord(offset uint64, rec *pb.Record) {
-	if rec.GetSnapshotPart() != nil {
-		f.settle(rec.Id, Verdict{Offset: offset})
-		return
-	}
-	v := Verdict{Offset: offset, Rejection: f.machine.Apply(rec)}
-	f.settle(rec.Id, v)
-	for _, do := range f.onApply {
-		do(rec, v)
-	}
-}
-
-// settle gives the verdict to those who wait for the record. The first verdict
-// counts: a second copy of a record is rejected by its own precondition.
-func (f *Follower[M]) settle(id string, v Verdict) {
-	for _, ch := range f.expected[id] {
-		ch <- v
-	}
-	delete(f.expected, id)
-}
-
-// expect returns a channel that gets the verdict on the record.
-func (f *Follower[M]) expect(id string) <-chan Verdict {
-	ch := make(chan Verdict, 1)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.expected[id] = append(f.expected[id], ch)
-	return ch
-}
-
-// unexpect drops one waiter of a record.
-func (f *Follower[M]) unexpect(id string, waiter <-chan Verdict) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	kept := slices.DeleteFunc(f.expected[id], func(ch chan Verdict) bool { return ch == waiter })
-	if len(kept) == 0 {
-		delete(f.expected, id)
-		return
+// shorter reports a log that ends below what was read from it.
+func (f *Follower[M]) shorter(next uint64) error {
+	if !f.down {
+		events.LogWentBack.Log("stream", f.stream, "offset", f.next, "tail", next)
 	}
-	f.expected[id] = kept
+	return fault.Newf(fault.CodeStaleView, fault.StepRead, f.stream, "log ends at %d, %d was read from it", next, f.next)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"errors"
+	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -13,58 +14,88 @@
 	"chervilridge/internal/platform"
 )
 
-// load builds the state from the newest whole snapshot, or from offset 0 if
-// nothing was trimmed. With neither it fails and the follower does not act.
+const farAhead = math.MaxUint64 // an offset that no stream reaches
+
+// seed is a state that a peer gave.
+type seed struct {
+	taken bool
+	age   time.Duration // of the peer's view when it was taken
+	at    time.Time
+}
+
+// State is a replayed state as of an offset, in the form that snapshots and
+// peers carry.
+type State struct {
+	// Covers is the offset below which every entry is in the state.
+	Covers uint64
+	Data   []byte
+	// Age is the time since the state was known to be the newest.
+	Age time.Duration
+}
+
+// load joins the state on to the log. What was replayed or taken from a peer is
+// kept if the log still has all that follows; else the newest snapshot that can
+// be restored is taken. With neither it fails and the follower does not act.
 func (f *Follower[M]) load(ctx context.Context) error {
 	bounds, err := f.log.Read(ctx, f.stream, farAhead, 1, 0)
 	if err != nil {
 		return err
 	}
-	snap, err := f.findSnapshot(ctx, bounds.Oldest, bounds.Next)
+	joined, err := f.join(bounds)
+	if joined || err != nil {
+		return err
+	}
+	snaps, err := f.findSnapshots(ctx, bounds)
 	if err != nil {
 		return err
 	}
-	if snap == nil && bounds.Oldest > 0 {
-		return fault.Newf(fault.CodeStaleView, fault.StepRestore, f.stream,
-			"entries below %d are gone and no snapshot is kept", bounds.Oldest)
+	for _, snap := range snaps {
+		err := f.install(snap)
+		if err == nil {
+			return nil
+		}
+		events.SnapshotMismatch.LogError(err, "stream", f.stream, "covers", snap.covers)
+	}
+	return fault.Newf(fault.CodeStaleView, fault.StepRestore, f.stream,
+		"entries below %d are gone and no whole snapshot is kept", bounds.Oldest)
+}
+
+// join goes on from the state at hand if nothing behind it was trimmed.
+func (f *Follower[M]) join(bounds platform.ReadResult) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if bounds.Next < f.next {
+		return false, f.shorter(bounds.Next)
+	}
+	if f.next < bounds.Oldest {
+		return false, nil
 	}
-	return f.install(snap)
+	f.loaded = true
+	return true, nil
 }
 
 // install replaces the machine. The offset never moves back.
 func (f *Follower[M]) install(snap *snapshot) error {
-	machine, next := f.fresh(), uint64(0)
-	if snap != nil {
-		if err := machine.Restore(snap.data); err != nil {
-			return fault.Wrap(err, fault.CodeStaleView, fault.StepRestore, f.stream, "snapshot cannot be restored")
-		}
-		next = snap.covers
-		events.SnapshotRestored.Log("stream", f.stream, "covers", next, "bytes", len(snap.data))
+	machine, recent, err := f.decode(snap.data)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeStaleView, fault.StepRestore, f.stream, "snapshot cannot be restored")
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.loaded = true
-	if next < f.next {
-		return nil
+	if snap.covers < f.next {
+		return fault.Newf(fault.CodeStaleView, fault.StepRestore, f.stream, "snapshot covers %d, %d was applied", snap.covers, f.next)
 	}
-	f.machine, f.next = machine, next
+	f.machine, f.recent, f.next, f.loaded = machine, recent, snap.covers, true
+	f.snaps.note(snap, f.now())
+	events.SnapshotRestored.Log("stream", f.stream, "covers", snap.covers, "bytes", len(snap.data))
 	return nil
 }
 
-// snapshot is a whole state read from the log.
-type snapshot struct {
-	covers uint64
-	data   []byte
-}
-
-// findSnapshot returns the newest whole snapshot between two offsets, or nil.
-func (f *Follower[M]) findSnapshot(ctx context.Context, oldest, next uint64) (*snapshot, error) {
-	scan := snapshotScan{oldest: oldest, partial: map[string][]*pb.SnapshotPart{}}
-	for from := oldest; from < next; {
+// findSnapshots returns the newest whole snapshots of the log, newest first.
+func (f *Follower[M]) findSnapshots(ctx context.Context, bounds platform.ReadResult) ([]*snapshot, error) {
+	scan := newSnapshotScan(bounds.Oldest)
+	for from := bounds.Oldest; from < bounds.Next; {
 		res, err := f.log.Read(ctx, f.stream, from, readLimit, 0)
-		if errors.Is(err, platform.ErrTrimmed) {
-			return nil, err
-		}
 		if err != nil {
 			return nil, err
 		}
@@ -76,58 +107,103 @@
 			from = e.Offset + 1
 		}
 	}
-	return scan.newest, nil
+	for _, p := range scan.partial {
+		events.SnapshotForgotten.Log("stream", f.stream, "snapshot", p.id, "missing", p.left)
+	}
+	return scan.whole, nil
 }
 
-// snapshotScan collects snapshot parts and keeps the newest whole snapshot.
-type snapshotScan struct {
-	oldest  uint64
-	partial map[string][]*pb.SnapshotPart
-	newest  *snapshot
+func (f *Follower[M]) decode(data []byte) (M, *recentIDs, error) {
+	machine := f.fresh()
+	state := &pb.LedgerState{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return machine, nil, err
+	}
+	if err := machine.Restore(state.Machine); err != nil {
+		return machine, nil, err
+	}
+	return machine, newRecentIDs(state.Recent), nil
 }
 
-func (s *snapshotScan) entry(e platform.Entry) {
-	batch := &pb.Batch{}
-	if proto.Unmarshal(e.Payload, batch) != nil {
-		return
+// encode returns the whole state. The lock must be held for reading.
+func (f *Follower[M]) encode() ([]byte, error) {
+	machine, err := f.machine.Snapshot()
+	if err != nil {
+		return nil, err
 	}
-	for _, rec := range batch.Records {
-		if part := rec.GetSnapshotPart(); part != nil {
-			s.part(part)
-		}
+	state := &pb.LedgerState{Machine: machine, Recent: f.recent.oldestFirst()}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(state)
+}
+
+// Export returns the state; it fails if there is none to give.
+func (f *Follower[M]) Export() (State, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	age, ok := f.stateAge()
+	if !ok {
+		return State{}, fault.New(fault.CodeStaleView, fault.StepRestore, f.stream, "no state yet")
 	}
+	data, err := f.encode()
+	return State{Covers: f.next, Data: data, Age: age}, err
 }
 
-func (s *snapshotScan) part(p *pb.SnapshotPart) {
-	if p.Part >= p.Parts || p.Covers < s.oldest {
-		return
+// stateAge returns how old the state is, also one that a peer gave.
+func (f *Follower[M]) stateAge() (time.Duration, bool) {
+	switch {
+	case f.reached:
+		return f.now().Sub(f.tailAt), true
+	case f.seed.taken:
+		return f.seed.age + f.now().Sub(f.seed.at), true
 	}
-	parts := s.partial[p.SnapshotId]
-	if parts == nil {
-		parts = make([]*pb.SnapshotPart, p.Parts)
-		s.partial[p.SnapshotId] = parts
+	return 0, false
+}
+
+// StateAge returns how old the state is, also one that a peer gave; false if
+// there is no state.
+func (f *Follower[M]) StateAge() (time.Duration, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.stateAge()
+}
+
+// Seed takes a peer's state while the log has not been read. It is refused if
+// it is not newer than what is there; the view does not become fresh by it.
+func (f *Follower[M]) Seed(state State) (bool, error) {
+	machine, recent, err := f.decode(state.Data)
+	if err != nil {
+		return false, fault.Wrap(err, fault.CodeStaleView, fault.StepRestore, f.stream, "peer's state cannot be restored")
 	}
-	if int(p.Parts) != len(parts) {
-		return
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.loaded || state.Covers <= f.next {
+		return false, nil
 	}
-	parts[p.Part] = p
-	s.complete(p, parts)
+	f.machine, f.recent, f.next = machine, recent, state.Covers
+	f.seed = seed{taken: true, age: state.Age, at: f.now()}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return true, nil
 }
 
-func (s *snapshotScan) complete(p *pb.SnapshotPart, parts []*pb.SnapshotPart) {
-	var data []byte
-	for _, part := range parts {
-		if part == nil {
-			return
-		}
-		data = append(data, part.Data...)
+// Loaded reports whether the stream is followed from the log.
+func (f *Follower[M]) Loaded() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.loaded
+}
+
+// checkSnapshot compares a snapshot that covers exactly what was replayed with
+// the replayed state.
+func (f *Follower[M]) checkSnapshot(offset uint64, batch *pb.Batch) {
+	if len(batch.Records) == 0 {
+		return
 	}
-	delete(s.partial, p.SnapshotId)
-	if xxhash.Sum64(data) != p.Digest {
-		events.SnapshotMismatch.Log("snapshot", p.SnapshotId, "covers", p.Covers)
+	part := batch.Records[0].GetSnapshotPart()
+	if part == nil || part.Part != 0 || part.Covers != offset {
 		return
 	}
-	if s.newest == nil || p.Covers >= s.newest.covers {
-		s.newest = &snapshot{covers: p.Covers, data: data}
+	data, err := f.encode()
+	if err != nil || xxhash.Sum64(data) != part.Digest {
+		events.SnapshotMismatch.Log("stream", f.stream, "snapshot", part.SnapshotId, "covers", part.Covers)
 	}
 }
--- a/internal/standin/logstore/logstore.go
+++ b/internal/standin/logstore/logstore.go
@@ -20,6 +20,9 @@
 	LoseAnswers int `json:"lose_answers"`
 	// DoubleAppends stores that many appends twice.
 	DoubleAppends int `json:"double_appends"`
+	// HoldAppends keeps that many appends in flight without an answer; they take
+	// effect at Store.Land.
+	HoldAppends int `json:"hold_appends"`
 }
 
 // Options bound what the log keeps and takes.
@@ -39,10 +42,17 @@
 	mu      sync.Mutex
 	faults  Faults
 	streams map[string]*stream
+	held    []inFlight
 	appends uint64
 	bytes   uint64
 }
 
+// inFlight is an append that has not taken effect yet.
+type inFlight struct {
+	stream  string
+	payload []byte
+}
+
 type stream struct {
 	oldest  uint64
 	entries []stored
@@ -93,14 +103,18 @@
 	if s.faults.Down {
 		return 0, platform.ErrUnavailable
 	}
+	if s.faults.HoldAppends > 0 {
+		s.faults.HoldAppends--
+		s.held = append(s.held, inFlight{stream: name, payload: append([]byte(nil), payload...)})
+		return 0, platform.ErrUnknownOutcome
+	}
 	st := s.stream(name)
 	offset := s.add(st, payload)
 	if s.faults.DoubleAppends > 0 {
 		s.faults.DoubleAppends--
 		s.add(st, payload)
 	}
-	close(st.changed)
-	st.changed = make(chan struct{})
+	st.wake()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		return 0, platform.ErrUnknownOutcome
@@ -108,6 +122,31 @@
 	return offset, nil
 }
 
+// Land lets the held appends take effect, in the order they came.
+func (s *Store) Land() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.held {
+		st := s.stream(h.stream)
+		s.add(st, h.payload)
+		st.wake()
+	}
+	s.held = nil
+}
+
+// Held returns how many appends are in flight.
+func (s *Store) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
+// wake ends the waits of readers at the tail. The store's lock must be held.
+func (st *stream) wake() {
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
 func (s *Store) add(st *stream, payload []byte) uint64 {
 	offset := st.oldest + uint64(len(st.entries))
 	kept := append([]byte(nil), payload...)
--- /dev/null
+++ b/internal/suppression/suppression_test.go
@@ -0,0 +1,45 @@
+package suppression
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFewActAtOnce draws for fleets of all sizes and counts who acts before the
+// first one's act is seen, for a twentieth of the spread.
+func TestFewActAtOnce(t *testing.T) {
+	const (
+		spread = 2 * time.Second
+		seen   = spread / 20
+		rounds = 200
+	)
+	for _, n := range []int{1, 11, 100, 1000, 4400} {
+		r := rand.New(rand.NewPCG(1, uint64(n)))
+		acts := 0
+		for range rounds {
+			draws := make([]time.Duration, n)
+			for i := range draws {
+				draws[i] = Delay(spread, r.Float64())
+			}
+			first := slices.Min(draws)
+			for _, d := range draws {
+				if d <= first+seen {
+					acts++
+				}
+			}
+		}
+		mean := float64(acts) / rounds
+		t.Logf("%d processes: %.2f act in the mean", n, mean)
+		assert.Assert(t, mean <= 4, "%d processes: %.2f act", n, mean)
+	}
+}
+
+func TestDelayIsWithinSpread(t *testing.T) {
+	assert.Equal(t, Delay(time.Second, 0), time.Duration(0))
+	assert.Assert(t, Delay(time.Second, 0.999999) <= time.Second)
+	assert.Equal(t, Delay(0, 0.5), time.Duration(0))
+}
