Attempts in doubt, late calls and doubled starts on the worker

Cause: the agent answered "never started" for an attempt whose start on the worker had no answer, so a start that took effect later ran beside the next attempt. The same hole stood open after a restart of the agent (calls of its predecessor), for doubled starts (the second copy was refused and the refusal believed), for a start or a renewal that took effect late (full grant counted from then), and in the owner for a table view that turned fresh between being read and being judged, stops and fences sent without asking the lease again, a worker that came back smaller (its registration was rejected for ever and written anew at each beat), a rejected job whose running task went back to waiting, and retries without a pause. Ruled out: relying on the uncertain attempt being listed at the next beat; the start may take effect after any number of listings. Change: the agent keeps a hold on each attempt from before the call until its grant ends; fences and stops have no answer while a start may still take effect; leases on the worker leave room for the longest call; an attempt that nobody renews is checkpointed and stopped in time; running attempts are checkpointed now and then and a lost one resumes from there. The owner asks its lease before each message, reads the clock before the table, bounds starts under way and pauses after failures. Seen to fail without the mechanism (each taken out by itself, go test ./internal/agent/grants): TestStartInDoubtIsNeverCalledNotStarted, TestYoungAgentDoesNotAnswerForItsPredecessor, TestDoubledStartIsAnsweredLikeTheFirst, TestStartThatTookTooLongIsStopped, TestRenewalNeverOutlivesTheGrant.

--- a/internal/agent/grants/beat.go
+++ b/internal/agent/grants/beat.go
@@ -51,6 +51,7 @@
 		select {
 		case <-t.C:
 			b.Beat(ctx)
+			b.grants.Tend(ctx, b.interval+b.grants.options.CallDelay)
 		case <-ctx.Done():
 			return
 		}
@@ -119,11 +120,9 @@
 // sent, so that the owner's own count never ends first.
 func (b *Beater) carryOut(ctx context.Context, reply *pb.BeatReply, sent time.Time) {
 	worker := b.grants.worker
-	lease := time.Duration(reply.GrantMs)*time.Millisecond - time.Since(sent)
+	end := sent.Add(time.Duration(reply.GrantMs) * time.Millisecond)
 	for _, a := range reply.Renewed {
-		if lease > 0 {
-			_ = worker.Renew(ctx, keyOf(a), lease)
-		}
+		b.grants.renew(ctx, keyOf(a), end)
 	}
 	for _, a := range reply.Recorded {
 		b.forget(ctx, keyOf(a))
--- a/internal/agent/grants/grants.go
+++ b/internal/agent/grants/grants.go
@@ -10,6 +10,7 @@
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/events"
+	"chervilridge/internal/fault"
 	"chervilridge/internal/platform"
 	"chervilridge/internal/resources"
 )
@@ -18,17 +19,27 @@
 // start of the same incarnation can be under way.
 const tombstoneLife = 10 * time.Minute
 
+// DefaultCallDelay is how long after it was sent a call may still take effect on
+// the worker.
+const DefaultCallDelay = 500 * time.Millisecond
+
 // Options describe the agent.
 type Options struct {
 	Incarnation string
 	Shard       uint32
 	// Began is when the agent's clock was zero.
 	Began time.Time
+	// CallDelay bounds how late a call may take effect on the worker; 0 means
+	// DefaultCallDelay.
+	CallDelay time.Duration
+	// CheckpointEvery is the time between checkpoints of a running attempt; 0
+	// means DefaultCheckpointEvery.
+	CheckpointEvery time.Duration
 }
 
-// Grants implements the TaskRunner service. One lock guards epoch and
-// tombstones; starts, stops and fences are serialised by another, so that the
-// question "did it start" has one answer.
+// Grants implements the TaskRunner service. One lock guards epoch, tombstones
+// and what is known of attempts; starts, stops and fences are serialised by
+// another, so that the question "did it start" has one answer.
 type Grants struct {
 	pb.UnimplementedTaskRunnerServer
 
@@ -40,13 +51,21 @@
 	mu         sync.Mutex
 	epoch      uint64
 	tombstones map[platform.TaskKey]time.Time
+	held       map[platform.TaskKey]*hold
 }
 
 // New returns grants with none given.
 func New(options Options, worker platform.Worker) *Grants {
+	if options.CallDelay <= 0 {
+		options.CallDelay = DefaultCallDelay
+	}
+	if options.CheckpointEvery <= 0 {
+		options.CheckpointEvery = DefaultCheckpointEvery
+	}
 	return &Grants{
 		options: options, worker: worker,
 		tombstones: map[platform.TaskKey]time.Time{},
+		held:       map[platform.TaskKey]*hold{},
 	}
 }
 
@@ -78,6 +97,7 @@
 		}
 	}
 	g.tombstones[key] = now
+	delete(g.held, key)
 }
 
 func (g *Grants) buried(key platform.TaskKey) bool {
@@ -92,27 +112,85 @@
 	g.serial.Lock()
 	defer g.serial.Unlock()
 	key := keyOf(req.Attempt)
+	if begun, doubtful := g.begun(key); begun {
+		return g.repeated(key, doubtful)
+	}
 	if reason := g.refusal(ctx, req, key); reason != "" {
 		g.bury(key)
 		events.TaskStartRefused.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", req.Epoch, "reason", reason)
 		return &pb.StartTaskReply{Reason: reason}, nil
 	}
-	err := g.worker.Start(ctx, platform.StartSpec{
+	lease := g.startLease(req)
+	if lease <= 0 {
+		g.bury(key)
+		return &pb.StartTaskReply{Reason: "start came too late"}, nil
+	}
+	return g.launch(ctx, req, key, lease)
+}
+
+// repeated answers a doubled start: the first copy decides, whatever the second
+// would be told now.
+func (g *Grants) repeated(key platform.TaskKey, doubtful bool) (*pb.StartTaskReply, error) {
+	if doubtful {
+		return nil, fault.New(fault.CodeOutcomeUnknown, fault.StepStart, key.JobID, "worker did not answer the first start").WithOutcome(fault.Unknown)
+	}
+	return &pb.StartTaskReply{Started: true}, nil
+}
+
+// startLease returns how long the attempt may run on the worker, so that it
+// ends within the grant even if the start takes effect as late as it can.
+func (g *Grants) startLease(req *pb.StartTaskRequest) time.Duration {
+	grant := time.Duration(req.GrantMs) * time.Millisecond
+	end := time.Duration(req.NotAfterMs)*time.Millisecond + grant
+	return min(end-g.Clock()-g.options.CallDelay, grant)
+}
+
+// launch starts the attempt on the worker. The hold is taken before the call,
+// so that an attempt in doubt counts from the moment it may run.
+func (g *Grants) launch(ctx context.Context, req *pb.StartTaskRequest, key platform.TaskKey, lease time.Duration) (*pb.StartTaskReply, error) {
+	sent := time.Now()
+	g.hold(key, req, sent.Add(lease+g.options.CallDelay))
+	callCtx, cancel := g.callContext(ctx)
+	defer cancel()
+	err := g.worker.Start(callCtx, platform.StartSpec{
 		Key: key, JobClass: req.JobClass, Payload: req.Payload, Checkpoint: req.Checkpoint,
 		Reserved: req.Reserved, Duration: time.Duration(req.DurationMs) * time.Millisecond,
-		Lease: time.Duration(req.GrantMs) * time.Millisecond,
+		Lease: lease,
 	})
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		return nil, err
-	}
-	if err != nil && !errors.Is(err, platform.ErrExists) {
+	switch {
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNoCapacity):
 		g.bury(key)
 		return &pb.StartTaskReply{Reason: err.Error(), WorkerFault: true}, nil
+	case err != nil && !errors.Is(err, platform.ErrExists):
+		events.TaskStartDoubtful.LogError(err, "job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", req.Epoch)
+		return nil, fault.Wrap(err, fault.CodeOutcomeUnknown, fault.StepStart, key.JobID, "worker did not answer the start").WithOutcome(fault.Unknown)
+	case time.Since(sent) > g.options.CallDelay:
+		return nil, g.undo(key)
 	}
+	g.settle(key)
 	events.TaskStarted.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", req.Epoch)
 	return &pb.StartTaskReply{Started: true}, nil
 }
 
+// undo stops an attempt whose start took effect later than its lease allows
+// for, as when this process was paused in the middle of the call.
+func (g *Grants) undo(key platform.TaskKey) error {
+	ctx, cancel := g.callContext(context.Background())
+	defer cancel()
+	_, err := g.worker.Stop(ctx, key)
+	if err == nil {
+		g.settle(key)
+		g.setReason(key, pb.ReleaseReason_RELEASE_REASON_NOT_STARTED)
+	}
+	return fault.New(fault.CodeTooLate, fault.StepStart, key.JobID, "start took longer than a call may take").WithOutcome(fault.Unknown)
+}
+
+// callContext bounds a call on the worker. It does not end with the caller's
+// context: a call that was begun should get its answer.
+func (g *Grants) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), g.options.CallDelay)
+}
+
 // refusal returns why the start must not happen, or nothing.
 func (g *Grants) refusal(ctx context.Context, req *pb.StartTaskRequest, key platform.TaskKey) string {
 	switch {
@@ -126,6 +204,8 @@
 		return "start came too late"
 	case g.buried(key):
 		return "attempt is fenced"
+	case g.young():
+		return "agent started just now, calls of its predecessor may still take effect"
 	}
 	return g.conflict(ctx, req, key)
 }
@@ -142,14 +222,14 @@
 		return "worker does not answer: " + err.Error()
 	}
 	used := req.Reserved
-	for _, s := range list {
-		if s.Phase != platform.PhaseRunning || s.Key == key {
+	for _, h := range g.present(list) {
+		if h.key == key {
 			continue
 		}
-		if s.Key.JobID == key.JobID && s.Key.Index == key.Index {
-			return "another attempt of the task runs"
+		if h.key.JobID == key.JobID && h.key.Index == key.Index {
+			return "another attempt of the task runs or may run"
 		}
-		used = resources.Add(used, s.Used)
+		used = resources.Add(used, h.reserved)
 	}
 	if !resources.Fits(used, info.Capacity) {
 		return "worker has no room"
@@ -166,18 +246,50 @@
 		return &pb.AttemptReport{Attempt: req.Attempt, Epoch: g.Epoch(), Detail: "stop is of an older epoch"}, nil
 	}
 	key := keyOf(req.Attempt)
-	status, err := g.worker.Stop(ctx, key)
+	status, err := g.end(ctx, key, req.Reason)
 	if errors.Is(err, platform.ErrNoSuchTask) {
-		g.bury(key)
-		return &pb.AttemptReport{Attempt: req.Attempt, State: pb.AttemptState_ATTEMPT_STATE_NEVER_STARTED, Epoch: g.Epoch()}, nil
+		return g.neverStarted(req.Attempt, req.Epoch)
 	}
 	if err != nil {
 		return nil, err
 	}
-	events.TaskStopped.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "reason", req.Reason.String())
-	report := g.report(status)
-	report.Reason = req.Reason
-	return report, nil
+	return g.report(status), nil
+}
+
+// Evict stops a running attempt to keep the service beside the worker quick.
+// The next heartbeat reports it with its checkpoint.
+func (g *Grants) Evict(ctx context.Context, key platform.TaskKey) error {
+	g.serial.Lock()
+	defer g.serial.Unlock()
+	_, err := g.end(ctx, key, pb.ReleaseReason_RELEASE_REASON_EVICTED)
+	return err
+}
+
+// end stops an attempt on the worker and keeps why. The first reason stays: a
+// repeated stop tells the same story.
+func (g *Grants) end(ctx context.Context, key platform.TaskKey, reason pb.ReleaseReason) (platform.TaskStatus, error) {
+	callCtx, cancel := g.callContext(ctx)
+	defer cancel()
+	status, err := g.worker.Stop(callCtx, key)
+	if err != nil {
+		return status, err
+	}
+	g.settle(key)
+	g.setReason(key, reason)
+	events.TaskStopped.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "reason", reason.String())
+	return status, nil
+}
+
+// neverStarted answers for an attempt that the worker does not know. While a
+// start of it may still take effect, there is no answer.
+func (g *Grants) neverStarted(a *pb.Attempt, epoch uint64) (*pb.AttemptReport, error) {
+	key := keyOf(a)
+	if g.young() || g.doubtful(key) {
+		return nil, fault.New(fault.CodeOutcomeUnknown, fault.StepFence, key.JobID, "a start may still take effect").WithOutcome(fault.Unknown)
+	}
+	g.bury(key)
+	events.TaskFenced.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", epoch)
+	return &pb.AttemptReport{Attempt: a, State: pb.AttemptState_ATTEMPT_STATE_NEVER_STARTED, Epoch: g.Epoch()}, nil
 }
 
 // FenceTask implements the TaskRunner service.
@@ -197,9 +309,7 @@
 			return g.report(s), nil
 		}
 	}
-	g.bury(key)
-	events.TaskFenced.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", req.Epoch)
-	return &pb.AttemptReport{Attempt: req.Attempt, State: pb.AttemptState_ATTEMPT_STATE_NEVER_STARTED, Epoch: g.Epoch()}, nil
+	return g.neverStarted(req.Attempt, req.Epoch)
 }
 
 // Epoch returns the highest epoch seen.
@@ -223,8 +333,6 @@
 		State:   attemptStates[s.Phase], Result: s.Result, Checkpoint: s.Checkpoint,
 		Detail: s.Detail, RanMs: s.Ran.Milliseconds(), Used: s.Used, Epoch: g.Epoch(),
 	}
-	if s.Phase == platform.PhaseLapsed {
-		r.Reason = pb.ReleaseReason_RELEASE_REASON_LOST
-	}
+	g.complete(s, r)
 	return r
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -105,7 +105,9 @@
 }
 
 // Worker is the platform's handle of the worker beside an agent.
-// Implementations are safe for concurrent use.
+// Implementations are safe for concurrent use. A call whose context has ended
+// before it was sent has no effect; one that is under way when its context ends
+// takes effect soon or never.
 type Worker interface {
 	Describe(ctx context.Context) (WorkerInfo, error)
 	// Start runs an attempt under a lease; ErrExists if the key was ever started.
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -53,3 +53,12 @@
 	}
 	return float64(used) / float64(capacity)
 }
+
+// Max returns the larger amount of each kind.
+func Max(a, b *pb.Resources) *pb.Resources {
+	return &pb.Resources{
+		CpuMilli:     max(a.GetCpuMilli(), b.GetCpuMilli()),
+		MemoryMb:     max(a.GetMemoryMb(), b.GetMemoryMb()),
+		Accelerators: max(a.GetAccelerators(), b.GetAccelerators()),
+	}
+}
--- a/internal/scheduler/owner/beat.go
+++ b/internal/scheduler/owner/beat.go
@@ -117,6 +117,9 @@
 	if now.After(v.mayRunUntil) {
 		return verdictWait
 	}
+	if len(r.Checkpoint) > 0 {
+		v.checkpoint = r.Checkpoint
+	}
 	v.confirmed = now
 	v.mayRunUntil = now.Add(o.options.Grant + o.margin())
 	return verdictRenew
--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -3,6 +3,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -20,10 +21,10 @@
 	tickInterval  = 100 * time.Millisecond
 	commitTimeout = 5 * time.Second
 	callTimeout   = 2 * time.Second
-	// startAllowance is how late a start may reach the agent after it was sent.
-	startAllowance = time.Second
-	// tableFreshness is how old the view of the table may be at a start.
-	tableFreshness = 1500 * time.Millisecond
+	// StartAllowance is how late a start may reach the agent after it was sent.
+	StartAllowance = time.Second
+	// TableFreshness is how old the view of the table may be at a start.
+	TableFreshness = 1500 * time.Millisecond
 	// confirmAfter is how long a granted attempt may go unreported before the
 	// agent is asked about it.
 	confirmAfter = 3 * time.Second
@@ -32,12 +33,24 @@
 	grantMarginShare = 10
 )
 
-// Options describe the owner.
+// Options describe the owner. A zero duration below Grant means the default.
 type Options struct {
 	Shard uint32
 	Grant time.Duration
 	// WorkerSilence is how long a worker may be silent and still get tasks.
 	WorkerSilence time.Duration
+	// Lease is how long an earlier owner that missed the claim may go on acting.
+	Lease          time.Duration
+	StartAllowance time.Duration
+	TableFreshness time.Duration
+	ConfirmAfter   time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	o.StartAllowance = cmp.Or(o.StartAllowance, StartAllowance)
+	o.TableFreshness = cmp.Or(o.TableFreshness, TableFreshness)
+	o.ConfirmAfter = cmp.Or(o.ConfirmAfter, confirmAfter)
+	return o
 }
 
 // Owner schedules one shard. One lock guards what it knows of workers and
@@ -56,6 +69,7 @@
 	epoch    uint64 // epoch that the maps below belong to
 	workers  map[string]*workerView
 	attempts map[attemptKey]*attemptView
+	pace     *pace
 }
 
 // attemptKey names an attempt in the owner's maps.
@@ -79,14 +93,17 @@
 	mayRunUntil time.Time
 	confirmed   time.Time // newest beat that reported it
 	busy        bool      // a start, stop, fence or commit is under way
+	checkpoint  []byte    // newest that a report of the running attempt named
+	unanswered  backoff   // calls about the attempt that had no answer
 }
 
 // New returns an owner that does nothing until the lease is held.
 func New(options Options, lease *ownership.Lease, state *ledger.Follower[*shard.State],
 	rows *ledger.Follower[*table.Table], committer *ledger.Committer, pool *peer.Pool) *Owner {
 	return &Owner{
-		options: options, lease: lease, state: state, table: rows, committer: committer, pool: pool,
+		options: options.withDefaults(), lease: lease, state: state, table: rows, committer: committer, pool: pool,
 		workers: map[string]*workerView{}, attempts: map[attemptKey]*attemptView{},
+		pace: newPace(),
 	}
 }
 
@@ -118,28 +135,31 @@
 	o.schedule(ctx, epoch)
 }
 
-// enter forgets what was learned under an older epoch.
+// enter forgets what was learned under an older epoch. A late caller of an older
+// epoch changes nothing.
 func (o *Owner) enter(epoch uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.epoch == epoch {
+	if epoch <= o.epoch {
 		return
 	}
 	o.epoch = epoch
 	o.workers = map[string]*workerView{}
 	o.attempts = map[attemptKey]*attemptView{}
+	o.pace = newPace()
 }
 
 // margin covers clocks that run at different rates.
 func (o *Owner) margin() time.Duration { return o.options.Grant / grantMarginShare }
 
-// view returns the view of an attempt; a new one assumes the worst, that the
-// attempt was granted just now.
+// view returns the view of an attempt; a new one assumes the worst, that an
+// earlier owner that missed the claim grants it as late as its lease allows.
 func (o *Owner) view(key attemptKey) *attemptView {
 	v := o.attempts[key]
 	if v == nil {
 		now := time.Now()
-		v = &attemptView{granted: now, mayRunUntil: now.Add(startAllowance + o.options.Grant + o.margin())}
+		worst := o.options.Lease + o.options.StartAllowance + o.options.Grant + o.margin()
+		v = &attemptView{granted: now, mayRunUntil: now.Add(worst)}
 		o.attempts[key] = v
 	}
 	return v
@@ -165,9 +185,16 @@
 	}
 }
 
+// holds reports whether the lease is held for the epoch at this moment. It is
+// asked again before each message, since a paused process wakes up late.
+func (o *Owner) holds(epoch uint64) bool {
+	held, ok := o.lease.Held()
+	return ok && held == epoch
+}
+
 // commit writes a record under the epoch and returns replay's verdict.
 func (o *Owner) commit(ctx context.Context, epoch uint64, rec *pb.Record) (ledger.Verdict, error) {
-	if held, ok := o.lease.Held(); !ok || held != epoch {
+	if !o.holds(epoch) {
 		return ledger.Verdict{}, fault.New(fault.CodeNotOwner, fault.StepAppend, "", "shard lease is not held")
 	}
 	rec.Epoch = epoch
--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -17,18 +17,22 @@
 
 // schedule plans the waiting tasks and carries the plan out.
 func (o *Owner) schedule(ctx context.Context, epoch uint64) {
-	if !o.table.FreshWithin(tableFreshness) {
+	if !o.table.FreshWithin(o.options.TableFreshness) {
 		return
 	}
 	snapshot := o.snapshot()
+	o.holdBack(&snapshot)
 	if len(snapshot.Tasks) == 0 {
 		return
 	}
 	plan := placement.Make(snapshot)
 	for _, a := range plan.Assignments {
 		key := attemptKey{a.Task.Ref, a.Task.Attempt + 1}
-		if o.occupy(key) {
-			go o.assign(ctx, epoch, key, a)
+		if p := o.admit(key, a.Worker); p != nil {
+			go func() {
+				defer o.discharge(p, key, a.Worker)
+				o.assign(ctx, epoch, key, a)
+			}()
 		}
 	}
 	for _, u := range plan.Impossible {
@@ -78,10 +82,10 @@
 
 // assign commits one assignment and, once replay has accepted it, starts it.
 func (o *Owner) assign(ctx context.Context, epoch uint64, key attemptKey, a placement.Assignment) {
-	defer o.vacate(key)
 	v, err := o.commit(ctx, epoch, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: key.ref.JobID, Index: key.ref.Index, Attempt: key.attempt, Worker: a.Worker, Reserved: a.Reserved,
 	}}})
+	o.noteLog(err)
 	if err != nil || v.Rejection != nil {
 		events.TaskUnplaced.Log("job", key.ref.JobID, "index", key.ref.Index, "worker", a.Worker, "error", err, "rejection", v.Rejection)
 		return
@@ -95,11 +99,11 @@
 // gone meanwhile; then the attempt is given back as never started.
 func (o *Owner) start(ctx context.Context, epoch uint64, key attemptKey, worker string) {
 	req, address, ok := o.startRequest(epoch, key, worker)
-	if held, valid := o.lease.Held(); !valid || held != epoch {
+	if !o.holds(epoch) {
 		return
 	}
-	if !ok || !o.table.FreshWithin(tableFreshness) {
-		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_NOT_STARTED, nil, "worker or data centre went away before the start")
+	if !ok {
+		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_NOT_STARTED, nil, "worker, job or data centre went away before the start")
 		return
 	}
 	conn, err := o.pool.Get(address)
@@ -121,18 +125,23 @@
 	}
 }
 
+// startRequest makes the start of an attempt; false if it must not be sent. The
+// order matters: the clock is read first, so that the not-after time bounds how
+// old the view of the table can be when the start takes effect, and freshness
+// is asked before the view is read, since a view only gets newer.
 func (o *Owner) startRequest(epoch uint64, key attemptKey, worker string) (*pb.StartTaskRequest, string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := time.Now()
 	view := o.workers[worker]
-	if view == nil {
+	if view == nil || view.leaving || !o.table.FreshWithin(o.options.TableFreshness) {
 		return nil, "", false
 	}
-	now := time.Now()
-	o.view(key).mayRunUntil = now.Add(startAllowance + o.options.Grant + o.margin())
+	allowance := o.options.StartAllowance
+	o.view(key).mayRunUntil = now.Add(allowance + o.options.Grant + o.margin())
 	req := &pb.StartTaskRequest{
 		Attempt: o.message(key), Epoch: epoch, Incarnation: view.incarnation,
-		NotAfterMs: (view.clock + now.Sub(view.seen) + startAllowance).Milliseconds(),
+		NotAfterMs: (view.clock + now.Sub(view.seen) + allowance).Milliseconds(),
 		GrantMs:    o.options.Grant.Milliseconds(),
 	}
 	return req, view.address, o.fill(req, key, worker)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -25,6 +25,9 @@
 	MaxResultBytes     = 64 << 10
 	DefaultMaxFailures = 3
 	maxHistory         = 32 // events kept per task
+	// sameWorkerFailures is how many times the allowed failures a task may have
+	// while fewer workers than that failed it.
+	sameWorkerFailures = 2
 )
 
 // Stream returns the name of a shard's log stream.
@@ -148,6 +151,8 @@
 	return nil
 }
 
+// register takes a worker as it is now. One that came back smaller than what is
+// reserved on it gets nothing new until its owner has stopped the excess.
 func (s *State) register(r *pb.WorkerRegistered) *ledger.Rejection {
 	if r.Worker == "" || !resources.Valid(r.Capacity) {
 		return ledger.Reject(ledger.ReasonInvalid, "a worker has a name and a capacity")
@@ -157,9 +162,6 @@
 		s.workers[r.Worker] = &Worker{Registered: proto.CloneOf(r), Reserved: &pb.Resources{}, Assigned: map[TaskRef]*pb.Task{}}
 		return nil
 	}
-	if !resources.Fits(known.Reserved, r.Capacity) {
-		return ledger.Reject(ledger.ReasonOvercommitted, "worker %s has more reserved than its new capacity", r.Worker)
-	}
 	known.Registered = proto.CloneOf(r)
 	return nil
 }
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -79,7 +79,9 @@
 	switch {
 	case job.Cancelled:
 		task.State = pb.TaskState_TASK_STATE_CANCELLED
-	case task.Failures >= job.Spec.MaxFailures:
+	case job.Rejected != "":
+		task.State, task.Reason = pb.TaskState_TASK_STATE_FAILED, job.Rejected
+	case failedForGood(job, task):
 		task.State = pb.TaskState_TASK_STATE_FAILED
 	default:
 		task.State = pb.TaskState_TASK_STATE_PENDING
@@ -87,6 +89,22 @@
 	}
 }
 
+// failedForGood reports whether a task is stopped. Failures on several workers
+// are the task's own fault; on one and the same worker they may be the worker's,
+// so that more of them are allowed.
+func failedForGood(job *pb.Job, task *pb.Task) bool {
+	if task.Failures >= job.Spec.MaxFailures*sameWorkerFailures {
+		return true
+	}
+	workers := map[string]bool{}
+	for _, e := range task.History {
+		if e.What == pb.ReleaseReason_RELEASE_REASON_FAILED.String() {
+			workers[e.Worker] = true
+		}
+	}
+	return len(workers) >= int(job.Spec.MaxFailures)
+}
+
 // finish ends a task with its result, also one whose job was cancelled while
 // it ran: work that is done is not thrown away.
 func (s *State) finish(rec *pb.Record, f *pb.TaskFinished) *ledger.Rejection {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -59,6 +59,7 @@
 	leaseEnd time.Time
 	ranFor   time.Duration
 	fails    bool
+	saved    []byte // newest checkpoint
 }
 
 type sample struct {
@@ -112,10 +113,10 @@
 }
 
 // Start implements platform.Worker.
-func (w *Worker) Start(_ context.Context, spec platform.StartSpec) error {
+func (w *Worker) Start(ctx context.Context, spec platform.StartSpec) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.reachable(); err != nil {
+	if err := w.takes(ctx); err != nil {
 		return err
 	}
 	w.advance()
@@ -124,7 +125,7 @@
 	}
 	a := w.newAttempt(spec)
 	w.attempts[spec.Key] = a
-	w.options.Recorder.started(w.options.Info, spec.Key)
+	w.options.Recorder.started(w.options.Info, spec, a.started, a.leaseEnd)
 	w.checkCapacity()
 	if w.faults.BlackHole {
 		w.end(spec.Key, a, platform.PhaseFailed)
@@ -153,27 +154,33 @@
 }
 
 // Renew implements platform.Worker.
-func (w *Worker) Renew(_ context.Context, key platform.TaskKey, lease time.Duration) error {
-	return w.withRunning(key, func(a *attempt) { a.leaseEnd = w.options.Now().Add(lease) })
+func (w *Worker) Renew(ctx context.Context, key platform.TaskKey, lease time.Duration) error {
+	return w.withRunning(ctx, key, func(a *attempt) {
+		a.leaseEnd = w.options.Now().Add(lease)
+		w.options.Recorder.renewed(key, a.leaseEnd)
+	})
 }
 
 // Throttle implements platform.Worker.
-func (w *Worker) Throttle(_ context.Context, key platform.TaskKey, shareMilli uint32) error {
-	return w.withRunning(key, func(a *attempt) { a.shareMilli = min(shareMilli, fullShareMilli) })
+func (w *Worker) Throttle(ctx context.Context, key platform.TaskKey, shareMilli uint32) error {
+	return w.withRunning(ctx, key, func(a *attempt) { a.shareMilli = min(shareMilli, fullShareMilli) })
 }
 
 // Checkpoint implements platform.Worker.
-func (w *Worker) Checkpoint(_ context.Context, key platform.TaskKey) ([]byte, error) {
+func (w *Worker) Checkpoint(ctx context.Context, key platform.TaskKey) ([]byte, error) {
 	var handle []byte
-	err := w.withRunning(key, func(a *attempt) { handle = encodeProgress(a.done) })
+	err := w.withRunning(ctx, key, func(a *attempt) {
+		handle = encodeProgress(a.done)
+		a.saved = handle
+	})
 	return handle, err
 }
 
 // Stop implements platform.Worker.
-func (w *Worker) Stop(_ context.Context, key platform.TaskKey) (platform.TaskStatus, error) {
+func (w *Worker) Stop(ctx context.Context, key platform.TaskKey) (platform.TaskStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.reachable(); err != nil {
+	if err := w.takes(ctx); err != nil {
 		return platform.TaskStatus{}, err
 	}
 	w.advance()
@@ -203,10 +210,10 @@
 }
 
 // Forget implements platform.Worker.
-func (w *Worker) Forget(_ context.Context, key platform.TaskKey) error {
+func (w *Worker) Forget(ctx context.Context, key platform.TaskKey) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.reachable(); err != nil {
+	if err := w.takes(ctx); err != nil {
 		return err
 	}
 	w.advance()
@@ -251,10 +258,10 @@
 	return out
 }
 
-func (w *Worker) withRunning(key platform.TaskKey, do func(*attempt)) error {
+func (w *Worker) withRunning(ctx context.Context, key platform.TaskKey, do func(*attempt)) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.reachable(); err != nil {
+	if err := w.takes(ctx); err != nil {
 		return err
 	}
 	w.advance()
@@ -266,6 +273,15 @@
 	return nil
 }
 
+// takes reports whether a call takes effect: one whose context has ended does
+// not.
+func (w *Worker) takes(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	return w.reachable()
+}
+
 func (w *Worker) reachable() error {
 	if w.faults.Down || w.faults.Dead {
 		return platform.ErrUnavailable
@@ -343,6 +359,8 @@
 		s.Result = fmt.Appendf(nil, "%s/%d:%016x", key.JobID, key.Index, xxhash.Sum64(a.spec.Payload))
 	case platform.PhaseFailed:
 		s.Detail = "attempt failed"
+	case platform.PhaseRunning:
+		s.Checkpoint = a.saved
 	default:
 		s.Checkpoint = encodeProgress(a.done)
 	}
