Fault matrix: every fault at every step, judged by the recorder

Cause: nothing brought faults about at chosen steps of a task's life. Ruled out: killing whole processes at random moments; it seldom meets a step and gives another run each time. Change: internal/matrix runs three agents over the real code and the stand-ins, gRPC on loopback, log, worker and messages each behind a port where a fault strikes at the first call of the armed step. make matrix prints the table.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
 .PHONY: build generate test demo lint
+.PHONY: matrix fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,3 +21,11 @@
 	@test -z "$$(gofmt -l $(GOFILES))"
 	go vet ./...
 	go tool staticcheck ./...
+
+# matrix prints every fault at every step of a task's life with its verdict.
+matrix:
+	go test -count=1 -v -run 'TestMatrix$$' ./internal/matrix 2>/dev/null
+
+# fuzz drives the state machine of a shard against its oracle, with a fresh seed.
+fuzz:
+	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000
--- a/internal/standin/worker/recorder.go
+++ b/internal/standin/worker/recorder.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// Violate adds a violation that an observer found.
+func (r *Recorder) Violate(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violate("%s", what)
+}
+
 // Violations returns what broke a promise so far.
 func (r *Recorder) Violations() []string {
 	r.mu.Lock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// Reset brings a dead worker back as a new one: without faults and attempts.
+func (w *Worker) Reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = Faults{}
+	w.attempts = map[platform.TaskKey]*attempt{}
+}
+
 // Describe implements platform.Worker.
 func (w *Worker) Describe(context.Context) (platform.WorkerInfo, error) {
 	w.mu.Lock()
