--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,11 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
+<<<<<<< HEAD
 .PHONY: build generate test demo lint mechanisms
+=======
+.PHONY: build generate test demo lint
+.PHONY: matrix fuzz
+>>>>>>> tasks
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,6 +26,7 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+<<<<<<< HEAD
 # Switches each listed mechanism off in a scratch copy; its tests must fail.
 mechanisms:
 	go run ./tools/mechanisms
@@ -28,3 +34,12 @@
 # Prints the slopes that docs/CAPACITY.md works with.
 bench-capacity: build
 	go run ./tools/bench-capacity
+=======
+# matrix prints every fault at every step of a task's life with its verdict.
+matrix:
+	go test -count=1 -v -run 'TestMatrix$$' ./internal/matrix 2>/dev/null
+
+# fuzz drives the state machine of a shard against its oracle, with a fresh seed.
+fuzz:
+	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000
+>>>>>>> tasks
