Placement in stages: fairness, filter, score, hold; learned sizes and interference; blame

Cause: planning took the first urgent and old task to the emptiest worker, by declared sizes, without limits, fairness, interference or blame.

blame of workers and jobs is a pure function (internal/scheduler/blame). The owner counts assignments under way and starts that a usage report lacks. A task of a stopped job no longer waits again (internal/shard/task.go). Seen failing: TestBandsAndGuess, a band above all that is known counted as known. Ruled out: learned state kept only by the owner, since a takeover would lose it.

--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -56,6 +56,8 @@
 	epoch    uint64 // epoch that the maps below belong to
 	workers  map[string]*workerView
 	attempts map[attemptKey]*attemptView
+
+	insight insight
 }
 
 // attemptKey names an attempt in the owner's maps.
--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -17,6 +17,7 @@
 
 // schedule plans the waiting tasks and carries the plan out.
 func (o *Owner) schedule(ctx context.Context, epoch uint64) {
+	o.govern(ctx, epoch)
 	if !o.table.FreshWithin(tableFreshness) {
 		return
 	}
@@ -24,10 +25,11 @@
 	if len(snapshot.Tasks) == 0 {
 		return
 	}
-	plan := placement.Make(snapshot)
+	plan := o.plan(snapshot)
 	for _, a := range plan.Assignments {
 		key := attemptKey{a.Task.Ref, a.Task.Attempt + 1}
 		if o.occupy(key) {
+			o.insight.begin(key, a)
 			go o.assign(ctx, epoch, key, a)
 		}
 	}
@@ -36,49 +38,10 @@
 	}
 }
 
-// snapshot copies what planning needs out of ledger, table and beats. Tasks
-// whose assignment is under way are left out, and so is the room they take.
-func (o *Owner) snapshot() placement.Snapshot {
-	var snap placement.Snapshot
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.View(func(t *table.Table) {
-		o.state.View(func(s *shard.State) {
-			for ref, task := range s.Pending() {
-				if v := o.attempts[attemptKey{ref, task.Attempt + 1}]; v == nil || !v.busy {
-					snap.Tasks = append(snap.Tasks, planTask(t, s.Job(ref.JobID), ref, task))
-				}
-			}
-			for name, w := range s.Workers() {
-				snap.Workers = append(snap.Workers, o.planWorker(t, name, w))
-			}
-		})
-	})
-	return snap
-}
-
-func planTask(t *table.Table, job *pb.Job, ref shard.TaskRef, task *pb.Task) placement.Task {
-	class := t.Row(pb.RowKind_ROW_KIND_JOB_CLASS, job.Spec.JobClass)
-	return placement.Task{
-		Ref: ref, Attempt: task.Attempt, Team: job.Spec.Team, JobClass: job.Spec.JobClass,
-		Need: job.Spec.Resources, Urgent: class.GetUrgent(), Since: job.SubmittedMs,
-		DataCentres: class.GetDataCentres(),
-	}
-}
-
-func (o *Owner) planWorker(t *table.Table, name string, w *shard.Worker) placement.Worker {
-	view := o.workers[name]
-	live := view != nil && !view.leaving && time.Since(view.seen) <= o.options.WorkerSilence
-	return placement.Worker{
-		Name: name, DataCentre: w.Registered.DataCentre, Rack: w.Registered.Rack,
-		Capacity: w.Registered.Capacity, Free: w.Free(),
-		Ready: live && !w.Quarantined && !t.DataCentreOut(w.Registered.DataCentre),
-	}
-}
-
 // assign commits one assignment and, once replay has accepted it, starts it.
 func (o *Owner) assign(ctx context.Context, epoch uint64, key attemptKey, a placement.Assignment) {
 	defer o.vacate(key)
+	defer o.insight.end(key)
 	v, err := o.commit(ctx, epoch, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: key.ref.JobID, Index: key.ref.Index, Attempt: key.attempt, Worker: a.Worker, Reserved: a.Reserved,
 	}}})
--- /dev/null
+++ b/internal/scheduler/placement/hold/hold.go
@@ -0,0 +1,111 @@
+// Package hold keeps a worker back for a task that has waited long and finds no
+// room, so that a stream of small tasks cannot starve it. Others still go there
+// if they end before the room is expected, or fit beside it.
+package hold
+
+import (
+	"slices"
+	"time"
+
+	"chervilridge/internal/scheduler/placement/filter"
+	"chervilridge/internal/scheduler/placement/model"
+)
+
+// workersPerHold bounds how many workers are held back: one of so many, and at
+// least one.
+const workersPerHold = 8
+
+// Keeper holds workers back during one plan.
+type Keeper struct {
+	cluster *model.Cluster
+	left    int
+}
+
+// New returns a keeper of the cluster.
+func New(c *model.Cluster) *Keeper {
+	return &Keeper{cluster: c, left: max(1, len(c.Nodes)/workersPerHold)}
+}
+
+// Keep holds back the worker that is expected to have room for the task first,
+// and returns it; nil if the task has not waited long, or no worker may be held.
+func (k *Keeper) Keep(t *model.Item) *model.Node {
+	if !t.Aged || k.left == 0 {
+		return nil
+	}
+	var best *model.Node
+	var soonest time.Duration
+	for _, n := range k.cluster.Nodes {
+		if !k.eligible(t, n) {
+			continue
+		}
+		if wait := k.wait(t, n); best == nil || wait < soonest {
+			best, soonest = n, wait
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	k.left--
+	k.hold(t, best, soonest)
+	return best
+}
+
+func (k *Keeper) eligible(t *model.Item, n *model.Node) bool {
+	need := k.cluster.Reserve(t, n)
+	return n.Ready && !n.Quarantined && !n.Out && !n.Probation && n.HeldFor == nil &&
+		need.Within(n.Capacity) && (!need.Within(n.Free) || k.crowdedOut(t, n)) &&
+		filter.Allowed(k.cluster, t, n) && !slices.Contains(t.Avoid, n.Name)
+}
+
+// crowdedOut reports whether only other batch work on the node keeps the task
+// away from the service, while none of its class runs anywhere.
+func (k *Keeper) crowdedOut(t *model.Item, n *model.Node) bool {
+	return n.Service != "" && n.Tasks > 0 && k.cluster.Classes[t.ClassIndex].Running == 0 &&
+		k.cluster.Predict(n, t, k.cluster.Reserve(t, n)) > k.cluster.Policy.MaxSlowdown
+}
+
+// wait returns when the node is expected to be able to take the task.
+func (k *Keeper) wait(t *model.Item, n *model.Node) time.Duration {
+	if k.crowdedOut(t, n) {
+		return lastEnd(n)
+	}
+	return untilRoom(n, k.cluster.Reserve(t, n))
+}
+
+func (k *Keeper) hold(t *model.Item, n *model.Node, wait time.Duration) {
+	need := k.cluster.Reserve(t, n)
+	n.HeldFor, n.HeldUntil = t, wait
+	if k.crowdedOut(t, n) {
+		return // nothing fits beside it
+	}
+	free := n.Free
+	for _, h := range n.Held {
+		if h.Remaining <= wait {
+			free = free.Add(h.Reserved)
+		}
+	}
+	n.Spare = free.Sub(need).Min(n.Free)
+}
+
+// untilRoom returns when enough running tasks are expected to have ended.
+func untilRoom(n *model.Node, need model.Amount) time.Duration {
+	ends := slices.Clone(n.Held)
+	slices.SortFunc(ends, func(a, b model.Held) int { return int(a.Remaining - b.Remaining) })
+	free := n.Free
+	for _, h := range ends {
+		free = free.Add(h.Reserved)
+		if need.Within(free) {
+			return h.Remaining
+		}
+	}
+	// Usage above what is reserved hides room: expect it after the last end.
+	return lastEnd(n)
+}
+
+func lastEnd(n *model.Node) time.Duration {
+	var last time.Duration
+	for _, h := range n.Held {
+		last = max(last, h.Remaining)
+	}
+	return last
+}
--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -1,143 +1,130 @@
 // Package placement decides which waiting task goes to which worker. Planning
-// is a pure function from a snapshot to a plan.
+// is a pure function from a snapshot to a plan; its stages are the packages
+// below this one: fairness orders the tasks, filter and score choose a worker,
+// hold keeps one back for a task that has waited long.
 package placement
 
 import (
-	"slices"
-	"strings"
-
-	pb "chervilridge/api/chervil/v1"
-	"chervilridge/internal/resources"
-	"chervilridge/internal/shard"
+	"chervilridge/internal/scheduler/placement/fairness"
+	"chervilridge/internal/scheduler/placement/filter"
+	"chervilridge/internal/scheduler/placement/hold"
+	"chervilridge/internal/scheduler/placement/model"
+	"chervilridge/internal/scheduler/placement/score"
 )
 
-// Worker is a worker as planning sees it.
-type Worker struct {
-	Name       string
-	DataCentre string
-	Rack       string
-	Capacity   *pb.Resources
-	Free       *pb.Resources
-	// Ready is false for a worker that is silent, leaving or quarantined, or
-	// whose data centre is out.
-	Ready bool
-}
-
-// Task is a waiting task as planning sees it.
-type Task struct {
-	Ref      shard.TaskRef
-	Attempt  uint32 // last attempt granted
-	Team     string
-	JobClass string
-	Need     *pb.Resources
-	Urgent   bool
-	Since    int64 // milliseconds since 1970, to serve the oldest first
-	// DataCentres that the job class may use; none means all.
-	DataCentres []string
-}
-
-// Snapshot is all that planning looks at.
-type Snapshot struct {
-	Tasks   []Task
-	Workers []Worker
-}
-
-// Assignment is one decision of a plan.
-type Assignment struct {
-	Task     Task
-	Worker   string
-	Reserved *pb.Resources
-	Score    float64
-}
+// The types that planning takes and gives.
+type (
+	Snapshot    = model.Snapshot
+	Plan        = model.Plan
+	Task        = model.Task
+	Worker      = model.Worker
+	Assignment  = model.Assignment
+	Unplaced    = model.Unplaced
+	Reservation = model.Reservation
+)
 
-// Unplaced is a task that found no worker now, with the reason.
-type Unplaced struct {
-	Task   Task
-	Reason string
+// Make plans all waiting tasks.
+func Make(s Snapshot) Plan {
+	c := model.Compile(s)
+	p := planner{
+		cluster: c, keeper: hold.New(c), settled: s.Settled && len(c.Nodes) > 0,
+		failed: map[shape]string{}, refused: map[string]bool{},
+	}
+	queue := fairness.New(c)
+	for t := queue.Next(); t != nil; t = queue.Next() {
+		p.place(t)
+	}
+	return p.plan
 }
 
-// Plan is the outcome of planning.
-type Plan struct {
-	Assignments []Assignment
-	Unplaced    []Unplaced
-	// Impossible are tasks that no known worker could ever take.
-	Impossible []Unplaced
+// shape is what decides whether a task finds a worker; tasks of one shape share
+// the verdict, since a worker only gets fuller during a plan.
+type shape struct {
+	class  int
+	need   model.Amount
+	floor  model.Amount
+	urgent bool
+	aged   bool
 }
 
-// Make plans all waiting tasks, urgent and old ones first.
-func Make(s Snapshot) Plan {
-	tasks := slices.Clone(s.Tasks)
-	slices.SortFunc(tasks, compareTasks)
-	workers := slices.Clone(s.Workers)
-	slices.SortFunc(workers, func(a, b Worker) int { return strings.Compare(a.Name, b.Name) })
-	var p Plan
-	for _, t := range tasks {
-		p.place(t, workers)
-	}
-	return p
+type planner struct {
+	cluster *model.Cluster
+	keeper  *hold.Keeper
+	settled bool
+	plan    Plan
+	failed  map[shape]string // why a shape found no worker
+	refused map[string]bool  // jobs found impossible
 }
 
-func compareTasks(a, b Task) int {
-	if a.Urgent != b.Urgent {
-		if a.Urgent {
-			return -1
-		}
-		return 1
+func (p *planner) place(t *model.Item) {
+	if d := fairness.Check(p.cluster, t, t.Floor); d != fairness.Granted {
+		p.leave(t, string(d))
+		return
 	}
-	if a.Since != b.Since {
-		return int(a.Since - b.Since)
+	key := shape{t.ClassIndex, t.Need, t.Floor, t.Urgent, t.Aged}
+	if why, known := p.failed[key]; known && len(t.Avoid) == 0 {
+		p.leave(t, why)
+		return
 	}
-	if d := strings.Compare(a.Ref.JobID, b.Ref.JobID); d != 0 {
-		return d
+	best, need, rating, tally := p.choose(t)
+	if best == nil {
+		p.miss(t, key, tally)
+		return
 	}
-	return int(a.Ref.Index) - int(b.Ref.Index)
+	p.cluster.Place(t, best, need)
+	p.plan.Assignments = append(p.plan.Assignments, Assignment{
+		Task: t.Task, Worker: best.Name, Reserved: need.Proto(), Score: rating,
+	})
 }
 
-func (p *Plan) place(t Task, workers []Worker) {
-	best, score := -1, 0.0
-	possible := len(workers) == 0
-	for i := range workers {
-		possible = possible || Possible(t, workers[i])
-		if !Feasible(t, workers[i]) {
+// choose returns the best worker for the task, or nil and why not each.
+func (p *planner) choose(t *model.Item) (best *model.Node, need model.Amount, rating float64, tally filter.Tally) {
+	for _, n := range p.cluster.Nodes {
+		reserve := p.cluster.Reserve(t, n)
+		reason := filter.Check(p.cluster, t, n, reserve)
+		if reason != filter.None {
+			tally[reason]++
 			continue
 		}
-		if s := leastAllocated(t, workers[i]); best < 0 || s > score {
-			best, score = i, s
+		if r := score.Rate(p.cluster, t, n, reserve); best == nil || r > rating {
+			best, need, rating = n, reserve, r
 		}
 	}
-	if best < 0 {
-		p.leave(t, possible)
-		return
+	if best != nil && fairness.Check(p.cluster, t, need) != fairness.Granted {
+		// The limit leaves the floor but not the margin.
+		need = t.Floor
 	}
-	w := &workers[best]
-	w.Free = resources.Sub(w.Free, t.Need)
-	p.Assignments = append(p.Assignments, Assignment{Task: t, Worker: w.Name, Reserved: t.Need, Score: score})
+	return best, need, rating, tally
 }
 
-func (p *Plan) leave(t Task, possible bool) {
-	if !possible {
-		p.Impossible = append(p.Impossible, Unplaced{t, "no worker is large enough or in an allowed data centre"})
+// miss decides what becomes of a task that found no worker.
+func (p *planner) miss(t *model.Item, key shape, tally filter.Tally) {
+	if p.settled && !filter.Possible(p.cluster, t) {
+		p.refuse(t)
 		return
 	}
-	p.Unplaced = append(p.Unplaced, Unplaced{t, "no ready worker has room"})
-}
-
-// Possible reports whether the worker could take the task when empty.
-func Possible(t Task, w Worker) bool {
-	return resources.Fits(t.Need, w.Capacity) && allowed(t, w)
-}
-
-// Feasible reports whether the worker can take the task now.
-func Feasible(t Task, w Worker) bool {
-	return w.Ready && resources.Fits(t.Need, w.Free) && allowed(t, w)
+	why := tally.Explain()
+	if tally[filter.NoRoom]+tally[filter.ServiceSlow] > 0 {
+		if n := p.keeper.Keep(t); n != nil {
+			p.plan.Reservations = append(p.plan.Reservations, Reservation{Task: t.Task, Worker: n.Name})
+			why += "; worker " + n.Name + " is held back for it"
+		}
+	}
+	if len(t.Avoid) == 0 {
+		p.failed[key] = why
+	}
+	p.leave(t, why)
 }
 
-func allowed(t Task, w Worker) bool {
-	return len(t.DataCentres) == 0 || slices.Contains(t.DataCentres, w.DataCentre)
+// refuse reports an impossible job once, whatever number of tasks it has.
+func (p *planner) refuse(t *model.Item) {
+	if p.refused[t.Ref.JobID] {
+		return
+	}
+	p.refused[t.Ref.JobID] = true
+	p.plan.Impossible = append(p.plan.Impossible, Unplaced{Task: t.Task, Reason: filter.Impossible(p.cluster, t)})
 }
 
-// leastAllocated scores by what stays free on the worker, 0 to 1.
-func leastAllocated(t Task, w Worker) float64 {
-	after := resources.Sub(w.Free, t.Need)
-	return 1 - resources.DominantShare(resources.Sub(w.Capacity, after), w.Capacity)
+func (p *planner) leave(t *model.Item, why string) {
+	p.plan.Unplaced = append(p.plan.Unplaced, Unplaced{Task: t.Task, Reason: why})
 }
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -100,6 +100,7 @@
 		w := s.workers[name]
 		out.Workers = append(out.Workers, &pb.WorkerEntry{Registered: w.Registered, Quarantined: w.Quarantined, QuarantineReason: w.Reason})
 	}
+	s.snapshotLearned(out)
 	return proto.MarshalOptions{Deterministic: true}.Marshal(out)
 }
 
@@ -123,6 +124,7 @@
 			return err
 		}
 	}
+	s.restoreLearned(in)
 	return nil
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -13,6 +13,7 @@
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/resources"
+	"chervilridge/internal/scheduler/blame"
 )
 
 // StreamPrefix begins the name of each shard's log stream.
@@ -43,6 +44,8 @@
 	Assigned    map[TaskRef]*pb.Task
 	Quarantined bool
 	Reason      string
+	// Outcomes are how the last attempts on it ended, oldest first.
+	Outcomes []blame.Outcome
 }
 
 // Free returns the capacity that is not reserved.
@@ -60,11 +63,12 @@
 	jobs     map[string]*pb.Job
 	workers  map[string]*Worker
 	pending  map[TaskRef]*pb.Task
+	learned  learned
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{jobs: map[string]*pb.Job{}, workers: map[string]*Worker{}, pending: map[TaskRef]*pb.Task{}}
+	return &State{jobs: map[string]*pb.Job{}, workers: map[string]*Worker{}, pending: map[TaskRef]*pb.Task{}, learned: newLearned()}
 }
 
 // Epoch returns the epoch of the newest claim; 0 before the first.
@@ -134,6 +138,8 @@
 		return s.release(rec, body.TaskReleased)
 	case *pb.Record_TaskFinished:
 		return s.finish(rec, body.TaskFinished)
+	case *pb.Record_InterferenceLearned:
+		return s.learnInterference(body.InterferenceLearned)
 	}
 	return ledger.Reject(ledger.ReasonForeign, "not a record of a shard")
 }
@@ -170,6 +176,7 @@
 		return ledger.Reject(ledger.ReasonNotFound, "no worker %s", q.Worker)
 	}
 	w.Quarantined, w.Reason = q.Quarantined, q.Reason
+	w.Outcomes = nil
 	return nil
 }
 
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -8,6 +8,9 @@
 	"chervilridge/internal/resources"
 )
 
+// finishedNote is the step of a task's history that ends it with a result.
+const finishedNote = "finished"
+
 // assign grants the next attempt of a waiting task to a worker, within the
 // worker's capacity.
 func (s *State) assign(rec *pb.Record, a *pb.TaskAssigned) *ledger.Rejection {
@@ -61,6 +64,7 @@
 	if rej != nil {
 		return rej
 	}
+	s.learnReleased(job, task, r.Reason)
 	s.freeWorker(ref, task)
 	if len(r.Checkpoint) > 0 {
 		task.Checkpoint = r.Checkpoint
@@ -79,7 +83,7 @@
 	switch {
 	case job.Cancelled:
 		task.State = pb.TaskState_TASK_STATE_CANCELLED
-	case task.Failures >= job.Spec.MaxFailures:
+	case job.Rejected != "", task.Failures >= job.Spec.MaxFailures:
 		task.State = pb.TaskState_TASK_STATE_FAILED
 	default:
 		task.State = pb.TaskState_TASK_STATE_PENDING
@@ -91,15 +95,16 @@
 // it ran: work that is done is not thrown away.
 func (s *State) finish(rec *pb.Record, f *pb.TaskFinished) *ledger.Rejection {
 	ref := TaskRef{f.JobId, f.Index}
-	_, task, rej := s.current(ref, f.Attempt)
+	job, task, rej := s.current(ref, f.Attempt)
 	if rej != nil {
 		return rej
 	}
+	s.learnFinished(job, task, f)
 	s.freeWorker(ref, task)
 	task.State = pb.TaskState_TASK_STATE_FINISHED
 	task.Result = f.Result
 	task.Checkpoint = nil
-	note(rec, task, "finished", "")
+	note(rec, task, finishedNote, "")
 	return nil
 }
 
