--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -63,15 +63,19 @@
 	cmd  *exec.Cmd
 	log  *os.File
 	done chan struct{}
+	// signalled is set once the test has sent a signal.
+	signalled bool
 }
 
 func (p *proc) signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
+	p.signalled = true
 	assert.NilError(t, p.cmd.Process.Signal(s))
 }
 
 // kill ends the process at once and waits for it.
 func (p *proc) kill() {
+	p.signalled = true
 	_ = p.cmd.Process.Kill()
 	<-p.done
 }
@@ -181,10 +185,25 @@
 		if ok() {
 			return
 		}
+		f.allAlive(what)
 	}
 	f.t.Fatalf("did not come about: %s", what)
 }
 
+// allAlive fails at once if a process ended that no signal of the test ended.
+func (f *fleet) allAlive(what string) {
+	f.t.Helper()
+	for name, p := range f.procs {
+		select {
+		case <-p.done:
+			if !p.signalled {
+				f.t.Fatalf("%s ended by itself while waiting for: %s", name, what)
+			}
+		default:
+		}
+	}
+}
+
 func (f *fleet) ready(agents int) bool {
 	for _, e := range f.entries {
 		view, ok := f.view(e)
