Refuse an impossible job also beyond its team's quota; ports below the ephemeral range

Cause: TestJobThatFitsNoWorkerIsRefusedWithTheReason waited for ever after the merge: the quota check came before the question whether any worker could take the task. And once the platform of a test found its port taken: the port had been closed and given to an outgoing connection. Seen failing: TestImpossibleBeyondQuota 0 of 1 refused; the e2e test above. Ruled out: a kernel or load problem; the log says 'address already in use'. Change: a denied task is refused if no worker could ever take it, asked once for each shape; internal/standin/ports picks ports below the ephemeral range.

--- a/internal/bench/capacity/processes.go
+++ b/internal/bench/capacity/processes.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"strconv"
@@ -13,6 +13,7 @@
 
 	"chervilridge/internal/fault"
 	"chervilridge/internal/load"
+	"chervilridge/internal/standin/ports"
 )
 
 const (
@@ -26,8 +27,6 @@
 	percent        = 100
 	residentField  = 1 // field of resident pages in /proc/PID/statm
 	centresInBench = 3
-	portsOfAll     = 7
-	portsPerAgent  = 3
 
 	requestAgents   = 6
 	requestDeadline = 5 * time.Second
@@ -193,14 +192,11 @@
 
 func startFleet(agents int) (*fleet, error) {
 	f := &fleet{}
-	ports, err := freePorts(portsOfAll + portsPerAgent*agents)
-	if err != nil {
-		return f, err
-	}
+	var err error
 	next := func() string {
-		p := ports[0]
-		ports = ports[1:]
-		return p
+		address, e := ports.Free()
+		err = errors.Join(err, e)
+		return address
 	}
 	start := func(role, program string, args ...string) {
 		if err != nil {
@@ -234,22 +230,3 @@
 	}
 	return f, err
 }
-
-func freePorts(n int) ([]string, error) {
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			_ = l.Close()
-		}
-	}()
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		held = append(held, l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 	"chervilridge/internal/entry/api"
 	"chervilridge/internal/fault"
 	"chervilridge/internal/standin/logstore"
+	"chervilridge/internal/standin/ports"
 	"chervilridge/internal/standin/server"
 )
 
@@ -98,12 +98,10 @@
 
 var centres = []string{"pnw-a", "pnw-b", "pnw-c"}
 
-// freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Free()
 	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // newFleet starts a platform, two entries and agents with endpoints and
--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -28,7 +28,7 @@
 	c := model.Compile(s)
 	p := planner{
 		cluster: c, keeper: hold.New(c), settled: s.Settled && len(c.Nodes) > 0,
-		failed: map[shape]string{}, refused: map[string]bool{},
+		failed: map[shape]string{}, refused: map[string]bool{}, possible: map[shape]bool{},
 	}
 	queue := fairness.New(c)
 	for t := queue.Next(); t != nil; t = queue.Next() {
@@ -54,14 +54,16 @@
 	plan    Plan
 	failed  map[shape]string // why a shape found no worker
 	refused map[string]bool  // jobs found impossible
+	// possible tells of a shape beyond its limits whether a worker could take it.
+	possible map[shape]bool
 }
 
 func (p *planner) place(t *model.Item) {
+	key := shape{t.ClassIndex, t.Need, t.Floor, t.Urgent, t.Aged}
 	if d := fairness.Check(p.cluster, t, t.Floor); d != fairness.Granted {
-		p.leave(t, string(d))
+		p.deny(t, key, d)
 		return
 	}
-	key := shape{t.ClassIndex, t.Need, t.Floor, t.Urgent, t.Aged}
 	if why, known := p.failed[key]; known && len(t.Avoid) == 0 {
 		p.leave(t, why)
 		return
@@ -77,6 +79,21 @@
 	})
 }
 
+// deny leaves a task to wait for its team's or class's share, unless no worker
+// could take it even then.
+func (p *planner) deny(t *model.Item, key shape, d fairness.Denial) {
+	possible, known := p.possible[key]
+	if !known {
+		possible = !p.settled || filter.Possible(p.cluster, t)
+		p.possible[key] = possible
+	}
+	if !possible {
+		p.refuse(t)
+		return
+	}
+	p.leave(t, string(d))
+}
+
 // choose returns the best worker for the task, or nil and why not each.
 func (p *planner) choose(t *model.Item) (best *model.Node, need model.Amount, rating float64, tally filter.Tally) {
 	for _, n := range p.cluster.Nodes {
--- a/internal/scheduler/placement/placement_test.go
+++ b/internal/scheduler/placement/placement_test.go
@@ -115,6 +115,23 @@
 	assert.Equal(t, len(Make(s).Impossible), 0)
 }
 
+// TestImpossibleBeyondQuota: a task that no worker can take is refused also when
+// the team's quota alone would keep it waiting.
+func TestImpossibleBeyondQuota(t *testing.T) {
+	huge := waiting("huge", model.Amount{CPUMilli: 64_000}, 0)
+	huge.Team = "small"
+	s := Snapshot{
+		Settled: true, Workers: []Worker{worker("w1")}, Tasks: []Task{huge},
+		Teams: []model.Team{{Name: "small", Weight: 1, Quota: model.Amount{CPUMilli: 8_000}}},
+	}
+	assert.Equal(t, len(Make(s).Impossible), 1)
+	s.Tasks[0].Need = model.Amount{CPUMilli: 16_000}
+	s.Tasks[0].Floor = s.Tasks[0].Need
+	p := Make(s)
+	assert.Equal(t, len(p.Impossible), 0)
+	assert.Equal(t, len(p.Unplaced), 1)
+}
+
 // TestReserveWithinCapacity: the margin of an estimate never exceeds the worker.
 func TestReserveWithinCapacity(t *testing.T) {
 	w := waiting("j", model.Amount{CPUMilli: 34_000, MemoryMB: 10}, 0)
