Notice silent connections, prove hand-overs, keep outcomes honest

Cause: kernel keepalives do not see a middlebox that still acks, so a silent connection was noticed at the deadline only; a refused connection looped in resolve until the deadline and ended unknown; one request's own deadline or a client that went away dropped the connection that all requests share; a forgotten outcome, or one asked of a restarted agent, was told as not run; an answer over the limit was cut and passed as whole; so was one without a length; redirects were followed, which is a second call; a panic took the process down. Change: heartbeats by the gRPC health service on a pooled connection while calls wait on it (400 ms, 1 s); a stats handler that tells whether a stream was ever opened; outcomes with the proof they need (age of the hand-over, incarnation); an agent reference name/incarnation in each unknown outcome; bounded memory for kept answers; requests that must not be repeated run to their end. Ruled out: gRPC client keepalive pings, whose least interval is 10 s; error texts as proof of what was written.

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -33,6 +33,8 @@
 	probeEvery    = time.Second
 	// firstServiceTime judges the wait for a slot before any was measured.
 	firstServiceTime = 5 * time.Millisecond
+	// maxAnswerMemory bounds the answers kept for those who ask again.
+	maxAnswerMemory = 64 << 20 // bytes
 )
 
 // Identity is what an agent is called; the incarnation is new at each start.
@@ -74,7 +76,9 @@
 	return admission.New(admission.Options{Slots: int(*o.Slots), MaxQueue: int(*o.Queue), MaxPerSlot: firstServiceTime})
 }
 
-func newStore(o *Options) *execution.Store { return execution.NewStore(*o.AnswerRetention) }
+func newStore(o *Options) *execution.Store {
+	return execution.NewStore(execution.Options{Retention: *o.AnswerRetention, MaxBytes: maxAnswerMemory})
+}
 
 func newLatency() *latency.Window { return latency.NewWindow(latencyWindow) }
 
--- a/internal/agent/runner/probe.go
+++ b/internal/agent/runner/probe.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 )
@@ -25,8 +23,3 @@
 	_ = res.Body.Close()
 	return res.StatusCode == http.StatusOK
 }
-
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -3,9 +3,8 @@
 package runner
 
 import (
-	"bytes"
 	"context"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -18,13 +17,20 @@
 	"chervilridge/internal/agent/admission"
 	"chervilridge/internal/agent/execution"
 	"chervilridge/internal/events"
-	"chervilridge/internal/peer"
 )
 
 // HeaderRequestID carries the request id to the endpoint.
 const HeaderRequestID = "X-Chervil-Request-Id"
 
-const maxResolveWait = 30 * time.Second
+const (
+	maxResolveWait = 30 * time.Second
+	// maxOverrun is how long past its deadline a request that must not be
+	// repeated may run on.
+	maxOverrun = 20 * time.Second
+	// endpointIdle closes idle connections before endpoints commonly do, so that
+	// a request is seldom written into one that is being closed.
+	endpointIdle = 2 * time.Second
+)
 
 // Options describe the endpoint.
 type Options struct {
@@ -59,9 +65,16 @@
 	transport := &http.Transport{
 		MaxConnsPerHost:     options.Connections,
 		MaxIdleConnsPerHost: options.Connections,
+		IdleConnTimeout:     endpointIdle,
+		DisableCompression:  true,
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 	}
-	return &Runner{options: options, gate: gate, store: store, observer: observer, http: &http.Client{Transport: transport}}
+	client := &http.Client{
+		Transport: transport,
+		// A redirect is the endpoint's answer: to follow it is a second call.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Runner{options: options, gate: gate, store: store, observer: observer, http: client}
 }
 
 // Execute implements the Runner service.
@@ -69,15 +82,42 @@
 	if req.Incarnation != r.options.Incarnation {
 		return r.refuse(req, pb.Refusal_REFUSAL_WRONG_INCARNATION, "meant for another incarnation of the agent"), nil
 	}
-	if !r.store.Begin(req.RequestId) {
-		return r.store.Resolve(ctx, req.RequestId, time.Duration(req.RemainingMs)*time.Millisecond), nil
-	}
 	r.inFlight.Add(1)
 	defer r.inFlight.Done()
-	reply := r.run(req)
-	reply.Running, reply.Queued = r.load()
-	r.store.Settle(req.RequestId, reply)
-	return reply, nil
+	switch r.store.Begin(req.RequestId, execution.Mark{Owner: owner(req), Repeatable: req.Repeatable}) {
+	case execution.Reused:
+		events.RequestIDReused.Log("request", req.RequestId, "client", req.Client)
+		return r.refuse(req, pb.Refusal_REFUSAL_ID_REUSED, "another request had the id"), nil
+	case execution.Known:
+		wait := time.Duration(req.RemainingMs) * time.Millisecond
+		return r.store.Resolve(ctx, execution.Question{ID: req.RequestId, Wait: wait}), nil
+	}
+	return r.runAndSettle(req), nil
+}
+
+// owner returns a digest of what makes two requests the same.
+func owner(req *pb.ExecuteRequest) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{req.Client, req.Service, req.ContentType} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(req.Body)
+	return max(d.Sum64(), 1)
+}
+
+// runAndSettle settles the request whatever happens while it runs: a request
+// that is never settled would be waited for until its deadline.
+func (r *Runner) runAndSettle(req *pb.ExecuteRequest) (reply *pb.ExecuteReply) {
+	defer func() {
+		if p := recover(); p != nil {
+			events.CallPanicked.Log("request", req.RequestId, "panic", fmt.Sprint(p))
+			reply = unknown(req, "agent failed while the request ran")
+		}
+		reply.Running, reply.Queued = r.load()
+		r.store.Settle(req.RequestId, reply)
+	}()
+	return r.run(req)
 }
 
 // run does not depend on the caller's context: what was begun is finished, and
@@ -96,49 +136,22 @@
 		return r.refuse(req, refusal, "no slot in time")
 	}
 	defer release()
-	return r.call(ctx, req)
-}
-
-// call sends the request to the endpoint and takes the whole answer.
-func (r *Runner) call(ctx context.Context, req *pb.ExecuteRequest) *pb.ExecuteReply {
-	began := time.Now()
-	reply := &pb.ExecuteReply{RequestId: req.RequestId}
-	h, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.options.Endpoint+"/run", bytes.NewReader(req.Body))
-	if err != nil {
-		return r.refuse(req, pb.Refusal_REFUSAL_ENDPOINT_DOWN, err.Error())
-	}
-	h.Header.Set("Content-Type", req.ContentType)
-	h.Header.Set(HeaderRequestID, req.RequestId)
-	h.GetBody = nil // the transport must not send the request a second time
-	res, err := r.http.Do(h)
-	if err != nil {
-		return r.failed(req, err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, peer.MaxMessageBytes))
-	if err != nil {
-		return r.failed(req, err)
+	if req.Repeatable {
+		return r.call(ctx, req)
 	}
-	reply.Outcome = pb.Outcome_OUTCOME_DONE
-	reply.Status = uint32(res.StatusCode)
-	reply.Body = body
-	reply.ContentType = res.Header.Get("Content-Type")
-	reply.Length = uint64(len(body))
-	reply.Digest = xxhash.Sum64(body)
-	took := time.Since(began)
-	r.observer.Observe(took)
-	events.RequestExecuted.Log("request", req.RequestId, "client", req.Client, "status", res.StatusCode, "took", took)
-	return reply
+	return r.callToTheEnd(req, deadline)
 }
 
-// failed tells a connection that was never made, so that nothing ran, from a
-// call that may have run.
-func (r *Runner) failed(req *pb.ExecuteRequest, err error) *pb.ExecuteReply {
-	if isDialError(err) {
-		return r.refuse(req, pb.Refusal_REFUSAL_ENDPOINT_DOWN, err.Error())
-	}
-	events.RequestUnresolved.LogError(err, "request", req.RequestId, "peer", r.options.Endpoint)
-	return &pb.ExecuteReply{RequestId: req.RequestId, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error()}
+// callToTheEnd goes on past the deadline, so that the outcome of a request that
+// must not be repeated becomes known; its slot stays taken meanwhile.
+func (r *Runner) callToTheEnd(req *pb.ExecuteRequest, deadline time.Time) *pb.ExecuteReply {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(maxOverrun))
+	defer cancel()
+	late := time.AfterFunc(time.Until(deadline), func() {
+		events.OverrunEndpointRun.Log("request", req.RequestId, "client", req.Client, "peer", r.options.Endpoint)
+	})
+	defer late.Stop()
+	return r.call(ctx, req)
 }
 
 func (r *Runner) refuse(req *pb.ExecuteRequest, refusal pb.Refusal, detail string) *pb.ExecuteReply {
@@ -146,16 +159,21 @@
 	return &pb.ExecuteReply{RequestId: req.RequestId, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Refusal: refusal, Detail: detail}
 }
 
-// Resolve implements the Runner service.
+// Resolve implements the Runner service. Without an incarnation it only looks:
+// an earlier incarnation may have run what this one has never seen.
 func (r *Runner) Resolve(ctx context.Context, req *pb.ResolveRequest) (*pb.ExecuteReply, error) {
-	if req.Incarnation != r.options.Incarnation {
+	if req.Incarnation != "" && req.Incarnation != r.options.Incarnation {
 		return &pb.ExecuteReply{
 			RequestId: req.RequestId, Outcome: pb.Outcome_OUTCOME_UNKNOWN,
 			Detail: "the agent was restarted and does not know what ran before",
 		}, nil
 	}
-	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxResolveWait)
-	return r.store.Resolve(ctx, req.RequestId, wait), nil
+	return r.store.Resolve(ctx, execution.Question{
+		ID: req.RequestId, Peek: req.Peek || req.Incarnation == "",
+		Wait: min(time.Duration(req.WaitMs)*time.Millisecond, maxResolveWait),
+		Age:  time.Duration(req.AgeMs) * time.Millisecond,
+		Once: req.Once,
+	}), nil
 }
 
 // BeginLeave refuses new requests from now on.
--- a/internal/entry/api/requests.go
+++ b/internal/entry/api/requests.go
@@ -12,8 +12,10 @@
 	"chervilridge/internal/fault"
 	"chervilridge/internal/ident"
 	"chervilridge/internal/membership"
-	"chervilridge/internal/peer"
+	"chervilridge/internal/request"
 	"chervilridge/internal/request/parse"
+	"chervilridge/internal/request/send"
+	"chervilridge/internal/request/verify"
 )
 
 // Headers of an answer.
@@ -22,8 +24,6 @@
 	HeaderOutcome = "X-Chervil-Outcome"
 )
 
-const askTimeout = time.Second
-
 func (a *api) serve(c *gin.Context) {
 	r, err := parse.Parse(c.Request, c.Param("service"), a.Limits)
 	if err != nil {
@@ -38,7 +38,7 @@
 	}
 	events.RequestAnswered.Log("request", r.ID, "service", r.Service, "client", r.Client,
 		"peer", answer.Agent, "status", answer.Status, "tries", answer.Hops, "took", time.Since(began))
-	c.Header(parse.HeaderRequestID, r.ID)
+	c.Header(parse.HeaderRequestID, answer.RequestID)
 	c.Header(HeaderAgent, answer.Agent)
 	c.Header(HeaderOutcome, string(fault.Done))
 	c.Data(answer.Status, answer.ContentType, answer.Body)
@@ -56,13 +56,10 @@
 // Asker asks agents what became of a request.
 type Asker struct {
 	registry *membership.Registry
-	pool     *peer.Pool
 }
 
 // NewAsker returns an asker.
-func NewAsker(registry *membership.Registry, pool *peer.Pool) *Asker {
-	return &Asker{registry: registry, pool: pool}
-}
+func NewAsker(registry *membership.Registry) *Asker { return &Asker{registry: registry} }
 
 // Outcome is the JSON form of a request's outcome.
 type Outcome struct {
@@ -72,28 +69,19 @@
 	Detail    string        `json:"detail,omitempty"`
 }
 
-// Ask asks one agent by name.
-func (k *Asker) Ask(ctx context.Context, agent, requestID string) (*pb.ExecuteReply, error) {
-	for _, m := range k.registry.Statuses() {
-		if m.Agent == agent {
-			return k.ask(ctx, m, requestID)
-		}
+// Ask asks an agent, named as name/incarnation. Only the incarnation that had
+// the request can say that it did not run; another one only looks.
+func (k *Asker) Ask(ctx context.Context, ref, requestID string) (*pb.ExecuteReply, error) {
+	agent, incarnation := request.SplitAgentRef(ref)
+	endpoint := k.registry.Find(agent)
+	if endpoint == nil {
+		return nil, fault.Newf(fault.CodeOutcomeUnknown, fault.StepResolve, agent, "agent %q has no live lease", agent).
+			WithOutcome(fault.Unknown).WithRequest(requestID).WithAgent(ref)
 	}
-	return nil, fault.Newf(fault.CodeOutcomeUnknown, fault.StepResolve, agent, "agent %q has no live lease", agent).
-		WithOutcome(fault.Unknown).WithRequest(requestID)
-}
-
-func (k *Asker) ask(ctx context.Context, m membership.Status, requestID string) (*pb.ExecuteReply, error) {
-	conn, err := k.pool.Get(m.Address)
+	reply, err := send.Ask(ctx, endpoint.Address, &pb.ResolveRequest{RequestId: requestID, Incarnation: incarnation})
 	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	reply, err := pb.NewRunnerClient(conn).Resolve(ctx, &pb.ResolveRequest{RequestId: requestID, Incarnation: m.Incarnation})
-	if err != nil {
-		return nil, fault.Wrap(err, fault.CodeOutcomeUnknown, fault.StepResolve, m.Agent, "agent did not answer").
-			WithOutcome(fault.Unknown).WithRequest(requestID)
+		return nil, fault.Wrap(err, fault.CodeOutcomeUnknown, fault.StepResolve, agent, "agent did not answer").
+			WithOutcome(fault.Unknown).WithRequest(requestID).WithAgent(ref)
 	}
 	return reply, nil
 }
@@ -110,14 +98,23 @@
 		fail(c, err)
 		return
 	}
-	out := Outcome{RequestID: id, Agent: agent, Detail: reply.Detail, Outcome: fault.Unknown}
-	switch reply.Outcome {
-	case pb.Outcome_OUTCOME_DONE:
+	answer := send.ToAnswer(reply, agent, 0)
+	if reply.Outcome == pb.Outcome_OUTCOME_DONE && !reply.AnswerGone && verify.Whole(answer, id) {
+		c.Header(parse.HeaderRequestID, id)
+		c.Header(HeaderAgent, agent)
 		c.Header(HeaderOutcome, string(fault.Done))
-		c.Data(int(reply.Status), reply.ContentType, reply.Body)
+		c.Data(answer.Status, answer.ContentType, answer.Body)
 		return
+	}
+	c.JSON(http.StatusOK, Outcome{RequestID: id, Agent: agent, Detail: reply.Detail, Outcome: outcomeOf(reply)})
+}
+
+func outcomeOf(reply *pb.ExecuteReply) fault.Outcome {
+	switch reply.Outcome {
+	case pb.Outcome_OUTCOME_DONE:
+		return fault.Done
 	case pb.Outcome_OUTCOME_NOT_RUN:
-		out.Outcome = fault.NotRun
+		return fault.NotRun
 	}
-	c.JSON(http.StatusOK, out)
+	return fault.Unknown
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -85,18 +85,20 @@
 	leaving atomic.Bool // fails the balancer's check
 }
 
-// newPipeline joins the stages: classify, admit, claim, retry, pick, verify,
-// send. The claim comes before the retries, so that one request claims once.
+// newPipeline joins the stages: classify, admit, release, retry, pick, claim,
+// verify, send. The claim comes behind the choice of the endpoint, so that it
+// names the one hand-over that it allows.
 func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool, bg *process.Background) *pipeline {
 	keys := ledger.NewFollower(log, claims.Stream, *o.TablePoll, claims.New)
 	bg.Go(keys.Run)
 	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
 	bg.Go(committer.Run)
 
-	picked := pick.New(verify.New(send.New(pool)), reg, v, newPolicy(*o.Policy))
+	claimed := claim.New(verify.New(send.New(pool)), committer, claim.View{Follower: keys}, claim.Directory{Endpoints: reg})
+	picked := pick.New(claimed, reg, v, newPolicy(*o.Policy))
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
-	claimed := claim.New(retry.New(picked, budget, int(*o.MaxTries)), committer)
-	admitted := admit.New(claimed, *o.MaxInFlight)
+	released := claim.NewReleaser(retry.New(picked, budget, int(*o.MaxTries)), committer)
+	admitted := admit.New(released, *o.MaxInFlight)
 	return &pipeline{head: classify.New(admitted, v, reg), admit: admitted}
 }
 
@@ -114,10 +116,10 @@
 	return jobs.New(reg, pool, uint32(*o.Shards))
 }
 
-func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry, pool *peer.Pool,
+func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry,
 	j *jobs.Client, v *view.View, c *ledger.Committer) http.Handler {
 	return api.New(api.Parts{
-		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg, pool),
+		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg),
 		Jobs: j, Table: v, Writer: c, Entry: *o.Name,
 		Ready:    func() bool { return !p.leaving.Load() },
 		Settings: func() any { return set.InForce() },
--- a/internal/events/membership.go
+++ b/internal/events/membership.go
@@ -9,4 +9,9 @@
 	EntryLearned    = define(2005, Info, "entry learned")
 	OwnerLearned    = define(2006, Info, "shard owner learned")
 	MembershipDoubt = define(2007, Warning, "most endpoints expired at once, keeping them in doubt")
+
+	ConnectionSilent = define(2011, Warning, "connection silent, dropped")
+	EntryForgotten   = define(2012, Info, "entry forgotten")
+	DoubtEnded       = define(2013, Info, "most endpoints are back, doubt ended")
+	PeerEntryFailed  = define(2014, Warning, "another entry did not answer")
 )
--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -13,3 +13,17 @@
 	RequestExecuted   = define(1101, Info, "request executed by the endpoint")
 	RequestRejected   = define(1102, Info, "agent refused a request")
 )
+
+// Events of the delivery of requests.
+var (
+	HandOverRefused    = define(1041, Warning, "no connection to the agent, request not handed over")
+	RequestHedged      = define(1042, Info, "request sent to a second endpoint as well")
+	KeyAnswerFetched   = define(1043, Info, "answer of the request that holds the idempotency key fetched")
+	KeyReleased        = define(1044, Info, "idempotency key released")
+	KeyReleaseFailed   = define(1045, Warning, "idempotency key not released")
+	CallPanicked       = define(1046, Fault, "call of the endpoint panicked")
+	AnswerTooLarge     = define(1047, Warning, "answer of the endpoint larger than the limit, not kept")
+	RequestIDReused    = define(1048, Warning, "request id belongs to another request")
+	OutcomeForgotten   = define(1049, Info, "outcome asked for is no longer kept")
+	OverrunEndpointRun = define(1050, Info, "endpoint still runs a request past its deadline")
+)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -43,6 +43,7 @@
 	CodeBadSetting      Code = "bad_setting"
 	CodeInternal        Code = "internal"
 	CodePeerUnreachable Code = "peer_unreachable"
+	CodeAnswerGone      Code = "answer_gone"
 )
 
 // Step is the stage of the pipeline or protocol at which an error arose.
@@ -87,7 +88,9 @@
 	RetryAfter time.Duration
 	// RequestID lets a client ask again for an unknown outcome.
 	RequestID string
-	Cause     error
+	// Agent is whom to ask, as name/incarnation; empty if no agent has the request.
+	Agent string
+	Cause error
 }
 
 // New returns an error whose request did not run.
@@ -121,6 +124,13 @@
 	return &c
 }
 
+// WithAgent returns a copy of e that names the agent to ask for the outcome.
+func (e *Error) WithAgent(ref string) *Error {
+	c := *e
+	c.Agent = ref
+	return &c
+}
+
 // WithRetryAfter returns a copy of e that advises a pause.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	c := *e
@@ -176,6 +186,7 @@
 	CodeStaleView:       http.StatusServiceUnavailable,
 	CodeNotOwner:        http.StatusServiceUnavailable,
 	CodePeerUnreachable: http.StatusBadGateway,
+	CodeAnswerGone:      http.StatusBadGateway,
 }
 
 // Status returns the HTTP status for the error's code.
@@ -194,6 +205,7 @@
 	Outcome   Outcome `json:"outcome"`
 	Message   string  `json:"message"`
 	RequestID string  `json:"request_id,omitempty"`
+	Agent     string  `json:"agent,omitempty"`
 }
 
 // Body returns the error as clients see it.
@@ -202,5 +214,5 @@
 	if e.Cause != nil {
 		msg += ": " + e.Cause.Error()
 	}
-	return Body{Code: e.Code, Step: e.Step, Peer: e.Peer, Outcome: e.Outcome, Message: msg, RequestID: e.RequestID}
+	return Body{Code: e.Code, Step: e.Step, Peer: e.Peer, Outcome: e.Outcome, Message: msg, RequestID: e.RequestID, Agent: e.Agent}
 }
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -85,6 +85,25 @@
 	return ok
 }
 
+// Find returns the newest endpoint of an agent, or nil if it has no lease.
+func (r *Registry) Find(agent string) *pb.Endpoint {
+	for i := range r.shards {
+		if e := r.shards[i].find(agent); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func (sh *registryShard) find(agent string) *pb.Endpoint {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if rec := sh.records[agent]; rec != nil {
+		return rec.member.Endpoint
+	}
+	return nil
+}
+
 // Owner returns the owner of a shard as agents announced it, or nil.
 func (r *Registry) Owner(shard uint32) *pb.ShardOwner {
 	r.ownersMu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,15 +2,17 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
 
-	"context"
-
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	"google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
 
 	"chervilridge/internal/fault"
 )
@@ -24,9 +26,16 @@
 	reconnectLimit = time.Second
 	keepAliveIdle  = time.Second
 	keepAliveCount = 2
+	// idleLimit closes a connection without calls: what stands between the two
+	// ends loses track of idle connections first.
+	idleLimit = 10 * time.Second
+	// The server's own pings free what is left of connections gone silent.
+	serverPingIdle    = 20 * time.Second
+	serverPingTimeout = 5 * time.Second
 )
 
-// Pool holds the connections by address. It is safe for concurrent use.
+// Pool holds the connections by address and drops one that goes silent while
+// calls wait on it. It is safe for concurrent use.
 type Pool struct {
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -42,10 +51,13 @@
 	if c, ok := p.conns[address]; ok {
 		return c, nil
 	}
-	c, err := Dial(address)
+	w := &watch{address: address}
+	c, err := dial(address, grpc.WithUnaryInterceptor(w.intercept))
 	if err != nil {
 		return nil, err
 	}
+	w.silent = func() { p.Drop(address, c) }
+	w.health = grpc_health_v1.NewHealthClient(c)
 	p.conns[address] = c
 	return c, nil
 }
@@ -73,8 +85,10 @@
 }
 
 // Dial returns a connection outside any pool; it connects at the first call.
-func Dial(address string) (*grpc.ClientConn, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address,
+func Dial(address string) (*grpc.ClientConn, error) { return dial(address) }
+
+func dial(address string, extra ...grpc.DialOption) (*grpc.ClientConn, error) {
+	options := append([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialTCP),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
@@ -84,7 +98,10 @@
 		}),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
-	)
+		grpc.WithIdleTimeout(idleLimit),
+		grpc.WithStatsHandler(handOverRecorder{}),
+	}, extra...)
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.CodePeerUnreachable, fault.StepSend, address, "bad address")
 	}
@@ -101,9 +118,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// NewServer returns a gRPC server with the message bounds of the pool.
+// NewServer returns a gRPC server with the message bounds of the pool that
+// answers the heartbeats of its clients.
 func NewServer() *grpc.Server {
-	return grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
+	s := grpc.NewServer(
+		grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPingIdle, Timeout: serverPingTimeout}),
+	)
+	grpc_health_v1.RegisterHealthServer(s, health.NewServer())
+	return s
 }
 
 // StopServer lets the calls under way end, and cuts them when the context ends.
--- a/internal/request/classify/classify.go
+++ b/internal/request/classify/classify.go
@@ -39,6 +39,7 @@
 		return nil, fault.Newf(fault.CodeUnknownService, fault.StepClassify, r.Service, "no service %q", r.Service)
 	}
 	r.Allowed = service.GetDataCentres()
+	r.ServiceLimit = service.GetLimit()
 	r.Weight = 1
 	if client := f.rows.Row(pb.RowKind_ROW_KIND_CLIENT, r.Client); client != nil {
 		r.Weight = client.Weight
--- a/internal/request/parse/parse.go
+++ b/internal/request/parse/parse.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"chervilridge/internal/fault"
@@ -49,6 +50,9 @@
 	if len(r.Key) > maxKeyLength || len(r.Client) > maxClientLength {
 		return nil, bad("client name or idempotency key is too long")
 	}
+	if strings.ContainsRune(r.Key, 0) {
+		return nil, bad("idempotency key holds a NUL")
+	}
 	if err := parseID(h, r); err != nil {
 		return nil, err
 	}
@@ -69,7 +73,7 @@
 	if !ident.Valid(id) {
 		return bad(HeaderRequestID + " is not a ULID")
 	}
-	r.ID = id
+	r.ID, r.OwnID = id, true
 	return nil
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/membership"
 )
 
@@ -21,12 +23,20 @@
 	Deadline    time.Time
 	Body        []byte
 	ContentType string
+	// OwnID means that the client chose the id and may send it again.
+	OwnID bool
+	// Claim is the newest claim of the idempotency key in force for this request;
+	// nil before the first one.
+	Claim *pb.KeyClaimed
 
 	// Weight, ClientLimit and Allowed come from the table. No allowed data
 	// centre means all.
 	Weight      uint32
 	ClientLimit uint32
 	Allowed     []string
+	// ServiceLimit is the most requests of the service in flight at one entry; 0
+	// is no limit.
+	ServiceLimit uint32
 
 	// Target is the endpoint chosen for the current hand-over.
 	Target *membership.Member
@@ -64,3 +74,17 @@
 type Handler interface {
 	Handle(ctx context.Context, r *Request) (*Answer, error)
 }
+
+// AgentRef names one incarnation of an agent, so that it can be asked later for
+// an outcome.
+func AgentRef(e *pb.Endpoint) string { return JoinAgentRef(e.Agent, e.Incarnation) }
+
+// JoinAgentRef returns the reference of an agent's incarnation.
+func JoinAgentRef(agent, incarnation string) string { return agent + "/" + incarnation }
+
+// SplitAgentRef returns agent and incarnation; the latter is empty if the
+// reference names none.
+func SplitAgentRef(ref string) (agent, incarnation string) {
+	agent, incarnation, _ = strings.Cut(ref, "/")
+	return agent, incarnation
+}
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -76,11 +76,11 @@
 // mayRepeat allows a repeat if the request has time left and either did not run
 // or may run again.
 func (f *Filter) mayRepeat(r *request.Request, e *fault.Error) bool {
-	if r.Remaining(time.Now()) <= 0 {
+	if r.Remaining(time.Now()) <= 0 || e.Outcome == fault.Done {
 		return false
 	}
 	switch e.Code {
-	case fault.CodeTooLate, fault.CodeUnknownService, fault.CodeBadRequest:
+	case fault.CodeTooLate, fault.CodeUnknownService, fault.CodeBadRequest, fault.CodeConflict, fault.CodeLogDown:
 		return false
 	case fault.CodeNoEndpoint:
 		return e.Step != fault.StepPick
--- a/internal/request/send/send.go
+++ b/internal/request/send/send.go
@@ -6,8 +6,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/grpc"
-
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
@@ -16,10 +14,9 @@
 )
 
 const (
-	resolvePause   = 100 * time.Millisecond
-	resolveTimeout = time.Second
-	ejectAfter     = 3 // failed hand-overs in a row
-	ejectPause     = 2 * time.Second
+	ejectAfter  = 3 // failed hand-overs in a row
+	ejectPause  = 2 * time.Second
+	retryAdvice = time.Second
 )
 
 // Stage is the last stage.
@@ -37,16 +34,22 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	callCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	reply, err := pb.NewRunnerClient(conn).Execute(ctx, s.message(r))
+	tracked, handOver := peer.TrackHandOver(callCtx)
+	began := time.Now()
+	reply, err := pb.NewRunnerClient(conn).Execute(tracked, s.message(r))
 	if err == nil {
 		r.Target.NoteSuccess()
 		return decide(r, reply)
 	}
-	r.Target.NoteFailure(time.Now(), ejectAfter, ejectPause)
-	s.pool.Drop(r.Target.Endpoint.Address, conn)
-	return s.resolve(ctx, r, err)
+	if ctx.Err() == nil {
+		r.Target.NoteFailure(time.Now(), ejectAfter, ejectPause)
+	}
+	if !handOver.Began() {
+		return nil, notHandedOver(r, err)
+	}
+	return s.resolve(callCtx, r, began, err)
 }
 
 func (s *Stage) message(r *request.Request) *pb.ExecuteRequest {
@@ -59,49 +62,37 @@
 	}
 }
 
-// resolve asks the target for the outcome until the deadline. The question
-// itself keeps a request that the target has not seen from ever running.
-func (s *Stage) resolve(ctx context.Context, r *request.Request, cause error) (*request.Answer, error) {
-	events.RequestUnresolved.LogError(cause, "request", r.ID, "peer", r.Target.Endpoint.Agent)
-	for ctx.Err() == nil {
-		reply, err := s.ask(ctx, r)
-		if err == nil && reply.Outcome != pb.Outcome_OUTCOME_RUNNING {
-			events.RequestResolved.Log("request", r.ID, "peer", r.Target.Endpoint.Agent, "outcome", reply.Outcome.String())
-			return decide(r, reply)
-		}
-		sleep(ctx, resolvePause)
+// notHandedOver says that no byte of the request left this process.
+func notHandedOver(r *request.Request, cause error) error {
+	agent := r.Target.Endpoint.Agent
+	events.HandOverRefused.LogError(cause, "request", r.ID, "peer", agent)
+	code := fault.CodePeerUnreachable
+	if r.Remaining(time.Now()) <= 0 {
+		code = fault.CodeTooLate
 	}
-	return nil, unknown(r, cause)
-}
-
-func (s *Stage) ask(ctx context.Context, r *request.Request) (*pb.ExecuteReply, error) {
-	conn, err := peer.Dial(r.Target.Endpoint.Address)
-	if err != nil {
-		return nil, err
-	}
-	defer closeConn(conn)
-	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
-	defer cancel()
-	return pb.NewRunnerClient(conn).Resolve(ctx, &pb.ResolveRequest{
-		RequestId: r.ID, Incarnation: r.Target.Endpoint.Incarnation,
-		WaitMs: (resolveTimeout / 2).Milliseconds(),
-	})
+	return fault.Wrap(cause, code, fault.StepSend, agent, "no connection, request not handed over").WithRequest(r.ID)
 }
 
-func closeConn(c *grpc.ClientConn) { _ = c.Close() }
-
 // decide turns an agent's reply into an answer or a typed error.
 func decide(r *request.Request, reply *pb.ExecuteReply) (*request.Answer, error) {
-	switch reply.Outcome {
-	case pb.Outcome_OUTCOME_DONE:
-		return &request.Answer{
-			RequestID: reply.RequestId, Status: int(reply.Status), Body: reply.Body, ContentType: reply.ContentType,
-			Agent: r.Target.Endpoint.Agent, Hops: len(r.Tried), Length: reply.Length, Digest: reply.Digest,
-		}, nil
-	case pb.Outcome_OUTCOME_NOT_RUN:
+	switch {
+	case reply.Outcome == pb.Outcome_OUTCOME_DONE && reply.AnswerGone:
+		return nil, fault.New(fault.CodeAnswerGone, fault.StepExecute, r.Target.Endpoint.Agent, reply.Detail).
+			WithOutcome(fault.Done).WithRequest(r.ID)
+	case reply.Outcome == pb.Outcome_OUTCOME_DONE:
+		return ToAnswer(reply, r.Target.Endpoint.Agent, len(r.Tried)), nil
+	case reply.Outcome == pb.Outcome_OUTCOME_NOT_RUN:
 		return nil, refused(r, reply)
 	}
-	return nil, unknown(r, fault.New(fault.CodeOutcomeUnknown, fault.StepSend, r.Target.Endpoint.Agent, reply.Detail))
+	return nil, unknown(r, fault.New(fault.CodeOutcomeUnknown, fault.StepExecute, r.Target.Endpoint.Agent, reply.Detail))
+}
+
+// ToAnswer returns the answer that an agent's reply carries.
+func ToAnswer(reply *pb.ExecuteReply, agent string, hops int) *request.Answer {
+	return &request.Answer{
+		RequestID: reply.RequestId, Status: int(reply.Status), Body: reply.Body, ContentType: reply.ContentType,
+		Agent: agent, Hops: hops, Length: reply.Length, Digest: reply.Digest,
+	}
 }
 
 var refusalCodes = map[pb.Refusal]fault.Code{
@@ -113,6 +104,7 @@
 	pb.Refusal_REFUSAL_WRONG_INCARNATION: fault.CodeNoEndpoint,
 	pb.Refusal_REFUSAL_FENCED:            fault.CodeFenced,
 	pb.Refusal_REFUSAL_ENDPOINT_DOWN:     fault.CodeNoEndpoint,
+	pb.Refusal_REFUSAL_ID_REUSED:         fault.CodeConflict,
 }
 
 func refused(r *request.Request, reply *pb.ExecuteReply) error {
@@ -120,19 +112,14 @@
 	if !ok {
 		code = fault.CodeInternal
 	}
-	return fault.New(code, fault.StepExecute, r.Target.Endpoint.Agent, reply.Detail).WithRequest(r.ID)
+	e := fault.New(code, fault.StepExecute, r.Target.Endpoint.Agent, reply.Detail).WithRequest(r.ID)
+	if code == fault.CodeOverloaded {
+		e = e.WithRetryAfter(retryAdvice)
+	}
+	return e
 }
 
 func unknown(r *request.Request, cause error) error {
 	return fault.Wrap(cause, fault.CodeOutcomeUnknown, fault.StepSend, r.Target.Endpoint.Agent, "no answer in time").
-		WithOutcome(fault.Unknown).WithRequest(r.ID)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+		WithOutcome(fault.Unknown).WithRequest(r.ID).WithAgent(request.AgentRef(r.Target.Endpoint))
 }
--- a/internal/request/verify/verify.go
+++ b/internal/request/verify/verify.go
@@ -26,10 +26,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.RequestID != r.ID || uint64(len(a.Body)) != a.Length || xxhash.Sum64(a.Body) != a.Digest {
+	if !Whole(a, r.ID) {
 		events.AnswerCut.Log("request", r.ID, "peer", a.Agent, "got", len(a.Body), "announced", a.Length, "answerTo", a.RequestID)
 		return nil, fault.New(fault.CodeOutcomeUnknown, fault.StepVerify, a.Agent, "answer is not whole or not to this request").
-			WithOutcome(fault.Unknown).WithRequest(r.ID)
+			WithOutcome(fault.Unknown).WithRequest(r.ID).WithAgent(request.AgentRef(r.Target.Endpoint))
 	}
 	return a, nil
 }
+
+// Whole reports whether the answer is complete and to the request of that id.
+func Whole(a *request.Answer, id string) bool {
+	return a.RequestID == id && uint64(len(a.Body)) == a.Length && xxhash.Sum64(a.Body) == a.Digest
+}
