--- a/internal/request/faulttest/silence_test.go
+++ b/internal/request/faulttest/silence_test.go
@@ -65,6 +65,7 @@
 // TestSilentConnectionBeforeHandOver sends into a connection that is silent
 // already. The agent refuses the request for good, and it runs elsewhere.
 func TestSilentConnectionBeforeHandOver(t *testing.T) {
+	t.Parallel()
 	a, b := newNode(t, "agent-1", nil), newNode(t, "agent-2", nil)
 	entry := newEntry(t, a, b)
 	warm(t, entry)
