Membership: entries learn of each other and doubt themselves first

Change: entries greet seeds and each other every 2 s over Announce; agents report the entries that answered them within 5 s, an entry is forgotten after 10 s without a sign of life; when more than half of a service's leases end within one lease time the entry keeps all for up to 30 s (event 2007, ended by 2013); a restarted agent whose clock was set back takes over once the old lease ended; an entry without a table says no_endpoint instead of unknown_service, and is ready for the balancer at the first endpoint or after 3 s. Ruled out: taking over the other entry's list as alive, which would let two entries keep a dead third alive for each other. Conclusion: go test -race ./internal/membership ./internal/agent/announce passes.

--- a/internal/agent/announce/announce.go
+++ b/internal/agent/announce/announce.go
@@ -16,8 +16,10 @@
 
 const (
 	callTimeout = 700 * time.Millisecond
-	// forgetAfter drops a learned entry that did not answer for so long.
+	// forgetAfter drops an entry that neither answered nor was named for so long.
 	forgetAfter = time.Minute
+	// reportWithin is how fresh an entry's answer must be to report it as alive.
+	reportWithin = 5 * time.Second
 )
 
 // Describe returns the announcement of this moment, without its sequence.
@@ -33,6 +35,7 @@
 	mu       sync.Mutex
 	seeds    map[string]bool
 	answered map[string]time.Time // entry address -> last answer
+	named    map[string]time.Time // entry address -> when another entry last named it
 	failing  map[string]bool
 	owners   map[uint32]*pb.ShardOwner
 	sequence uint64
@@ -42,7 +45,7 @@
 func New(pool *peer.Pool, seeds []string, interval time.Duration, describe Describe) *Announcer {
 	a := &Announcer{
 		pool: pool, interval: interval, describe: describe,
-		seeds: map[string]bool{}, answered: map[string]time.Time{}, failing: map[string]bool{},
+		seeds: map[string]bool{}, answered: map[string]time.Time{}, named: map[string]time.Time{}, failing: map[string]bool{},
 		owners: map[uint32]*pb.ShardOwner{},
 	}
 	for _, s := range seeds {
@@ -79,6 +82,7 @@
 	a.sequence++
 	req.Sequence = a.sequence
 	entries := a.entries(time.Now())
+	req.Entries = a.live(time.Now())
 	a.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, address := range entries {
@@ -87,18 +91,34 @@
 	wg.Wait()
 }
 
+// entries returns the seeds and whoever answered or was named lately.
 func (a *Announcer) entries(now time.Time) []string {
 	set := maps.Clone(a.seeds)
-	for address, at := range a.answered {
-		if now.Sub(at) > forgetAfter {
-			delete(a.answered, address)
-			continue
+	for _, known := range []map[string]time.Time{a.answered, a.named} {
+		for address, at := range known {
+			if now.Sub(at) > forgetAfter {
+				delete(known, address)
+				continue
+			}
+			set[address] = true
 		}
-		set[address] = true
 	}
 	return slices.Sorted(maps.Keys(set))
 }
 
+// live returns the entries that answered lately. One that was only named is not
+// reported: entries would keep a dead one alive for each other.
+func (a *Announcer) live(now time.Time) []string {
+	var out []string
+	for address, at := range a.answered {
+		if now.Sub(at) <= reportWithin {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (a *Announcer) call(ctx context.Context, address string, req *pb.AnnounceRequest) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -132,10 +152,10 @@
 	delete(a.failing, address)
 	a.answered[address] = now
 	for _, e := range reply.Entries {
-		if _, known := a.answered[e]; !known && !a.seeds[e] {
-			a.answered[e] = now
+		if _, known := a.named[e]; !known && !a.seeds[e] {
 			events.EntryLearned.Log("peer", e, "from", address)
 		}
+		a.named[e] = now
 	}
 	for _, o := range reply.Owners {
 		if held := a.owners[o.Shard]; held == nil || held.Epoch < o.Epoch {
--- /dev/null
+++ b/internal/agent/announce/announce_test.go
@@ -0,0 +1,122 @@
+package announce
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/membership"
+	"chervilridge/internal/peer"
+	"chervilridge/internal/standin/proxy"
+)
+
+const (
+	interval = 100 * time.Millisecond
+	lease    = 3 * time.Second
+	limit    = 10 * time.Second // to wait for what has no stated bound
+)
+
+// entry is the part of an entry that takes announcements.
+type entry struct {
+	*membership.Registry
+	address string
+	stop    func()
+}
+
+func newEntry(t *testing.T, seeds ...string) *entry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	known := membership.NewEntries(l.Addr().String(), seeds)
+	e := &entry{Registry: membership.NewRegistry(lease, known, func() uint64 { return 0 }), address: l.Addr().String()}
+	server := peer.NewServer()
+	pb.RegisterRegistryServer(server, e.Registry)
+	go func() { _ = server.Serve(l) }()
+	pool := peer.NewPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	go known.Run(ctx, pool, e.Learn)
+	e.stop = func() {
+		cancel()
+		server.Stop()
+	}
+	t.Cleanup(func() {
+		e.stop()
+		pool.Close()
+	})
+	return e
+}
+
+func newAnnouncer(t *testing.T, seeds ...string) *Announcer {
+	pool := peer.NewPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	a := New(pool, seeds, interval, func() *pb.AnnounceRequest {
+		return &pb.AnnounceRequest{Healthy: true, Endpoint: &pb.Endpoint{
+			Agent: "agent-1", Incarnation: "A", Address: "127.0.0.1:1", Service: "quotedesk",
+		}}
+	})
+	go a.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		pool.Close()
+	})
+	return a
+}
+
+func eventually(t *testing.T, within time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for began := time.Now(); !ok(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < within, "%s: not within %v", what, within)
+	}
+}
+
+func (e *entry) serves() bool { return len(e.Members("quotedesk")) == 1 }
+
+// TestSilentAnnouncements lets the connection to the entry go silent while new
+// ones work: the lease goes on over a new one.
+func TestSilentAnnouncements(t *testing.T) {
+	e := newEntry(t)
+	p, err := proxy.Listen(e.address)
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	newAnnouncer(t, p.Address())
+	eventually(t, limit, "first announcement", e.serves)
+	p.Silence()
+	eventually(t, 2*time.Second, "new connection", func() bool { return p.Accepted() > 1 })
+	eventually(t, limit, "lease", e.serves)
+}
+
+// TestNewEntryIsLearned starts an entry that no agent was told of. It greets one
+// entry, whose agents then announce to it as well, within the stated 3 s.
+func TestNewEntryIsLearned(t *testing.T) {
+	first := newEntry(t)
+	newAnnouncer(t, first.address)
+	eventually(t, limit, "first announcement", first.serves)
+	second := newEntry(t, first.address)
+	eventually(t, 3*time.Second, "announcement to the new entry", second.serves)
+
+	first.stop()
+	third := newEntry(t, second.address)
+	eventually(t, 3*time.Second, "announcement without the agent's seed", third.serves)
+}
+
+// TestSeedComesLater starts the agent before any entry.
+func TestSeedComesLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	newAnnouncer(t, address)
+	time.Sleep(5 * interval)
+	known := membership.NewEntries(address, nil)
+	e := &entry{Registry: membership.NewRegistry(lease, known, func() uint64 { return 0 })}
+	l, err = net.Listen("tcp", address)
+	assert.NilError(t, err)
+	server := peer.NewServer()
+	pb.RegisterRegistryServer(server, e.Registry)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	eventually(t, 3*time.Second, "announcement", e.serves)
+}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -39,6 +39,8 @@
 	idleTimeout       = 2 * time.Minute
 	drainPoll         = 20 * time.Millisecond
 	retryBurst        = 50 // repeats allowed at once
+	// readyLimit is the longest that an entry keeps the balancer waiting.
+	readyLimit = 3 * time.Second
 )
 
 // Module returns the parts of an entry.
@@ -70,11 +72,11 @@
 
 func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
 
-func newRegistry(o *Options, v *view.View, bg *process.Background) *membership.Registry {
-	r := membership.NewRegistry(*o.EndpointLease, func() membership.EntryInfo {
-		return membership.EntryInfo{Entries: []string{*o.GRPCAddress}, TableVersion: v.Version()}
-	})
+func newRegistry(o *Options, v *view.View, pool *peer.Pool, bg *process.Background) *membership.Registry {
+	entries := membership.NewEntries(*o.GRPCAddress, *o.Peers)
+	r := membership.NewRegistry(*o.EndpointLease, entries, v.Version)
 	bg.Go(r.Run)
+	bg.Go(func(ctx context.Context) { entries.Run(ctx, pool, r.Learn) })
 	return r
 }
 
@@ -121,11 +123,20 @@
 	return api.New(api.Parts{
 		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg),
 		Jobs: j, Table: v, Writer: c, Entry: *o.Name,
-		Ready:    func() bool { return !p.leaving.Load() },
+		Ready:    newReady(p, reg),
 		Settings: func() any { return set.InForce() },
 	})
 }
 
+// newReady tells the balancer to send requests once an endpoint has announced
+// itself, but at the latest when it should have.
+func newReady(p *pipeline, reg *membership.Registry) func() bool {
+	began := time.Now()
+	return func() bool {
+		return !p.leaving.Load() && (!reg.Empty() || time.Since(began) > readyLimit)
+	}
+}
+
 func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -25,42 +25,23 @@
 type Registry struct {
 	pb.UnimplementedRegistryServer
 
-	lease  time.Duration
-	info   func() EntryInfo
-	shards [shardCount]registryShard
+	lease   time.Duration
+	entries *Entries
+	version func() uint64 // of the table in force
+	shards  [shardCount]registryShard
 
 	ownersMu sync.Mutex
 	owners   map[uint32]*pb.ShardOwner
 }
 
-// EntryInfo is what an entry tells each agent that announces to it.
-type EntryInfo struct {
-	Entries      []string
-	TableVersion uint64
-}
-
-type registryShard struct {
-	mu       sync.Mutex
-	records  map[string]*record // by agent
-	services sync.Map           // service -> *atomic.Pointer[[]*Member]
-}
-
-// record is a member with its lease. The registry shard's lock guards it.
-type record struct {
-	member       *Member
-	sequence     uint64
-	leaving      bool
-	healthy      bool
-	leaseEnd     time.Time
-	tableVersion uint64
-	worker       string
-}
-
-// NewRegistry returns an empty registry whose leases last that long.
-func NewRegistry(lease time.Duration, info func() EntryInfo) *Registry {
-	r := &Registry{lease: lease, info: info, owners: map[uint32]*pb.ShardOwner{}}
+// NewRegistry returns an empty registry whose leases last that long. Agents are
+// told the entries and the version of the table in force.
+func NewRegistry(lease time.Duration, entries *Entries, version func() uint64) *Registry {
+	r := &Registry{lease: lease, entries: entries, version: version, owners: map[uint32]*pb.ShardOwner{}}
 	for i := range r.shards {
+		r.shards[i].lease = lease
 		r.shards[i].records = map[string]*record{}
+		r.shards[i].doubted = map[string]bool{}
 	}
 	return r
 }
@@ -79,6 +60,21 @@
 	return *v.(*atomic.Pointer[[]*Member]).Load()
 }
 
+// Empty reports whether no endpoint has announced itself so far.
+func (r *Registry) Empty() bool {
+	for i := range r.shards {
+		empty := true
+		r.shards[i].services.Range(func(any, any) bool {
+			empty = false
+			return false
+		})
+		if !empty {
+			return false
+		}
+	}
+	return true
+}
+
 // Known reports whether any endpoint ever announced the service.
 func (r *Registry) Known(service string) bool {
 	_, ok := r.shard(service).services.Load(service)
@@ -95,15 +91,6 @@
 	return nil
 }
 
-func (sh *registryShard) find(agent string) *pb.Endpoint {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if rec := sh.records[agent]; rec != nil {
-		return rec.member.Endpoint
-	}
-	return nil
-}
-
 // Owner returns the owner of a shard as agents announced it, or nil.
 func (r *Registry) Owner(shard uint32) *pb.ShardOwner {
 	r.ownersMu.Lock()
@@ -111,23 +98,35 @@
 	return r.owners[shard]
 }
 
-// Announce implements the Registry service.
+// Announce implements the Registry service. Without an endpoint it is the
+// greeting of another entry.
 func (r *Registry) Announce(_ context.Context, req *pb.AnnounceRequest) (*pb.AnnounceReply, error) {
-	if err := checkAnnouncement(req); err != nil {
-		return nil, err
+	now := time.Now()
+	if req.Endpoint != nil || len(req.Entries) == 0 {
+		if err := r.take(req, now); err != nil {
+			return nil, err
+		}
 	}
-	r.noteOwner(req)
-	sh := r.shard(req.Endpoint.Service)
-	sh.mu.Lock()
-	sh.renew(req, time.Now().Add(r.lease))
-	sh.mu.Unlock()
-	info := r.info()
+	r.entries.Note(req.Entries, now)
 	return &pb.AnnounceReply{
 		LeaseMs: r.lease.Milliseconds(), Owners: r.Owners(),
-		Entries: info.Entries, TableVersion: info.TableVersion,
+		Entries: r.entries.Live(now), TableVersion: r.version(),
 	}, nil
 }
 
+// take enters the heartbeat of an agent.
+func (r *Registry) take(req *pb.AnnounceRequest, now time.Time) error {
+	if err := checkAnnouncement(req); err != nil {
+		return err
+	}
+	r.noteOwner(req.Shards, req.Endpoint)
+	sh := r.shard(req.Endpoint.Service)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.renew(req, now)
+	return nil
+}
+
 func checkAnnouncement(req *pb.AnnounceRequest) error {
 	e := req.Endpoint
 	if e == nil || e.Agent == "" || e.Incarnation == "" || e.Address == "" || e.Service == "" {
@@ -137,46 +136,6 @@
 	return nil
 }
 
-// renew adds or extends a lease. An older incarnation or heartbeat is ignored;
-// incarnations are ULIDs and sort by time.
-func (sh *registryShard) renew(req *pb.AnnounceRequest, leaseEnd time.Time) {
-	e := req.Endpoint
-	rec := sh.records[e.Agent]
-	if rec == nil || rec.member.Endpoint.Incarnation < e.Incarnation {
-		rec = &record{member: &Member{Endpoint: e, joinedAt: time.Now()}}
-		sh.records[e.Agent] = rec
-		events.EndpointJoined.Log("agent", e.Agent, "incarnation", e.Incarnation, "service", e.Service, "dataCentre", e.DataCentre, "peer", e.Address)
-	}
-	if rec.member.Endpoint.Incarnation != e.Incarnation || req.Sequence <= rec.sequence {
-		return
-	}
-	if req.Leaving && !rec.leaving {
-		events.EndpointLeaving.Log("agent", e.Agent, "incarnation", e.Incarnation, "service", e.Service)
-	}
-	rec.sequence = req.Sequence
-	rec.leaving = rec.leaving || req.Leaving
-	rec.healthy = req.Healthy
-	rec.leaseEnd = leaseEnd
-	rec.tableVersion = req.TableVersion
-	rec.worker = req.Worker
-	rec.member.Running.Store(int64(req.Running))
-	rec.member.Queued.Store(int64(req.Queued))
-	sh.publish(e.Service)
-}
-
-// publish rebuilds the list that readers of the service see.
-func (sh *registryShard) publish(service string) {
-	list := []*Member{}
-	for _, rec := range sh.records {
-		if rec.member.Endpoint.Service == service && !rec.leaving && rec.healthy {
-			list = append(list, rec.member)
-		}
-	}
-	slices.SortFunc(list, func(a, b *Member) int { return strings.Compare(a.Endpoint.Agent, b.Endpoint.Agent) })
-	v, _ := sh.services.LoadOrStore(service, &atomic.Pointer[[]*Member]{})
-	v.(*atomic.Pointer[[]*Member]).Store(&list)
-}
-
 // Run ends leases until the context ends.
 func (r *Registry) Run(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
@@ -198,33 +157,30 @@
 	}
 }
 
-func (sh *registryShard) sweep(now time.Time) {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	for agent, rec := range sh.records {
-		if !rec.leaseEnd.Before(now) {
-			continue
-		}
-		delete(sh.records, agent)
-		e := rec.member.Endpoint
-		events.EndpointExpired.Log("agent", agent, "incarnation", e.Incarnation, "service", e.Service)
-		sh.publish(e.Service)
+func (r *Registry) noteOwner(shards []*pb.OwnedShard, e *pb.Endpoint) {
+	for _, s := range shards {
+		r.learnOwner(&pb.ShardOwner{Shard: s.Shard, Epoch: s.Epoch, Agent: e.Agent, Address: e.Address})
+	}
+}
+
+// Learn takes the shard owners that another entry knows.
+func (r *Registry) Learn(reply *pb.AnnounceReply) {
+	for _, o := range reply.Owners {
+		r.learnOwner(o)
 	}
 }
 
-func (r *Registry) noteOwner(req *pb.AnnounceRequest) {
+func (r *Registry) learnOwner(o *pb.ShardOwner) {
 	r.ownersMu.Lock()
 	defer r.ownersMu.Unlock()
-	for _, s := range req.Shards {
-		held := r.owners[s.Shard]
-		if held != nil && held.Epoch >= s.Epoch {
-			continue
-		}
-		r.owners[s.Shard] = &pb.ShardOwner{Shard: s.Shard, Epoch: s.Epoch, Agent: req.Endpoint.Agent, Address: req.Endpoint.Address}
-		events.OwnerLearned.Log("shard", s.Shard, "epoch", s.Epoch, "agent", req.Endpoint.Agent)
+	if held := r.owners[o.Shard]; held != nil && held.Epoch >= o.Epoch {
+		return
 	}
+	r.owners[o.Shard] = o
+	events.OwnerLearned.Log("shard", o.Shard, "epoch", o.Epoch, "agent", o.Agent)
 }
 
+// Owners returns the owners of all shards with a known one, by shard.
 func (r *Registry) Owners() []*pb.ShardOwner {
 	r.ownersMu.Lock()
 	defer r.ownersMu.Unlock()
--- a/internal/request/classify/classify.go
+++ b/internal/request/classify/classify.go
@@ -3,15 +3,20 @@
 
 import (
 	"context"
+	"time"
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/fault"
 	"chervilridge/internal/request"
 )
 
+const retryAdvice = time.Second
+
 // Rows finds rows of the table in force; nil if there is none.
 type Rows interface {
 	Row(kind pb.RowKind, name string) *pb.Row
+	// Version returns the version of the table; 0 before it was read.
+	Version() uint64
 }
 
 // Services tells which services have announced endpoints.
@@ -36,7 +41,7 @@
 func (f *Filter) Handle(ctx context.Context, r *request.Request) (*request.Answer, error) {
 	service := f.rows.Row(pb.RowKind_ROW_KIND_SERVICE, r.Service)
 	if service == nil && !f.services.Known(r.Service) {
-		return nil, fault.Newf(fault.CodeUnknownService, fault.StepClassify, r.Service, "no service %q", r.Service)
+		return nil, f.unknown(r)
 	}
 	r.Allowed = service.GetDataCentres()
 	r.ServiceLimit = service.GetLimit()
@@ -47,3 +52,13 @@
 	}
 	return f.next.Handle(ctx, r)
 }
+
+// unknown tells a service that does not exist from one that this entry cannot
+// know of yet.
+func (f *Filter) unknown(r *request.Request) error {
+	if f.rows.Version() == 0 {
+		return fault.Newf(fault.CodeNoEndpoint, fault.StepClassify, r.Service, "no endpoint of %q known so far, table not read", r.Service).
+			WithRetryAfter(retryAdvice)
+	}
+	return fault.Newf(fault.CodeUnknownService, fault.StepClassify, r.Service, "no service %q", r.Service)
+}
