--- a/internal/agent/announce/announce_test.go
+++ b/internal/agent/announce/announce_test.go
@@ -74,13 +74,27 @@
 
 func (e *entry) serves() bool { return len(e.Members("quotedesk")) == 1 }
 
+// serveAt serves a registry that knows itself by the address.
+func serveAt(t *testing.T, l net.Listener, address string) *entry {
+	known := membership.NewEntries(address, nil)
+	e := &entry{Registry: membership.NewRegistry(lease, known, func() uint64 { return 0 })}
+	server := peer.NewServer()
+	pb.RegisterRegistryServer(server, e.Registry)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	return e
+}
+
 // TestSilentAnnouncements lets the connection to the entry go silent while new
-// ones work: the lease goes on over a new one.
+// ones work: the lease goes on over a new one. The entry is known by the address
+// of the proxy only, so that no other connection hides the silence.
 func TestSilentAnnouncements(t *testing.T) {
-	e := newEntry(t)
-	p, err := proxy.Listen(e.address)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p, err := proxy.Listen(l.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(p.Close)
+	e := serveAt(t, l, p.Address())
 	newAnnouncer(t, p.Address())
 	eventually(t, limit, "first announcement", e.serves)
 	p.Silence()
@@ -110,13 +124,8 @@
 	assert.NilError(t, l.Close())
 	newAnnouncer(t, address)
 	time.Sleep(5 * interval)
-	known := membership.NewEntries(address, nil)
-	e := &entry{Registry: membership.NewRegistry(lease, known, func() uint64 { return 0 })}
 	l, err = net.Listen("tcp", address)
 	assert.NilError(t, err)
-	server := peer.NewServer()
-	pb.RegisterRegistryServer(server, e.Registry)
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(server.Stop)
+	e := serveAt(t, l, address)
 	eventually(t, 3*time.Second, "announcement", e.serves)
 }
