Admission: refuse what would be late, share room by weight

Cause: a waiter got a slot with half of the mean service time left, so that under overload every second answer was late; a client that filled the queue shut the others out; refused clients were remembered for ever; a service's limit in the table was not enforced. Change: a clock that can be injected; a slot is given only with mean plus three mean deviations left, and joining the queue is judged by the client's own place; in a full queue the client that holds most for its weight gives way; service limit at the entry. Ruled out: refusing by the mean alone (an exponential service time is late in a third of the cases then).

--- a/internal/agent/admission/admission.go
+++ b/internal/agent/admission/admission.go
@@ -3,7 +3,6 @@
 package admission
 
 import (
-	"container/list"
 	"context"
 	"sync"
 	"time"
@@ -16,6 +15,8 @@
 	Slots      int
 	MaxQueue   int
 	MaxPerSlot time.Duration // expected service time at the start, to judge a wait
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
 }
 
 // Ask is one request for a slot.
@@ -32,38 +33,24 @@
 
 	mu       sync.Mutex
 	running  int
-	queued   int
 	leaving  bool
-	clients  map[string]*client
-	service  time.Duration // smoothed service time
-	progress float64       // virtual time of the fair queue
+	queue    *fairQueue
+	estimate estimate
 }
 
-// client is one client's queue and its share of the slots.
-type client struct {
-	weight  uint32
-	waiting list.List // of *waiter
-	running uint32
-	finish  float64 // virtual finish time of its newest start
-}
-
-type waiter struct {
-	ask     Ask
-	granted chan pb.Refusal // one value: unspecified means a slot
-}
-
-const smoothing = 0.1 // weight of the newest service time
-
 // New returns a gate with all slots free.
 func New(options Options) *Gate {
-	return &Gate{options: options, clients: map[string]*client{}, service: options.MaxPerSlot}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Gate{options: options, queue: newFairQueue(), estimate: newEstimate(options.MaxPerSlot)}
 }
 
 // Load returns how many requests run and wait.
 func (g *Gate) Load() (running, queued int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running, g.queued
+	return g.running, g.queue.length
 }
 
 // Leave refuses all later requests; those that run or wait go on.
@@ -83,7 +70,7 @@
 	if w == nil {
 		return g.releaser(ask.Client), pb.Refusal_REFUSAL_UNSPECIFIED
 	}
-	timer := time.NewTimer(time.Until(ask.Deadline))
+	timer := time.NewTimer(ask.Deadline.Sub(g.options.Now()))
 	defer timer.Stop()
 	select {
 	case refusal = <-w.granted:
@@ -102,47 +89,27 @@
 func (g *Gate) enter(ask Ask) (*waiter, pb.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.client(ask)
 	switch {
 	case g.leaving:
 		return nil, pb.Refusal_REFUSAL_LEAVING
-	case ask.ClientLimit > 0 && c.running+uint32(c.waiting.Len()) >= ask.ClientLimit:
+	case ask.ClientLimit > 0 && g.queue.inFlight(ask.Client) >= int(ask.ClientLimit):
 		return nil, pb.Refusal_REFUSAL_CLIENT_LIMIT
 	case g.running < g.options.Slots:
-		g.start(c)
+		g.running++
+		g.queue.start(g.queue.client(ask))
 		return nil, pb.Refusal_REFUSAL_UNSPECIFIED
-	case g.queued >= g.options.MaxQueue:
-		return nil, pb.Refusal_REFUSAL_QUEUE_FULL
-	case g.expectedWait() > time.Until(ask.Deadline):
+	case g.expectedWait(ask)+g.estimate.needed() > ask.Deadline.Sub(g.options.Now()):
 		return nil, pb.Refusal_REFUSAL_TOO_LATE
+	case g.queue.length >= g.options.MaxQueue && !g.queue.makeRoom(ask):
+		return nil, pb.Refusal_REFUSAL_QUEUE_FULL
 	}
-	w := &waiter{ask: ask, granted: make(chan pb.Refusal, 1)}
-	c.waiting.PushBack(w)
-	g.queued++
-	return w, pb.Refusal_REFUSAL_UNSPECIFIED
-}
-
-// expectedWait is how long a request that joins the queue now will take.
-func (g *Gate) expectedWait() time.Duration {
-	turns := float64(g.queued+1)/float64(g.options.Slots) + 1
-	return time.Duration(turns * float64(g.service))
-}
-
-func (g *Gate) client(ask Ask) *client {
-	c := g.clients[ask.Client]
-	if c == nil {
-		c = &client{finish: g.progress}
-		g.clients[ask.Client] = c
-	}
-	c.weight = max(ask.Weight, 1)
-	return c
+	return g.queue.push(ask), pb.Refusal_REFUSAL_UNSPECIFIED
 }
 
-// start gives the client a slot and advances its virtual finish time.
-func (g *Gate) start(c *client) {
-	g.running++
-	c.running++
-	c.finish = max(c.finish, g.progress) + 1/float64(c.weight)
+// expectedWait is how long a request that joins the queue now waits for a slot.
+func (g *Gate) expectedWait(ask Ask) time.Duration {
+	turns := (g.queue.ahead(ask) + 1) / float64(g.options.Slots)
+	return time.Duration(turns * float64(g.estimate.mean))
 }
 
 func (g *Gate) withdraw(w *waiter) pb.Refusal {
@@ -153,64 +120,38 @@
 		return refusal
 	default:
 	}
-	c := g.clients[w.ask.Client]
-	for e := c.waiting.Front(); e != nil; e = e.Next() {
-		if e.Value.(*waiter) == w {
-			c.waiting.Remove(e)
-			g.queued--
-			break
-		}
-	}
+	g.queue.remove(w)
 	return pb.Refusal_REFUSAL_TOO_LATE
 }
 
 func (g *Gate) releaser(name string) func() {
-	began := time.Now()
-	return func() { g.release(name, time.Since(began)) }
+	began := g.options.Now()
+	return func() { g.release(name, g.options.Now().Sub(began)) }
 }
 
 func (g *Gate) release(name string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
-	g.clients[name].running--
-	g.service += time.Duration(smoothing * float64(took-g.service))
+	g.queue.finish(name)
+	g.estimate.observe(took)
 	g.fill()
-	g.forget(name)
 }
 
-// fill gives free slots to the waiting clients with the least virtual finish
-// time, and refuses those whose deadline cannot be met any more.
+// fill gives free slots to those that wait, and refuses those whose answer would
+// most likely be late.
 func (g *Gate) fill() {
 	for g.running < g.options.Slots {
-		c := g.nextClient()
-		if c == nil {
+		w := g.queue.pop()
+		if w == nil {
 			return
 		}
-		w := c.waiting.Remove(c.waiting.Front()).(*waiter)
-		g.queued--
-		if time.Until(w.ask.Deadline) < g.service/2 {
+		if w.ask.Deadline.Sub(g.options.Now()) < g.estimate.needed() {
+			g.queue.finish(w.ask.Client)
 			w.granted <- pb.Refusal_REFUSAL_TOO_LATE
 			continue
 		}
-		g.progress = max(g.progress, c.finish)
-		g.start(c)
+		g.running++
 		w.granted <- pb.Refusal_REFUSAL_UNSPECIFIED
 	}
 }
-
-func (g *Gate) nextClient() *client {
-	var best *client
-	for _, c := range g.clients {
-		if c.waiting.Len() > 0 && (best == nil || c.finish < best.finish) {
-			best = c
-		}
-	}
-	return best
-}
-
-func (g *Gate) forget(name string) {
-	if c := g.clients[name]; c.running == 0 && c.waiting.Len() == 0 {
-		delete(g.clients, name)
-	}
-}
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -1,5 +1,5 @@
-// Package admit bounds what an entry has in flight, in all and per client, and
-// refuses new work when the entry is leaving.
+// Package admit bounds what an entry has in flight, in all, per service and per
+// client, and refuses new work when the entry is leaving.
 package admit
 
 import (
@@ -14,20 +14,33 @@
 
 const retryAdvice = time.Second
 
-// Filter is the stage. One lock guards the counters by client.
+// Filter is the stage. One lock guards the counters by client and service.
 type Filter struct {
 	next        request.Handler
 	maxInFlight int64
 
-	leaving  atomic.Bool
-	inFlight atomic.Int64
-	mu       sync.Mutex
-	byClient map[string]uint32
+	leaving   atomic.Bool
+	inFlight  atomic.Int64
+	mu        sync.Mutex
+	byClient  counter
+	byService counter
+}
+
+// counter holds what is in flight by name.
+type counter map[string]uint32
+
+func (c counter) full(name string, limit uint32) bool { return limit > 0 && c[name] >= limit }
+
+func (c counter) drop(name string) {
+	c[name]--
+	if c[name] == 0 {
+		delete(c, name)
+	}
 }
 
 // New returns the stage in front of next.
 func New(next request.Handler, maxInFlight int64) *Filter {
-	return &Filter{next: next, maxInFlight: maxInFlight, byClient: map[string]uint32{}}
+	return &Filter{next: next, maxInFlight: maxInFlight, byClient: counter{}, byService: counter{}}
 }
 
 // Leave makes the stage refuse all new requests.
@@ -62,29 +75,32 @@
 		f.inFlight.Add(-1)
 		return fault.New(fault.CodeLeaving, fault.StepAdmit, r.Client, "entry is leaving")
 	}
-	if !f.enterClient(r) {
+	if err := f.count(r); err != nil {
 		f.inFlight.Add(-1)
-		return fault.Newf(fault.CodeOverloaded, fault.StepAdmit, r.Client, "client is at its limit of %d", r.ClientLimit).WithRetryAfter(retryAdvice)
+		return err
 	}
 	return nil
 }
 
-func (f *Filter) enterClient(r *request.Request) bool {
+// count enters the request under its client and its service.
+func (f *Filter) count(r *request.Request) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r.ClientLimit > 0 && f.byClient[r.Client] >= r.ClientLimit {
-		return false
+	if f.byClient.full(r.Client, r.ClientLimit) {
+		return fault.Newf(fault.CodeOverloaded, fault.StepAdmit, r.Client, "client is at its limit of %d", r.ClientLimit).WithRetryAfter(retryAdvice)
+	}
+	if f.byService.full(r.Service, r.ServiceLimit) {
+		return fault.Newf(fault.CodeOverloaded, fault.StepAdmit, r.Service, "service is at its limit of %d", r.ServiceLimit).WithRetryAfter(retryAdvice)
 	}
 	f.byClient[r.Client]++
-	return true
+	f.byService[r.Service]++
+	return nil
 }
 
 func (f *Filter) leave(r *request.Request) {
 	f.inFlight.Add(-1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.byClient[r.Client]--
-	if f.byClient[r.Client] == 0 {
-		delete(f.byClient, r.Client)
-	}
+	f.byClient.drop(r.Client)
+	f.byService.drop(r.Service)
 }
