--- a/internal/bench/capacity/announce.go
+++ b/internal/bench/capacity/announce.go
@@ -22,11 +22,12 @@
 // Announcements measures one heartbeat of an agent to one entry.
 func Announcements(agents int) ([]Row, error) {
 	before := heap()
-	registry := membership.NewRegistry(announceLease, func() membership.EntryInfo { return membership.EntryInfo{} })
 	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
+	entries := membership.NewEntries(listener.Addr().String(), nil)
+	registry := membership.NewRegistry(announceLease, entries, func() uint64 { return 0 })
 	server := peer.NewServer()
 	pb.RegisterRegistryServer(server, registry)
 	go func() { _ = server.Serve(listener) }()
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -40,6 +40,8 @@
 	idleTimeout       = 2 * time.Minute
 	drainPoll         = 20 * time.Millisecond
 	retryBurst        = 50 // repeats allowed at once
+	// readyLimit is the longest that an entry keeps the balancer waiting.
+	readyLimit = 3 * time.Second
 )
 
 // Module returns the parts of an entry.
@@ -71,11 +73,11 @@
 
 func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
 
-func newRegistry(o *Options, v *view.View, bg *process.Background) *membership.Registry {
-	r := membership.NewRegistry(*o.EndpointLease, func() membership.EntryInfo {
-		return membership.EntryInfo{Entries: []string{*o.GRPCAddress}, TableVersion: v.Version()}
-	})
+func newRegistry(o *Options, v *view.View, pool *peer.Pool, bg *process.Background) *membership.Registry {
+	entries := membership.NewEntries(*o.GRPCAddress, *o.Peers)
+	r := membership.NewRegistry(*o.EndpointLease, entries, v.Version)
 	bg.Go(r.Run)
+	bg.Go(func(ctx context.Context) { entries.Run(ctx, pool, r.Learn) })
 	return r
 }
 
@@ -86,8 +88,9 @@
 	leaving atomic.Bool // fails the balancer's check
 }
 
-// newPipeline joins the stages: classify, observe, admit, claim, retry, pick, verify,
-// send. The claim comes before the retries, so that one request claims once.
+// newPipeline joins the stages: classify, observe, admit, release, retry, pick,
+// claim, verify, send. The claim comes behind the choice of the endpoint, so that
+// it names the one hand-over that it allows.
 func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool,
 	t *telemetry.Server, bg *process.Background) *pipeline {
 	keys := ledger.NewFollower(log, claims.Stream, *o.TablePoll, claims.New)
@@ -95,10 +98,11 @@
 	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
 	bg.Go(committer.Run)
 
-	picked := pick.New(verify.New(send.New(pool)), reg, v, newPolicy(*o.Policy))
+	claimed := claim.New(verify.New(send.New(pool)), committer, claim.View{Follower: keys}, claim.Directory{Endpoints: reg})
+	picked := pick.New(claimed, reg, v, newPolicy(*o.Policy))
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
-	claimed := claim.New(retry.New(picked, budget, int(*o.MaxTries)), committer)
-	admitted := admit.New(claimed, *o.MaxInFlight)
+	released := claim.NewReleaser(retry.New(picked, budget, int(*o.MaxTries)), committer)
+	admitted := admit.New(released, *o.MaxInFlight)
 	observed := observe.New(admitted, t.Scope())
 	return &pipeline{head: classify.New(observed, v, reg), admit: admitted}
 }
@@ -117,16 +121,25 @@
 	return jobs.New(reg, pool, uint32(*o.Shards))
 }
 
-func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry, pool *peer.Pool,
+func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry,
 	j *jobs.Client, v *view.View, c *ledger.Committer) http.Handler {
 	return api.New(api.Parts{
-		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg, pool),
+		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg),
 		Jobs: j, Table: v, Writer: c, Entry: *o.Name,
-		Ready:    func() bool { return !p.leaving.Load() },
+		Ready:    newReady(p, reg),
 		Settings: func() any { return set.InForce() },
 	})
 }
 
+// newReady tells the balancer to send requests once an endpoint has announced
+// itself, but at the latest when it should have.
+func newReady(p *pipeline, reg *membership.Registry) func() bool {
+	began := time.Now()
+	return func() bool {
+		return !p.leaving.Load() && (!reg.Empty() || time.Since(began) > readyLimit)
+	}
+}
+
 func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
