--- /dev/null
+++ b/internal/bench/routing/report.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"chervilridge/internal/request/pick"
+)
+
+// Targets of the p99 latency.
+const (
+	idealTarget = 1.3 // over the ideal single shared queue
+	bestTarget  = 1.1 // over the best other policy
+)
+
+// Comparison is all policies and the baseline in one case of one deployment.
+type Comparison struct {
+	Deployment Deployment
+	Case       Case
+	Ideal      *Figures
+	Policies   []*Figures
+}
+
+// Compare runs all policies and the baseline in one case.
+func Compare(d Deployment, c Case, o Options) *Comparison {
+	out := &Comparison{Deployment: d, Case: c, Ideal: SimulateIdeal(d, c, o)}
+	for _, name := range pick.Names() {
+		out.Policies = append(out.Policies, Simulate(d, c, name, o))
+	}
+	return out
+}
+
+// Verdict is how a policy's p99 stands to the targets.
+type Verdict struct {
+	OverIdeal float64
+	OverBest  float64
+	Best      string
+}
+
+// MeetsIdeal reports whether the target over the ideal queue is met.
+func (v Verdict) MeetsIdeal() bool { return v.OverIdeal <= idealTarget }
+
+// MeetsBest reports whether the target over the best other policy is met.
+func (v Verdict) MeetsBest() bool { return v.OverBest <= bestTarget }
+
+// Verdict compares a policy's p99 with the baseline and the best other policy.
+func (c *Comparison) Verdict(policy string) Verdict {
+	var own, best *Figures
+	for _, f := range c.Policies {
+		switch {
+		case f.Policy == policy:
+			own = f
+		case best == nil || f.p99() < best.p99():
+			best = f
+		}
+	}
+	return Verdict{OverIdeal: ratio(own, c.Ideal), OverBest: ratio(own, best), Best: best.Policy}
+}
+
+func (f *Figures) p99() time.Duration { return f.Quantile(0.99) }
+
+func ratio(a, b *Figures) float64 { return float64(a.p99()) / float64(b.p99()) }
+
+// WriteTable prints the figures of one comparison as a Markdown table.
+func (c *Comparison) WriteTable(w io.Writer) {
+	fmt.Fprintf(w, "\n### %s, %s (%d requests)\n\n", c.Deployment.Name, c.Case.Name, c.Ideal.Requests)
+	fmt.Fprintln(w, "| policy | p50 ms | p99 ms | p99.9 ms | in time % | retries | refusals | p99 / ideal |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	for _, f := range append([]*Figures{c.Ideal}, c.Policies...) {
+		fmt.Fprintf(w, "| %s | %.1f | %.1f | %.1f | %.3f | %d | %d | %.2f |\n", f.Policy,
+			ms(f.Quantile(0.5)), ms(f.p99()), ms(f.Quantile(0.999)), 100*f.InTimeShare(),
+			f.Retries, f.Refusals, ratio(f, c.Ideal))
+	}
+}
+
+// WriteVerdicts prints the targets of a policy, met or not, case by case.
+func WriteVerdicts(w io.Writer, policy string, comparisons []*Comparison) {
+	fmt.Fprintf(w, "\n### targets of %s\n\n", policy)
+	fmt.Fprintf(w, "| deployment | case | p99 / ideal (at most %.1f) | p99 / best other (at most %.1f) | best other |\n", idealTarget, bestTarget)
+	fmt.Fprintln(w, "|---|---|---|---|---|")
+	for _, c := range comparisons {
+		v := c.Verdict(policy)
+		fmt.Fprintf(w, "| %s | %s | %.2f %s | %.2f %s | %s |\n", c.Deployment.Name, c.Case.Name,
+			v.OverIdeal, met(v.MeetsIdeal()), v.OverBest, met(v.MeetsBest()), v.Best)
+	}
+}
+
+func met(ok bool) string {
+	if ok {
+		return "met"
+	}
+	return "NOT MET"
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -93,21 +93,16 @@
 	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
 	bg.Go(committer.Run)
 
-	picked := pick.New(verify.New(send.New(pool)), reg, v, newPolicy(*o.Policy))
+	picked := pick.New(verify.New(send.New(pool)), reg, v, newPickOptions(o))
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
 	claimed := claim.New(retry.New(picked, budget, int(*o.MaxTries)), committer)
 	admitted := admit.New(claimed, *o.MaxInFlight)
 	return &pipeline{head: classify.New(admitted, v, reg), admit: admitted}
 }
 
-func newPolicy(name string) pick.Policy {
-	switch name {
-	case "random":
-		return pick.Random{}
-	case "round-robin":
-		return &pick.RoundRobin{}
-	}
-	return pick.TwoChoices{}
+func newPickOptions(o *Options) pick.Options {
+	distance := pick.Distance{DataCentre: *o.DataCentre, Hop: *o.Hop}
+	return pick.Options{Policy: pick.NewPolicy(*o.Policy, pick.SharedRand{}, distance), Distance: distance}
 }
 
 func newJobs(o *Options, reg *membership.Registry, pool *peer.Pool) *jobs.Client {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilridge/internal/request/parse"
+	"chervilridge/internal/request/pick"
 	"chervilridge/internal/settings"
 )
 
@@ -30,6 +31,8 @@
 	DrainWait       *time.Duration
 	StopTimeout     *time.Duration
 	Policy          *string
+	DataCentre      *string
+	Hop             *time.Duration
 }
 
 // NewOptions adds the settings to the set.
@@ -53,7 +56,9 @@
 		RetryShareMilli: set.Int("retry-share", 100, 0, 1000, "thousandths", "share of the requests that may be repeated"),
 		DrainWait:       set.Duration("drain-wait", time.Second, 0, time.Minute, "pause between failing the balancer's check and refusing requests"),
 		StopTimeout:     set.Duration("stop-timeout", 30*time.Second, time.Second, 10*time.Minute, "longest planned stop"),
-		Policy:          set.Choice("policy", "two-choices", "routing policy", "random", "round-robin", "two-choices"),
+		Policy:          set.Choice("policy", pick.NameNearLeastTime, "routing policy", pick.Names()...),
+		DataCentre:      set.String("data-centre", "", "data centre of this entry; empty prefers no endpoint for being near", false),
+		Hop:             set.Duration("data-centre-hop", 500*time.Microsecond, 0, time.Second, "one-way delay to another data centre"),
 	}
 }
 
--- /dev/null
+++ b/internal/request/pick/names.go
@@ -0,0 +1,47 @@
+package pick
+
+// Names of the policies, as the entry's setting takes them.
+const (
+	NameRandom             = "random"
+	NameRoundRobin         = "round-robin"
+	NameTwoChoices         = "two-choices"
+	NameTwoChoicesReported = "two-choices-reported"
+	NameIdleFirst          = "idle-first"
+	NameLeastLoaded        = "least-loaded"
+	NameLeastTime          = "least-time"
+	NameNearTwoChoices     = "near-two-choices"
+	NameNearLeastTime      = "near-least-time"
+)
+
+// Names returns the names of all policies.
+func Names() []string {
+	return []string{
+		NameRandom, NameRoundRobin, NameTwoChoices, NameTwoChoicesReported, NameIdleFirst,
+		NameLeastLoaded, NameLeastTime, NameNearTwoChoices, NameNearLeastTime,
+	}
+}
+
+// NewPolicy returns the policy of that name, or nil if there is none.
+func NewPolicy(name string, rand Rand, distance Distance) Policy {
+	switch name {
+	case NameRandom:
+		return Random{Rand: rand}
+	case NameRoundRobin:
+		return &RoundRobin{}
+	case NameTwoChoices:
+		return &TwoChoices{name: name, rand: rand, score: OwnLoad}
+	case NameTwoChoicesReported:
+		return &TwoChoices{name: name, rand: rand, score: ReportedLoad}
+	case NameIdleFirst:
+		return &Least{name: name, rand: rand, score: NoIdleSlot}
+	case NameLeastLoaded:
+		return &Least{name: name, rand: rand, score: ReportedLoad}
+	case NameLeastTime:
+		return &Least{name: name, rand: rand, score: Distance{}.ExpectedTime}
+	case NameNearTwoChoices:
+		return &TwoChoices{name: name, rand: rand, score: distance.ExpectedTime}
+	case NameNearLeastTime:
+		return &Least{name: name, rand: rand, score: distance.ExpectedTime}
+	}
+	return nil
+}
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -3,7 +3,8 @@
 
 import (
 	"context"
-	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilridge/internal/events"
@@ -12,6 +13,10 @@
 	"chervilridge/internal/request"
 )
 
+// refusedPause sets an endpoint aside whose agent says that it is down, leaving
+// or gone, until the next heartbeats show it.
+const refusedPause = 2 * time.Second
+
 // Members lists the endpoints of a service that take new work.
 type Members interface {
 	Members(service string) []*membership.Member
@@ -22,65 +27,113 @@
 	DataCentreOut(name string) bool
 }
 
-// Policy picks one of the candidates, of which there is at least one. It is
-// safe for concurrent use.
-type Policy interface {
-	Name() string
-	Pick(candidates []*membership.Member, r *request.Request) *membership.Member
+// Options of the stage.
+type Options struct {
+	Policy   Policy
+	Distance Distance
+	// Now is the clock; time.Now if nil.
+	Now func() time.Time
 }
 
-// Filter is the stage.
+// Filter is the stage. It is safe for concurrent use.
 type Filter struct {
-	next    request.Handler
-	members Members
-	centres DataCentres
-	policy  Policy
+	next     request.Handler
+	members  Members
+	centres  DataCentres
+	options  Options
+	scans    sync.Pool   // of *scan
+	doubting atomic.Bool // more endpoints are failing than may be set aside
 }
 
 // New returns the stage in front of next.
-func New(next request.Handler, members Members, centres DataCentres, policy Policy) *Filter {
-	return &Filter{next: next, members: members, centres: centres, policy: policy}
+func New(next request.Handler, members Members, centres DataCentres, options Options) *Filter {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	f := &Filter{next: next, members: members, centres: centres, options: options}
+	f.scans.New = func() any { return new(scan) }
+	return f
 }
 
 // Handle sets the request's target and counts it as in flight there.
 func (f *Filter) Handle(ctx context.Context, r *request.Request) (*request.Answer, error) {
-	candidates := f.candidates(r)
-	if len(candidates) == 0 {
-		return nil, fault.Newf(fault.CodeNoEndpoint, fault.StepPick, r.Service, "no endpoint left after %d tries", len(r.Tried))
+	h, err := f.Begin(r)
+	if err != nil {
+		return nil, err
+	}
+	f.log(r, &h)
+	a, err := f.next.Handle(ctx, r)
+	f.End(&h, err)
+	return a, err
+}
+
+// Handover is one request on its way to a member.
+type Handover struct {
+	Decision
+	Left    LeftOut
+	began   time.Time
+	turns   float64 // service times that the request was expected to wait
+	members int     // candidates
+}
+
+// Begin picks the target and counts the request as in flight there until End.
+func (f *Filter) Begin(r *request.Request) (Handover, error) {
+	now := f.options.Now()
+	s := f.scans.Get().(*scan)
+	defer f.scans.Put(s)
+	s.run(f.members.Members(r.Service), r, f.centres, now)
+	f.noteDoubt(r.Service, s.left)
+	if len(s.candidates) == 0 {
+		return Handover{}, fault.Newf(fault.CodeNoEndpoint, fault.StepPick, r.Service,
+			"no endpoint left after %d tries: %s", len(r.Tried), s.left)
 	}
-	m := f.policy.Pick(candidates, r)
-	r.Target = m
-	r.Tried = append(r.Tried, m)
-	events.RequestRouted.Log("request", r.ID, "service", r.Service, "client", r.Client, "peer", m.Endpoint.Agent,
-		"dataCentre", m.Endpoint.DataCentre, "policy", f.policy.Name(), "candidates", len(candidates), "try", len(r.Tried))
-	m.InFlight.Add(1)
-	defer m.InFlight.Add(-1)
-	return f.next.Handle(ctx, r)
+	h := Handover{Left: s.left, began: now, members: len(s.candidates)}
+	h.Decision = f.options.Policy.Pick(s.candidates, now)
+	h.turns = turns(h.Member, h.Member.Load(now))
+	h.Member.InFlight.Add(1)
+	r.Target = h.Member
+	r.Tried = append(r.Tried, h.Member)
+	return h, nil
 }
 
-// candidates leaves out endpoints that were tried, are set aside, or stand in a
-// data centre that is out or not allowed. If all are set aside, it takes them
-// anyway: refusing everyone is worse than trying.
-func (f *Filter) candidates(r *request.Request) []*membership.Member {
-	now := time.Now()
-	var good, aside []*membership.Member
-	for _, m := range f.members.Members(r.Service) {
-		dc := m.Endpoint.DataCentre
-		if r.WasTried(m) || f.centres.DataCentreOut(dc) || !allowed(r, dc) {
-			continue
-		}
-		if m.Ejected(now) {
-			aside = append(aside, m)
-			continue
-		}
-		good = append(good, m)
+// End takes the outcome of a hand-over; err is nil for a whole answer. Only
+// answers tell the service time: a refusal is quick at the worst endpoint too.
+func (f *Filter) End(h *Handover, err error) {
+	m := h.Member
+	m.InFlight.Add(-1)
+	now := f.options.Now()
+	if err == nil {
+		way := f.options.Distance.RoundTrip(m)
+		took := max(now.Sub(h.began)-way, time.Microsecond)
+		m.ObserveService(time.Duration(float64(took)/(1+h.turns)), now)
+		return
+	}
+	e := fault.As(err)
+	if e.Step == fault.StepExecute && (e.Code == fault.CodeNoEndpoint || e.Code == fault.CodeLeaving) {
+		m.Eject(now, refusedPause)
 	}
-	if len(good) == 0 {
-		return aside
+}
+
+func (f *Filter) log(r *request.Request, h *Handover) {
+	runnerUp := ""
+	if h.RunnerUp != nil {
+		runnerUp = h.RunnerUp.Endpoint.Agent
 	}
-	return good
+	events.RequestRouted.Log("request", r.ID, "service", r.Service, "client", r.Client,
+		"peer", h.Member.Endpoint.Agent, "dataCentre", h.Member.Endpoint.DataCentre, "try", len(r.Tried),
+		"policy", f.options.Policy.Name(), "score", h.Score, "runnerUp", runnerUp, "runnerUpScore", h.RunnerUpScore,
+		"candidates", h.members, "leftOut", h.Left)
 }
 
-func allowed(r *request.Request, dataCentre string) bool {
-	return len(r.Allowed) == 0 || slices.Contains(r.Allowed, dataCentre)
+// noteDoubt logs when the ceiling of ejections is reached and left again.
+func (f *Filter) noteDoubt(service string, left LeftOut) {
+	doubting := left.Readmitted > 0
+	if f.doubting.Load() == doubting || !f.doubting.CompareAndSwap(!doubting, doubting) {
+		return
+	}
+	if doubting {
+		events.EjectionDoubted.Log("service", service, "leftOut", left)
+		return
+	}
+	events.EjectionTrusted.Log("service", service, "leftOut", left)
 }
