Routing: take turns among equals, geometric service time, own load for spreading

Change: Least goes on after its last pick, reports count for the wait only, a geometric mean with a 1.3 band.

--- a/internal/bench/routing/cases.go
+++ b/internal/bench/routing/cases.go
@@ -11,7 +11,6 @@
 	runners       = 11
 	slotsEach     = 8
 	maxQueue      = 64
-	entries       = 2
 	deadline      = 250 * time.Millisecond // the latency target in both tables
 	reportEvery   = 500 * time.Millisecond
 	lease         = 3 * time.Second
@@ -22,6 +21,8 @@
 	disturbBegin  = 6 * time.Second
 	disturbEnd    = 14 * time.Second
 	slowFactor    = 10
+	coldFactor    = 2
+	coldTime      = 2 * time.Second
 	waveMin       = 1.5
 	waveMax       = 3.0
 	waveEndpoints = 4
@@ -50,11 +51,14 @@
 	Load float64
 	// Sigma of the logarithm of the service time.
 	Sigma float64
+	// Entries is how many entries share the requests evenly.
+	Entries int
 	// Disturb schedules what goes wrong; nil for nothing.
 	Disturb func(f *fleet, rng *rand.Rand)
 }
 
 const (
+	likeSigma  = 0.1 // nearly the same work each time: any wait shows
 	evenSigma  = 0.5
 	heavySigma = 1.2
 )
@@ -62,15 +66,18 @@
 // Cases returns the cases in the order of the report.
 func Cases() []Case {
 	return []Case{
-		{"even 50%", 0.50, evenSigma, nil},
-		{"even 80%", 0.80, evenSigma, nil},
-		{"even 95%", 0.95, evenSigma, nil},
-		{"heavy tail 80%", 0.80, heavySigma, nil},
-		{"one 10x slower 60%", 0.60, evenSigma, slowOne},
-		{"one dead, refuses 60%", 0.60, evenSigma, killOne},
-		{"one dead, silent 60%", 0.60, evenSigma, silenceOne},
-		{"data centre out and back 50%", 0.50, evenSigma, drainOne},
-		{"noisy wave 60%", 0.60, evenSigma, noisyWave},
+		{"even 50%", 0.50, evenSigma, 2, nil},
+		{"even 80%", 0.80, evenSigma, 2, nil},
+		{"even 95%", 0.95, evenSigma, 2, nil},
+		{"like work 80%", 0.80, likeSigma, 2, nil},
+		{"like work 95%", 0.95, likeSigma, 2, nil},
+		{"like work 95%, 8 entries", 0.95, likeSigma, 8, nil},
+		{"heavy tail 80%", 0.80, heavySigma, 2, nil},
+		{"one 10x slower 60%", 0.60, evenSigma, 2, slowOne},
+		{"one dead, refuses 60%", 0.60, evenSigma, 2, killOne},
+		{"one dead, silent 60%", 0.60, evenSigma, 2, silenceOne},
+		{"data centre out and back 50%", 0.50, evenSigma, 2, drainOne},
+		{"noisy wave 60%", 0.60, evenSigma, 2, noisyWave},
 	}
 }
 
@@ -86,10 +93,15 @@
 }
 
 // drainOne takes the first data centre, where an entry stands, out and back.
+// Its endpoints come back cold: slower until the cold time has passed.
 func drainOne(f *fleet, _ *rand.Rand) {
 	dc := f.deployment.Centres[0]
 	f.clock.at(f.begin.Add(disturbBegin), func() { f.setOut(dc, true) })
-	f.clock.at(f.begin.Add(disturbEnd), func() { f.setOut(dc, false) })
+	f.clock.at(f.begin.Add(disturbEnd), func() {
+		f.slowCentre(dc, coldFactor)
+		f.setOut(dc, false)
+	})
+	f.clock.at(f.begin.Add(disturbEnd+coldTime), func() { f.slowCentre(dc, 1) })
 }
 
 func noisyWave(f *fleet, rng *rand.Rand) {
@@ -125,6 +137,6 @@
 			return out
 		}
 		work := time.Duration(math.Exp(mu + c.Sigma*rng.NormFloat64()))
-		out = append(out, arrival{at: at, entry: rng.IntN(entries), work: work})
+		out = append(out, arrival{at: at, entry: rng.IntN(c.Entries), work: work})
 	}
 }
--- a/internal/bench/routing/fleet.go
+++ b/internal/bench/routing/fleet.go
@@ -34,6 +34,18 @@
 	return f
 }
 
+// feed runs arrive for each arrival when it reaches its entry. It enters one
+// event at a time, which keeps the heap small.
+func (f *fleet) feed(list []arrival, arrive func(arrival)) {
+	if len(list) == 0 {
+		return
+	}
+	f.clock.at(f.begin.Add(list[0].at+f.deployment.Client), func() {
+		f.feed(list[1:], arrive)
+		arrive(list[0])
+	})
+}
+
 // DataCentreOut implements pick.DataCentres.
 func (f *fleet) DataCentreOut(name string) bool { return f.out[name] }
 
@@ -44,6 +56,20 @@
 	}
 }
 
+// slowCentre multiplies the work of a data centre's endpoints.
+func (f *fleet) slowCentre(name string, factor float64) {
+	for _, p := range f.endpoints {
+		if p.info.DataCentre == name {
+			p.slowdown = factor
+		}
+	}
+}
+
+// centreOf returns where an entry stands.
+func (f *fleet) centreOf(entry int) string {
+	return f.deployment.Centres[entry%len(f.deployment.Centres)]
+}
+
 // entry is one entry's members and its real pick stage.
 type entry struct {
 	fleet      *fleet
@@ -56,7 +82,7 @@
 }
 
 func newEntry(f *fleet, index int, o Options, policy string) *entry {
-	e := &entry{fleet: f, dataCentre: f.deployment.Centres[index], tokens: retryBurst}
+	e := &entry{fleet: f, dataCentre: f.centreOf(index), tokens: retryBurst}
 	for _, p := range f.endpoints {
 		e.members = append(e.members, membership.NewMember(p.info, f.begin))
 		e.leaseEnd = append(e.leaseEnd, f.begin.Add(lease))
--- a/internal/bench/routing/ideal.go
+++ b/internal/bench/routing/ideal.go
@@ -37,9 +37,7 @@
 	if c.Disturb != nil {
 		c.Disturb(f, rand.New(rand.NewPCG(o.Seed, 200)))
 	}
-	for _, a := range arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))) {
-		f.clock.at(f.begin.Add(a.at+d.Client), func() { s.arrive(a) })
-	}
+	f.feed(arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))), s.arrive)
 	f.clock.at(f.begin.Add(disturbBegin), s.takeBack)
 	f.clock.runAll()
 	return s.figures
@@ -71,35 +69,40 @@
 		if s.busy[i] >= slotsEach || p.health != alive || s.fleet.out[p.info.DataCentre] {
 			continue
 		}
-		if t := s.duration(r, i); best < 0 || t < soonest {
+		if t := s.work(r, i) + s.way(r, i); best < 0 || t < soonest {
 			best, soonest = i, t
 		}
 	}
 	return best
 }
 
-func (s *ideal) duration(r *idealRequest, i int) time.Duration {
-	p := s.fleet.endpoints[i]
-	t := time.Duration(float64(r.work) * p.slowdown)
-	if p.info.DataCentre != s.fleet.deployment.Centres[r.entry] {
-		t += 2 * s.fleet.deployment.Hop
+func (s *ideal) work(r *idealRequest, i int) time.Duration {
+	return time.Duration(float64(r.work) * s.fleet.endpoints[i].slowdown)
+}
+
+// way is the delay between data centres, there and back.
+func (s *ideal) way(r *idealRequest, i int) time.Duration {
+	if s.fleet.endpoints[i].info.DataCentre == s.fleet.centreOf(r.entry) {
+		return 0
 	}
-	return t
+	return 2 * s.fleet.deployment.Hop
 }
 
+// start holds the slot for the work only: the queue knows ahead which slot
+// comes free, and the request is already there.
 func (s *ideal) start(r *idealRequest, i int) {
 	s.busy[i]++
 	s.running[i] = append(s.running[i], r)
 	r.tries++
 	try := r.tries
-	s.fleet.clock.after(s.duration(r, i), func() {
+	s.fleet.clock.after(s.work(r, i), func() {
 		if s.fleet.endpoints[i].health != alive || r.tries != try {
 			return
 		}
 		s.running[i] = slices.DeleteFunc(s.running[i], func(x *idealRequest) bool { return x == r })
 		s.busy[i]--
 		if r.counted {
-			s.figures.record(s.fleet.clock.now.Add(s.fleet.deployment.Client).Sub(r.sent), true)
+			s.figures.record(s.fleet.clock.now.Add(s.way(r, i)+s.fleet.deployment.Client).Sub(r.sent), true)
 		}
 		s.dispatch()
 	})
--- a/internal/bench/routing/simulate.go
+++ b/internal/bench/routing/simulate.go
@@ -39,7 +39,7 @@
 	f := newFleet(d)
 	s := &simulation{fleet: f, options: o, figures: newFigures(policy)}
 	beats := rand.New(rand.NewPCG(o.Seed, 100))
-	for i := range entries {
+	for i := range c.Entries {
 		e := newEntry(f, i, o, policy)
 		e.heartbeats(beats)
 		s.entries = append(s.entries, e)
@@ -47,9 +47,7 @@
 	if c.Disturb != nil {
 		c.Disturb(f, rand.New(rand.NewPCG(o.Seed, 200)))
 	}
-	for _, a := range arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))) {
-		f.clock.at(f.begin.Add(a.at+d.Client), func() { s.arrive(a) })
-	}
+	f.feed(arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))), s.arrive)
 	f.clock.runAll()
 	return s.figures
 }
--- a/internal/membership/estimate.go
+++ b/internal/membership/estimate.go
@@ -39,8 +39,10 @@
 	return own + float64(others)*min(max(fresh, 0), 1)
 }
 
-// ObserveService takes the service time of one answer. After a silence the
-// observation counts for more: it replaces what has aged.
+// ObserveService takes the service time of one answer, which must be positive.
+// The mean is geometric: a few long answers of a heavy tail hardly move it, an
+// endpoint that is slower throughout does. After a silence the observation
+// counts for more: it replaces what has aged.
 func (m *Member) ObserveService(took time.Duration, now time.Time) {
 	m.serviceMu.Lock()
 	defer m.serviceMu.Unlock()
@@ -52,7 +54,7 @@
 	}
 	old := math.Float64frombits(m.service.Load())
 	weight := max(serviceSmoothing, 1-aged(now.UnixNano()-at))
-	m.service.Store(math.Float64bits(old + weight*(float64(took)-old)))
+	m.service.Store(math.Float64bits(old * math.Pow(float64(took)/old, weight)))
 }
 
 // ServiceTime returns the smoothed service time in nanoseconds, or 0 before the
--- a/internal/request/pick/names.go
+++ b/internal/request/pick/names.go
@@ -7,6 +7,7 @@
 	NameTwoChoices         = "two-choices"
 	NameTwoChoicesReported = "two-choices-reported"
 	NameIdleFirst          = "idle-first"
+	NameLeastInFlight      = "least-in-flight"
 	NameLeastLoaded        = "least-loaded"
 	NameLeastTime          = "least-time"
 	NameNearTwoChoices     = "near-two-choices"
@@ -17,7 +18,7 @@
 func Names() []string {
 	return []string{
 		NameRandom, NameRoundRobin, NameTwoChoices, NameTwoChoicesReported, NameIdleFirst,
-		NameLeastLoaded, NameLeastTime, NameNearTwoChoices, NameNearLeastTime,
+		NameLeastInFlight, NameLeastLoaded, NameLeastTime, NameNearTwoChoices, NameNearLeastTime,
 	}
 }
 
@@ -33,15 +34,17 @@
 	case NameTwoChoicesReported:
 		return &TwoChoices{name: name, rand: rand, score: ReportedLoad}
 	case NameIdleFirst:
-		return &Least{name: name, rand: rand, score: NoIdleSlot}
+		return &Least{name: name, score: NoIdleSlot}
+	case NameLeastInFlight:
+		return &Least{name: name, score: OwnLoad}
 	case NameLeastLoaded:
-		return &Least{name: name, rand: rand, score: ReportedLoad}
+		return &Least{name: name, score: ReportedLoad}
 	case NameLeastTime:
-		return &Least{name: name, rand: rand, score: Distance{}.ExpectedTime}
+		return &Least{name: name, score: Distance{}.ExpectedTime}
 	case NameNearTwoChoices:
 		return &TwoChoices{name: name, rand: rand, score: distance.ExpectedTime}
 	case NameNearLeastTime:
-		return &Least{name: name, rand: rand, score: distance.ExpectedTime}
+		return &Least{name: name, score: distance.ExpectedTime}
 	}
 	return nil
 }
--- a/internal/request/pick/policies.go
+++ b/internal/request/pick/policies.go
@@ -61,11 +61,12 @@
 	return Decision{Member: c[i], Score: a, RunnerUp: c[j], RunnerUpScore: b}
 }
 
-// Least picks the member with the lowest score, evenly among equals.
+// Least picks the member with the lowest score. Among equals it goes on from
+// the member after its last pick, so that equal members take turns.
 type Least struct {
 	name  string
-	rand  Rand
 	score Score
+	next  atomic.Uint64
 }
 
 // Name implements Policy.
@@ -74,23 +75,22 @@
 // Pick implements Policy.
 func (p *Least) Pick(c []*membership.Member, now time.Time) Decision {
 	scene := Scene{Now: now, Typical: typical(c)}
-	best := Decision{Member: c[0], Score: p.score(c[0], scene)}
-	equal := 1
-	for _, m := range c[1:] {
-		s := p.score(m, scene)
+	start := int(p.next.Load() % uint64(len(c)))
+	best, at := Decision{}, 0
+	for i := range c {
+		k := start + i
+		if k >= len(c) {
+			k -= len(c)
+		}
+		s := p.score(c[k], scene)
 		switch {
-		case s < best.Score:
-			best = Decision{Member: m, Score: s, RunnerUp: best.Member, RunnerUpScore: best.Score}
-			equal = 1
-		case s == best.Score:
-			equal++
-			if p.rand.IntN(equal) == 0 {
-				best.Member, m = m, best.Member
-			}
-			best.RunnerUp, best.RunnerUpScore = m, s
+		case best.Member == nil || s < best.Score:
+			best = Decision{Member: c[k], Score: s, RunnerUp: best.Member, RunnerUpScore: best.Score}
+			at = k
 		case best.RunnerUp == nil || s < best.RunnerUpScore:
-			best.RunnerUp, best.RunnerUpScore = m, s
+			best.RunnerUp, best.RunnerUpScore = c[k], s
 		}
 	}
+	p.next.Store(uint64(at + 1))
 	return best
 }
--- a/internal/request/pick/score.go
+++ b/internal/request/pick/score.go
@@ -6,9 +6,10 @@
 	"chervilridge/internal/membership"
 )
 
-// spread weighs a busy slot against the service time: it keeps load apart
-// before anything queues, since another entry may be choosing at this moment.
-const spread = 1.0
+// likeShare is how much longer than typical a service time must be to count as
+// slower: smaller differences are noise, and following them would heap the
+// requests on a few members.
+const likeShare = 1.3
 
 // Scene is what a score may look at besides the member.
 type Scene struct {
@@ -56,12 +57,17 @@
 }
 
 // ExpectedTime scores by the nanoseconds until the answer: way, wait for a slot
-// and service.
+// and service, and a cost for each own request there, which spreads the
+// requests before anything queues. Only the wait counts the requests of other
+// entries: by the time a report arrives, most of them have been answered, and
+// entries that spread by the same stale report meet at the same member.
 func (d Distance) ExpectedTime(m *membership.Member, s Scene) float64 {
-	load := m.Load(s.Now)
 	service := m.ServiceTimeNear(s.Typical, s.Now)
-	busy := min(load/slots(m), 1)
-	return float64(d.RoundTrip(m)) + service*(1+spread*busy+turns(m, load))
+	if service < likeShare*s.Typical {
+		service = s.Typical
+	}
+	busy := min(OwnLoad(m, s), 1)
+	return float64(d.RoundTrip(m)) + service*(1+busy+turns(m, m.Load(s.Now)))
 }
 
 // turns returns how many service times a request waits behind the load.
