--- a/internal/bench/routing/clock.go
+++ b/internal/bench/routing/clock.go
@@ -16,7 +16,7 @@
 }
 
 type event struct {
-	at    time.Time
+	at    int64 // nanoseconds since 1970
 	order uint64
 	run   func()
 }
@@ -25,10 +25,10 @@
 
 func (h eventHeap) Len() int { return len(h) }
 func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
+	if h[i].at == h[j].at {
 		return h[i].order < h[j].order
 	}
-	return h[i].at.Before(h[j].at)
+	return h[i].at < h[j].at
 }
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
@@ -50,7 +50,7 @@
 
 func (c *clock) at(t time.Time, run func()) {
 	c.count++
-	heap.Push(&c.events, event{at: t, order: c.count, run: run})
+	heap.Push(&c.events, event{at: t.UnixNano(), order: c.count, run: run})
 }
 
 func (c *clock) after(d time.Duration, run func()) { c.at(c.now.Add(d), run) }
@@ -59,7 +59,7 @@
 func (c *clock) runAll() {
 	for len(c.events) > 0 {
 		e := heap.Pop(&c.events).(event)
-		c.now = e.at
+		c.now = time.Unix(0, e.at)
 		e.run()
 	}
 }
--- a/internal/membership/estimate.go
+++ b/internal/membership/estimate.go
@@ -44,8 +44,8 @@
 // endpoint that is slower throughout does. After a silence the observation
 // counts for more: it replaces what has aged.
 func (m *Member) ObserveService(took time.Duration, now time.Time) {
-	m.serviceMu.Lock()
-	defer m.serviceMu.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	at := m.observedAt.Load()
 	m.observedAt.Store(now.UnixNano())
 	if at == 0 {
@@ -62,15 +62,18 @@
 func (m *Member) ServiceTime() float64 { return math.Float64frombits(m.service.Load()) }
 
 // ServiceTimeNear returns the smoothed service time in nanoseconds, given what
-// is typical among the members. While nothing is in flight there, a long
-// estimate falls back towards the typical one, so that a single request finds
-// out whether the endpoint has recovered.
+// is typical among the members. An idle member that is not known yet counts as
+// instant, and the long estimate of an idle member falls back towards the
+// typical one, so that a single request finds out how it does now.
 func (m *Member) ServiceTimeNear(typical float64, now time.Time) float64 {
 	s := m.ServiceTime()
-	if s == 0 {
+	idle := m.InFlight.Load() == 0
+	switch {
+	case s == 0 && idle:
+		return 0
+	case s == 0:
 		return typical
-	}
-	if s <= typical || m.InFlight.Load() > 0 {
+	case s <= typical || !idle:
 		return s
 	}
 	return typical + (s-typical)*aged(now.UnixNano()-m.observedAt.Load())
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -35,7 +35,7 @@
 	others     atomic.Int64 // requests of other entries at the last load report
 	reportedAt atomic.Int64 // nanoseconds since 1970
 
-	serviceMu  sync.Mutex    // serialises observations
+	mu         sync.Mutex    // serialises observations and failures
 	service    atomic.Uint64 // smoothed service time, bits of a float64 in nanoseconds
 	observedAt atomic.Int64  // nanoseconds since 1970; 0 before the first observation
 }
@@ -48,12 +48,12 @@
 // Age returns how long the member has been known.
 func (m *Member) Age(now time.Time) time.Duration { return now.Sub(m.joinedAt) }
 
-// ServingSince returns when the member last began to take work: when it joined,
-// its pause ended, or its data centre came back, whichever is latest.
-func (m *Member) ServingSince() time.Time {
-	since := m.joinedAt.UnixNano()
-	since = max(since, m.ejectedUntil.Load(), m.outAt.Load())
-	return time.Unix(0, since)
+// ServingFor returns how long the member has taken work without a break: since
+// it joined, its pause ended, or its data centre came back, whichever is latest.
+// It is negative during a pause.
+func (m *Member) ServingFor(now time.Time) time.Duration {
+	since := max(m.joinedAt.UnixNano(), m.ejectedUntil.Load(), m.outAt.Load())
+	return time.Duration(now.UnixNano() - since)
 }
 
 // NoteOut records that the member's data centre is out of service at now.
@@ -75,6 +75,8 @@
 // set aside for the pause. A member that fails again right after a pause is set
 // aside at once, each time for twice as long.
 func (m *Member) NoteFailure(now time.Time, threshold int64, pause time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.failures.Add(1) < threshold || m.Ejected(now) {
 		return
 	}
--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"chervilridge/internal/events"
@@ -17,6 +16,8 @@
 // or gone, until the next heartbeats show it.
 const refusedPause = 2 * time.Second
 
+var errUnfinished error = fault.New(fault.CodeInternal, fault.StepPick, "", "hand-over not finished").WithOutcome(fault.Unknown)
+
 // Members lists the endpoints of a service that take new work.
 type Members interface {
 	Members(service string) []*membership.Member
@@ -37,12 +38,12 @@
 
 // Filter is the stage. It is safe for concurrent use.
 type Filter struct {
-	next     request.Handler
-	members  Members
-	centres  DataCentres
-	options  Options
-	scans    sync.Pool   // of *scan
-	doubting atomic.Bool // more endpoints are failing than may be set aside
+	next    request.Handler
+	members Members
+	centres DataCentres
+	options Options
+	scans   sync.Pool // of *scan
+	doubts  doubts
 }
 
 // New returns the stage in front of next.
@@ -62,8 +63,10 @@
 		return nil, err
 	}
 	f.log(r, &h)
-	a, err := f.next.Handle(ctx, r)
-	f.End(&h, err)
+	err = errUnfinished // what End sees if a later stage panics
+	defer func() { f.End(&h, err) }()
+	var a *request.Answer
+	a, err = f.next.Handle(ctx, r)
 	return a, err
 }
 
@@ -82,7 +85,7 @@
 	s := f.scans.Get().(*scan)
 	defer f.scans.Put(s)
 	s.run(f.members.Members(r.Service), r, f.centres, now)
-	f.noteDoubt(r.Service, s.left)
+	f.doubts.note(r.Service, s.left)
 	if len(s.candidates) == 0 {
 		return Handover{}, fault.Newf(fault.CodeNoEndpoint, fault.StepPick, r.Service,
 			"no endpoint left after %d tries: %s", len(r.Tried), s.left)
@@ -124,16 +127,3 @@
 		"policy", f.options.Policy.Name(), "score", h.Score, "runnerUp", runnerUp, "runnerUpScore", h.RunnerUpScore,
 		"candidates", h.members, "leftOut", h.Left)
 }
-
-// noteDoubt logs when the ceiling of ejections is reached and left again.
-func (f *Filter) noteDoubt(service string, left LeftOut) {
-	doubting := left.Readmitted > 0
-	if f.doubting.Load() == doubting || !f.doubting.CompareAndSwap(!doubting, doubting) {
-		return
-	}
-	if doubting {
-		events.EjectionDoubted.Log("service", service, "leftOut", left)
-		return
-	}
-	events.EjectionTrusted.Log("service", service, "leftOut", left)
-}
--- a/internal/request/pick/scan.go
+++ b/internal/request/pick/scan.go
@@ -49,15 +49,18 @@
 type scan struct {
 	candidates []*membership.Member
 	ejected    []*membership.Member
-	left       LeftOut
-	centres    centreCache
+	// triedEjected counts the members set aside among those tried.
+	triedEjected int
+	left         LeftOut
+	centres      centreCache
 }
 
 // run applies the reasons in order: what must never be picked is left out for
 // good; only then come ejection, which has a ceiling, and slow start, which
 // yields when nothing else is left.
 func (s *scan) run(members []*membership.Member, r *request.Request, centres DataCentres, now time.Time) {
-	s.candidates, s.ejected, s.left = s.candidates[:0], s.ejected[:0], LeftOut{}
+	s.candidates, s.ejected = s.candidates[:0], s.ejected[:0]
+	s.triedEjected, s.left = 0, LeftOut{}
 	s.centres.reset(centres)
 	for _, m := range members {
 		s.sort(m, r, now)
@@ -76,6 +79,9 @@
 		s.left.NotAllowed++
 	case r.WasTried(m):
 		s.left.Tried++
+		if m.Ejected(now) {
+			s.triedEjected++
+		}
 	case m.Ejected(now):
 		s.ejected = append(s.ejected, m)
 	default:
@@ -84,17 +90,19 @@
 }
 
 // readmit takes back ejected members above the ceiling, those first whose pause
-// ends first, and all of them if most are failing.
+// ends first, and all of them if most are failing. Tried members count as usable
+// ones, so that a repeat judges by the same ceiling as a first try.
 func (s *scan) readmit() {
 	if len(s.ejected) == 0 {
 		return
 	}
-	total := len(s.ejected) + len(s.candidates)
-	allowed := int(ejectionCeiling * float64(total))
-	if float64(len(s.ejected)) > doubtShare*float64(total) {
+	failing := len(s.ejected) + s.triedEjected
+	usable := len(s.ejected) + len(s.candidates) + s.left.Tried
+	allowed := int(ejectionCeiling * float64(usable))
+	if float64(failing) > doubtShare*float64(usable) {
 		allowed = 0
 	}
-	back := max(0, len(s.ejected)-allowed)
+	back := min(max(0, failing-allowed), len(s.ejected))
 	if back > 0 {
 		slices.SortFunc(s.ejected, func(a, b *membership.Member) int {
 			return cmp.Compare(a.EjectedUntil(), b.EjectedUntil())
@@ -139,7 +147,7 @@
 
 // rampShare returns the part of an even share that a member may have.
 func rampShare(m *membership.Member, now time.Time) float64 {
-	age := float64(now.Sub(m.ServingSince())) / float64(rampTime)
+	age := float64(m.ServingFor(now)) / float64(rampTime)
 	if age < 0 {
 		return 1 // readmitted from a pause that has not ended
 	}
--- a/internal/request/pick/score.go
+++ b/internal/request/pick/score.go
@@ -11,11 +11,14 @@
 // requests on a few members.
 const likeShare = 1.3
 
+// firstGuess is the typical service time until one is observed.
+const firstGuess = 10 * time.Millisecond
+
 // Scene is what a score may look at besides the member.
 type Scene struct {
 	Now time.Time
 	// Typical is the harmonic mean of the candidates' service times in
-	// nanoseconds, which a few slow members hardly move; 0 if none is known.
+	// nanoseconds, which a few slow members hardly move.
 	Typical float64
 }
 
@@ -63,7 +66,7 @@
 // entries that spread by the same stale report meet at the same member.
 func (d Distance) ExpectedTime(m *membership.Member, s Scene) float64 {
 	service := m.ServiceTimeNear(s.Typical, s.Now)
-	if service < likeShare*s.Typical {
+	if service > 0 && service < likeShare*s.Typical {
 		service = s.Typical
 	}
 	busy := min(OwnLoad(m, s), 1)
@@ -87,7 +90,7 @@
 		}
 	}
 	if known == 0 {
-		return 0
+		return float64(firstGuess)
 	}
 	return known / sum
 }
