Routing: slow start costs a scan only while someone is in it

Cause: each pick went over the members twice more for slow start, though none is in it in ordinary work. Ruled out: caching the list of usable members; a drain must act on the next request.

--- a/internal/request/pick/scan.go
+++ b/internal/request/pick/scan.go
@@ -51,6 +51,7 @@
 	ejected    []*membership.Member
 	// triedEjected counts the members set aside among those tried.
 	triedEjected int
+	ramping      int // candidates in slow start
 	left         LeftOut
 	centres      centreCache
 }
@@ -60,7 +61,7 @@
 // yields when nothing else is left.
 func (s *scan) run(members []*membership.Member, r *request.Request, centres DataCentres, now time.Time) {
 	s.candidates, s.ejected = s.candidates[:0], s.ejected[:0]
-	s.triedEjected, s.left = 0, LeftOut{}
+	s.triedEjected, s.ramping, s.left = 0, 0, LeftOut{}
 	s.centres.reset(centres)
 	for _, m := range members {
 		s.sort(m, r, now)
@@ -71,6 +72,7 @@
 
 func (s *scan) sort(m *membership.Member, r *request.Request, now time.Time) {
 	dc := m.Endpoint.DataCentre
+	serving := m.ServingFor(now)
 	switch {
 	case s.centres.isOut(dc):
 		m.NoteOut(now)
@@ -79,13 +81,16 @@
 		s.left.NotAllowed++
 	case r.WasTried(m):
 		s.left.Tried++
-		if m.Ejected(now) {
+		if serving < 0 {
 			s.triedEjected++
 		}
-	case m.Ejected(now):
+	case serving < 0:
 		s.ejected = append(s.ejected, m)
 	default:
 		s.candidates = append(s.candidates, m)
+		if serving < rampTime {
+			s.ramping++
+		}
 	}
 }
 
@@ -114,23 +119,20 @@
 }
 
 // ramp leaves out members in slow start that hold their part of the requests of
-// this entry already. If that leaves nobody, all stay.
+// this entry already. If all are in slow start, all stay.
 func (s *scan) ramp(now time.Time) {
-	ramping, inFlight := 0, int64(0)
+	if s.ramping == 0 || s.ramping == len(s.candidates) {
+		return
+	}
+	inFlight := int64(0)
 	for _, m := range s.candidates {
 		inFlight += m.InFlight.Load()
-		if rampShare(m, now) < 1 {
-			ramping++
-		}
-	}
-	if ramping == 0 || ramping == len(s.candidates) {
-		return
 	}
 	even := float64(inFlight+1) / float64(len(s.candidates))
 	kept := s.candidates[:0]
 	for _, m := range s.candidates {
-		share := rampShare(m, now)
-		if share < 1 && m.InFlight.Load() >= rampLimit(share, even) {
+		part := rampPart(m, now)
+		if part < 1 && m.InFlight.Load() >= rampLimit(part, even) {
 			s.left.Ramping++
 			continue
 		}
@@ -145,8 +147,8 @@
 	return max(1, int64(math.Floor(part*even)))
 }
 
-// rampShare returns the part of an even share that a member may have.
-func rampShare(m *membership.Member, now time.Time) float64 {
+// rampPart returns the part of an even share that a member may have.
+func rampPart(m *membership.Member, now time.Time) float64 {
 	age := float64(m.ServingFor(now)) / float64(rampTime)
 	if age < 0 {
 		return 1 // readmitted from a pause that has not ended
