--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,6 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build generate test demo lint mechanisms
-.PHONY: build generate test demo lint
-.PHONY: matrix fuzz
+.PHONY: build generate test demo lint mechanisms bench-capacity matrix fuzz bench-routing
 
 build:
 	go build -o bin/ ./cmd/...
@@ -37,3 +35,5 @@
 # fuzz drives the state machine of a shard against its oracle, with a fresh seed.
 fuzz:
 	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000
+bench-routing:
+	go run ./cmd/chervil-bench-routing -seed 1
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -99,7 +99,7 @@
 	bg.Go(committer.Run)
 
 	claimed := claim.New(verify.New(send.New(pool)), committer, claim.View{Follower: keys}, claim.Directory{Endpoints: reg})
-	picked := pick.New(claimed, reg, v, newPolicy(*o.Policy))
+	picked := pick.New(claimed, reg, v, newPickOptions(o))
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
 	released := claim.NewReleaser(retry.New(picked, budget, int(*o.MaxTries)), committer)
 	admitted := admit.New(released, *o.MaxInFlight)
@@ -107,14 +107,9 @@
 	return &pipeline{head: classify.New(observed, v, reg), admit: admitted}
 }
 
-func newPolicy(name string) pick.Policy {
-	switch name {
-	case "random":
-		return pick.Random{}
-	case "round-robin":
-		return &pick.RoundRobin{}
-	}
-	return pick.TwoChoices{}
+func newPickOptions(o *Options) pick.Options {
+	distance := pick.Distance{DataCentre: *o.DataCentre, Hop: *o.Hop}
+	return pick.Options{Policy: pick.NewPolicy(*o.Policy, pick.SharedRand{}, distance), Distance: distance}
 }
 
 func newJobs(o *Options, reg *membership.Registry, pool *peer.Pool) *jobs.Client {
