--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -33,6 +33,8 @@
 	AppendBudget    *int64
 	AnswerRetention *time.Duration
 	StopTimeout     *time.Duration
+	SnapshotEvery   *time.Duration
+	SnapshotEntries *int64
 }
 
 // NewOptions adds the settings to the set.
@@ -61,5 +63,7 @@
 		AppendBudget:    set.Int("append-budget", 20, 1, 1000, "appends/s", "most appends a second to one stream"),
 		AnswerRetention: set.Duration("answer-retention", 10*time.Minute, time.Minute, 24*time.Hour, "how long the outcome of a request is kept"),
 		StopTimeout:     set.Duration("stop-timeout", 30*time.Second, time.Second, 10*time.Minute, "longest planned stop"),
+		SnapshotEvery:   set.Duration("snapshot-every", 5*time.Minute, time.Second, 24*time.Hour, "longest time between snapshots of a stream; at most a third of the log's retention"),
+		SnapshotEntries: set.Int("snapshot-entries", 5000, 10, 10_000_000, "entries", "most entries between snapshots of a stream; at most a third of the log's retention"),
 	}
 }
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -44,6 +44,10 @@
 		Shard: n, Owner: name, Address: *o.GRPCAddress, Lease: *o.ShardLease,
 	}, state, committer)
 	bg.Go(lease.Run)
+	bg.Go(ledger.NewSnapshotter(ledger.SnapshotOptions{
+		Every: *o.SnapshotEvery, Entries: uint64(*o.SnapshotEntries),
+		May: func() bool { _, held := lease.Held(); return held },
+	}, state, committer).Run)
 	scheduler := owner.New(owner.Options{
 		Shard: n, Grant: *o.Grant, WorkerSilence: 4 * *o.BeatEvery,
 	}, lease, state, rows, committer, pool)
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -65,6 +65,7 @@
 func newTableCommitter(o *Options, log platform.Log, f *ledger.Follower[*table.Table], bg *process.Background) *ledger.Committer {
 	c := ledger.NewCommitter(log, f, *o.Name, *o.AppendBudget)
 	bg.Go(c.Run)
+	bg.Go(ledger.NewSnapshotter(o.snapshots(), f, c).Run)
 	return c
 }
 
@@ -92,6 +93,7 @@
 	bg.Go(keys.Run)
 	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
 	bg.Go(committer.Run)
+	bg.Go(ledger.NewSnapshotter(o.snapshots(), keys, committer).Run)
 
 	picked := pick.New(verify.New(send.New(pool)), reg, v, newPolicy(*o.Policy))
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"chervilridge/internal/ledger"
 	"chervilridge/internal/request/parse"
 	"chervilridge/internal/settings"
 )
@@ -30,6 +31,8 @@
 	DrainWait       *time.Duration
 	StopTimeout     *time.Duration
 	Policy          *string
+	SnapshotEvery   *time.Duration
+	SnapshotEntries *int64
 }
 
 // NewOptions adds the settings to the set.
@@ -54,6 +57,8 @@
 		DrainWait:       set.Duration("drain-wait", time.Second, 0, time.Minute, "pause between failing the balancer's check and refusing requests"),
 		StopTimeout:     set.Duration("stop-timeout", 30*time.Second, time.Second, 10*time.Minute, "longest planned stop"),
 		Policy:          set.Choice("policy", "two-choices", "routing policy", "random", "round-robin", "two-choices"),
+		SnapshotEvery:   set.Duration("snapshot-every", 5*time.Minute, time.Second, 24*time.Hour, "longest time between snapshots of a stream; at most a third of the log's retention"),
+		SnapshotEntries: set.Int("snapshot-entries", 5000, 10, 10_000_000, "entries", "most entries between snapshots of a stream; at most a third of the log's retention"),
 	}
 }
 
@@ -61,3 +66,10 @@
 func (o *Options) Limits() parse.Limits {
 	return parse.Limits{MaxBodyBytes: *o.MaxBody, DefaultDeadline: *o.DefaultDeadline, MaxDeadline: *o.MaxDeadline}
 }
+
+// snapshots returns when the entries write snapshots of the table and the
+// claims. The entries do it since they are few and write these streams anyway;
+// which of them does is settled by who begins first.
+func (o *Options) snapshots() ledger.SnapshotOptions {
+	return ledger.SnapshotOptions{Every: *o.SnapshotEvery, Entries: uint64(*o.SnapshotEntries)}
+}
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -41,7 +41,9 @@
 	changed  chan struct{}
 	expected map[string][]chan Verdict
 	snaps    snapshotTracker
-	onApply  []func(rec *pb.Record, v Verdict)
+	// mismatches counts snapshots that differ from the replayed state.
+	mismatches uint64
+	onApply    []func(rec *pb.Record, v Verdict)
 }
 
 // NewFollower returns a follower that has read nothing yet; fresh makes an
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -86,7 +86,7 @@
 		return fault.Newf(fault.CodeStaleView, fault.StepRestore, f.stream, "snapshot covers %d, %d was applied", snap.covers, f.next)
 	}
 	f.machine, f.recent, f.next, f.loaded = machine, recent, snap.covers, true
-	f.snaps.note(snap, f.now())
+	f.snaps.note(snap, snap.writtenAt(f.now()))
 	events.SnapshotRestored.Log("stream", f.stream, "covers", snap.covers, "bytes", len(snap.data))
 	return nil
 }
@@ -204,6 +204,7 @@
 	}
 	data, err := f.encode()
 	if err != nil || xxhash.Sum64(data) != part.Digest {
+		f.mismatches++
 		events.SnapshotMismatch.Log("stream", f.stream, "snapshot", part.SnapshotId, "covers", part.Covers)
 	}
 }
--- a/internal/ledger/rig_test.go
+++ b/internal/ledger/rig_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -116,6 +117,11 @@
 		for _, r := range t.Rows() {
 			s += fmt.Sprintf(" %s=%d@%d", r.Name, r.Weight, r.Version)
 		}
+		for _, r := range t.Rows() {
+			if r.Notice != "" {
+				s += fmt.Sprintf(" %x", xxhash.Sum64String(r.Notice))
+			}
+		}
 		s += fmt.Sprintf(" notices %d", len(t.Notices()))
 	})
 	return s
--- a/internal/ledger/scan.go
+++ b/internal/ledger/scan.go
@@ -121,8 +121,7 @@
 	covers uint64
 	end    uint64    // offset behind the newest whole snapshot
 	at     time.Time // when it was read; zero if none was
-	timeMs int64     // wall clock of its writer
-	begun  time.Time // when the first part of any snapshot was read last
+	begun  time.Time // when a snapshot began that is not whole yet; zero if none
 }
 
 func (t *snapshotTracker) part(offset uint64, timeMs int64, p *pb.SnapshotPart, now time.Time) {
@@ -130,13 +129,23 @@
 		t.begun = now
 	}
 	if snap := t.scan.part(offset, timeMs, p); snap != nil {
+		t.begun = time.Time{}
 		t.note(snap, now)
 	}
 	t.scan.whole = nil // only their place matters here
 }
 
-func (t *snapshotTracker) note(snap *snapshot, now time.Time) {
+func (t *snapshotTracker) note(snap *snapshot, at time.Time) {
 	if snap.covers >= t.covers {
-		t.covers, t.end, t.timeMs, t.at = snap.covers, snap.end, snap.timeMs, now
+		t.covers, t.end, t.at = snap.covers, snap.end, at
 	}
 }
+
+// writtenAt estimates when a snapshot found at a start was written, from its
+// writer's wall clock. A clock that is ahead does not put it into the future.
+func (s *snapshot) writtenAt(now time.Time) time.Time {
+	if at := time.UnixMilli(s.timeMs); at.Before(now) {
+		return at
+	}
+	return now
+}
