Start during a log outage: the table comes from peers, with its age

Cause: a process that started while the log was down had an empty table until the log came back, so weights, limits and 'out' were unknown to a new entry. Ruled out: taking shard streams from peers (only ownership would use them).

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -23,6 +23,7 @@
 	"chervilridge/internal/platform/platformhttp"
 	"chervilridge/internal/process"
 	"chervilridge/internal/settings"
+	"chervilridge/internal/statesource"
 	"chervilridge/internal/table"
 	"chervilridge/internal/table/view"
 	"chervilridge/internal/telemetry"
@@ -51,7 +52,7 @@
 			newIdentity, newLog, newTable, newView, newRunner, newGate, newStore, newLatency,
 			newHealth, newServiceView, newAnnouncer, newShardOwners,
 		),
-		fx.Invoke(serveMetrics, runWorker, serveGRPC, leave),
+		fx.Invoke(serveMetrics, runWorker, serveGRPC, leave, seedTable),
 	)
 }
 
@@ -68,6 +69,12 @@
 	return f
 }
 
+// seedTable takes the table from the entries if the log cannot be read at the
+// start.
+func seedTable(o *Options, rows *ledger.Follower[*table.Table], pool *peer.Pool, bg *process.Background) {
+	bg.Go(statesource.NewSeeder(rows, pool, func() []string { return *o.Entries }).Run)
+}
+
 func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
 
 func newGate(o *Options) *admission.Gate {
@@ -123,9 +130,10 @@
 	})
 }
 
-func serveGRPC(lc fx.Lifecycle, o *Options, server *grpc.Server, run *runner.Runner, owners *shardOwners) {
+func serveGRPC(lc fx.Lifecycle, o *Options, server *grpc.Server, run *runner.Runner, owners *shardOwners, rows *ledger.Follower[*table.Table]) {
 	pb.RegisterRunnerServer(server, run)
 	pb.RegisterShardOwnerServiceServer(server, owners)
+	pb.RegisterStateSourceServer(server, statesource.NewServer(rows))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := net.Listen("tcp", *o.GRPCAddress)
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -29,6 +29,7 @@
 	"chervilridge/internal/request/send"
 	"chervilridge/internal/request/verify"
 	"chervilridge/internal/settings"
+	"chervilridge/internal/statesource"
 	"chervilridge/internal/table"
 	"chervilridge/internal/table/view"
 	"chervilridge/internal/telemetry"
@@ -49,7 +50,7 @@
 			process.NewBackground, telemetry.New, peer.NewPool,
 			newLog, newTable, newTableCommitter, newView, newRegistry, newPipeline, newJobs, newHandler,
 		),
-		fx.Invoke(serveMetrics, serveGRPC, serveHTTP),
+		fx.Invoke(serveMetrics, serveGRPC, serveHTTP, seedTable),
 	)
 }
 
@@ -69,6 +70,19 @@
 	return c
 }
 
+// seedTable takes the table from other entries and from agents if the log cannot
+// be read at the start.
+func seedTable(o *Options, rows *ledger.Follower[*table.Table], reg *membership.Registry, pool *peer.Pool, bg *process.Background) {
+	peers := func() []string {
+		out := append([]string(nil), *o.Peers...)
+		for _, m := range reg.Statuses() {
+			out = append(out, m.Address)
+		}
+		return out
+	}
+	bg.Go(statesource.NewSeeder(rows, pool, peers).Run)
+}
+
 func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
 
 func newRegistry(o *Options, v *view.View, bg *process.Background) *membership.Registry {
@@ -133,9 +147,10 @@
 	})
 }
 
-func serveGRPC(lc fx.Lifecycle, o *Options, reg *membership.Registry) {
+func serveGRPC(lc fx.Lifecycle, o *Options, reg *membership.Registry, rows *ledger.Follower[*table.Table]) {
 	server := peer.NewServer()
 	pb.RegisterRegistryServer(server, reg)
+	pb.RegisterStateSourceServer(server, statesource.NewServer(rows))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := listen(*o.GRPCAddress)
--- a/internal/table/view/view.go
+++ b/internal/table/view/view.go
@@ -2,6 +2,8 @@
 package view
 
 import (
+	"time"
+
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/table"
@@ -49,3 +51,7 @@
 	v.follower.View(func(t *table.Table) { n = t.Version() })
 	return n
 }
+
+// Age returns how old the table is, also one that a peer gave; false while there
+// is none.
+func (v *View) Age() (time.Duration, bool) { return v.follower.StateAge() }
