--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -150,12 +150,13 @@
 	})
 }
 
-// leave runs first at a planned stop: announce, refuse new requests, finish
-// those in flight.
-func leave(lc fx.Lifecycle, run *runner.Runner, a *announce.Announcer) {
+// leave runs first at a planned stop: refuse new requests, announce, give up the
+// shards, finish the requests in flight.
+func leave(lc fx.Lifecycle, run *runner.Runner, a *announce.Announcer, owners *shardOwners) {
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
 		run.BeginLeave()
 		a.Announce(ctx)
+		owners.release(ctx)
 		return run.FinishLeave(ctx)
 	}})
 }
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/fault"
@@ -67,6 +68,15 @@
 	return out
 }
 
+// release gives up the shards that are held, so that others take over at once.
+func (s *shardOwners) release(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range s.leases {
+		wg.Go(func() { l.Release(ctx) })
+	}
+	wg.Wait()
+}
+
 func (s *shardOwners) find(n uint32) (*owner.Owner, error) {
 	if int(n) >= len(s.owners) {
 		return nil, fault.Newf(fault.CodeBadRequest, fault.StepSubmit, "", "no shard %d", n)
--- a/internal/events/task.go
+++ b/internal/events/task.go
@@ -6,6 +6,7 @@
 	ShardClaimLost      = define(4002, Info, "shard claim lost")
 	ShardLapsed         = define(4003, Warning, "shard lease lapsed, owner stops acting")
 	ShardReleased       = define(4004, Info, "shard lease given up")
+	ShardClaimWaits     = define(4011, Info, "shard claimed, the lease of the holder before is waited out")
 	JobAccepted         = define(5001, Info, "job accepted")
 	JobRefused          = define(5002, Info, "job refused")
 	JobCancelled        = define(5003, Info, "jobs cancelled")
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -43,6 +43,7 @@
 	snaps    snapshotTracker
 	// mismatches counts snapshots that differ from the replayed state.
 	mismatches uint64
+	restores   uint64
 	onApply    []func(rec *pb.Record, v Verdict)
 }
 
@@ -63,9 +64,20 @@
 func (f *Follower[M]) Stream() string { return f.stream }
 
 // OnApply adds a function that is called after each applied record, under the
-// follower's lock. It must be added before Run. Records that a restored snapshot
-// covers are not applied and not told.
-func (f *Follower[M]) OnApply(do func(rec *pb.Record, v Verdict)) { f.onApply = append(f.onApply, do) }
+// follower's lock. Records that a restored snapshot covers, or that were applied
+// before, are not told.
+func (f *Follower[M]) OnApply(do func(rec *pb.Record, v Verdict)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onApply = append(f.onApply, do)
+}
+
+// Restores returns how often the state was replaced rather than replayed.
+func (f *Follower[M]) Restores() uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.restores
+}
 
 // View calls read with the machine under the read lock.
 func (f *Follower[M]) View(read func(m M)) {
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -86,6 +86,7 @@
 		return fault.Newf(fault.CodeStaleView, fault.StepRestore, f.stream, "snapshot covers %d, %d was applied", snap.covers, f.next)
 	}
 	f.machine, f.recent, f.next, f.loaded = machine, recent, snap.covers, true
+	f.restores++
 	f.snaps.note(snap, snap.writtenAt(f.now()))
 	events.SnapshotRestored.Log("stream", f.stream, "covers", snap.covers, "bytes", len(snap.data))
 	return nil
@@ -179,6 +180,7 @@
 		return false, nil
 	}
 	f.machine, f.recent, f.next = machine, recent, state.Covers
+	f.restores++
 	f.seed = seed{taken: true, age: state.Age, at: f.now()}
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/ledger/snapshotter_test.go
+++ b/internal/ledger/snapshotter_test.go
@@ -288,7 +288,10 @@
 		for range 6 {
 			before := tail(store)
 			clock.pass(interval)
-			eventually(t, "snapshot of the interval", func() bool { return whole(store) > 0 && tail(store) > before })
+			eventually(t, "snapshot of the interval", func() bool {
+				end := tail(store)
+				return whole(store) > 0 && end > before && f.Next() == end
+			})
 		}
 		store.SetFaults(logstore.Faults{Down: true})
 		clock.pass(retention / 2)
--- a/internal/statesource/server.go
+++ b/internal/statesource/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
@@ -36,7 +37,12 @@
 		if err != nil {
 			return &pb.GetStateReply{}, nil
 		}
-		return &pb.GetStateReply{Found: true, Covers: state.Covers, Data: state.Data, AgeMs: state.Age.Milliseconds()}, nil
+		return &pb.GetStateReply{Found: true, Covers: state.Covers, Data: state.Data, AgeMs: roundUp(state.Age)}, nil
 	}
 	return &pb.GetStateReply{}, nil
 }
+
+// roundUp returns whole milliseconds that are not below the age.
+func roundUp(age time.Duration) int64 {
+	return (age + time.Millisecond - 1).Milliseconds()
+}
