Operators: plan and notices before a drain, whole files checked, each row reported

Cause: a file was written row by row in one append each and stopped at the first loser without saying what was in force; only one mistake a line was named; a loser was told a version and not what changed, and nobody after a deletion; a drain told nobody whom it slows; 'wait' gave up if one entry was silent. Change: files are checked whole (all mistakes with lines, duplicates, names without a row, rows that others changed since) before a row is written; rows are committed together and share appends; status 207 and a line for each row that was not done. Rejections name the winner, also of a deletion (the newest 256 are kept in the table), and the cells that differ. One notice is kept for each client and subject. 'wait' names silent entries. Ruled out: refusing an unwarned drain in replay (an emergency must go through).

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,366 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/entry/api"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/ledger"
+	"chervilridge/internal/membership"
+	"chervilridge/internal/process"
+	"chervilridge/internal/standin/logstore"
+	"chervilridge/internal/table"
+	"chervilridge/internal/table/view"
+)
+
+const (
+	patience = 20 * time.Second
+	poll     = 20 * time.Millisecond
+)
+
+const header = "kind,name,team,region,data_centres,weight,limit,notice,version\n"
+
+// system is an entry without endpoints, on a log of its own.
+type system struct {
+	store    *logstore.Store
+	follower *ledger.Follower[*table.Table]
+	registry *membership.Registry
+	address  string
+}
+
+// holdUp delays commits until two wait, so that two operators race.
+type holdUp struct {
+	api.Committer
+	mu    sync.Mutex
+	wait  int
+	ready chan struct{}
+}
+
+func (h *holdUp) Commit(ctx context.Context, rec *pb.Record) (ledger.Verdict, error) {
+	h.mu.Lock()
+	if h.wait > 0 {
+		h.wait--
+		if h.wait == 0 {
+			close(h.ready)
+		}
+		h.mu.Unlock()
+		<-h.ready
+	} else {
+		h.mu.Unlock()
+	}
+	return h.Committer.Commit(ctx, rec)
+}
+
+func newSystem(t *testing.T, wrap func(api.Committer) api.Committer) *system {
+	store := logstore.New(logstore.Options{})
+	f := ledger.NewFollower(store, table.Stream, poll, table.New)
+	c := ledger.NewCommitter(store, f, "entry-1", 10_000)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	wg.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	v := view.New(f)
+	reg := membership.NewRegistry(time.Hour, func() membership.EntryInfo { return membership.EntryInfo{} })
+	var writer api.Committer = c
+	if wrap != nil {
+		writer = wrap(c)
+	}
+	server := httptest.NewServer(api.New(api.Parts{Registry: reg, Table: v, Writer: writer, Entry: "entry-1",
+		Ready: func() bool { return true }, Settings: func() any { return nil }}))
+	t.Cleanup(server.Close)
+	return &system{store: store, follower: f, registry: reg, address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+// run runs chervilctl and returns what it printed.
+func (s *system) run(operator string, args ...string) (string, error) {
+	cmd := New()
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	cmd.SetArgs(append([]string{"--entry", s.address, "--operator", operator}, args...))
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+func (s *system) put(t *testing.T, operator, csv string) (string, error) {
+	path := filepath.Join(t.TempDir(), "table.csv")
+	assert.NilError(t, os.WriteFile(path, []byte(csv), 0o600))
+	return s.run(operator, "table", "put", path)
+}
+
+func (s *system) version() uint64 {
+	var n uint64
+	s.follower.View(func(t *table.Table) { n = t.Version() })
+	return n
+}
+
+const sample = header +
+	"team,cascade,,,,1,0,,0\n" +
+	"service,quotedesk,cascade,,pnw-a,10,0,counter,0\n" +
+	"data_centre,pnw-a,,pnw,,1,0,,0\n" +
+	"data_centre,pnw-b,,pnw,,1,0,,0\n" +
+	"client,fitter-1,,,,2,64,call the showroom,0\n"
+
+func TestTableGoesOutAndInAgain(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	first, err := s.run("ann", "table", "get")
+	assert.NilError(t, err)
+	_, err = s.put(t, "ann", first)
+	assert.NilError(t, err)
+	second, err := s.run("ann", "table", "get")
+	assert.NilError(t, err)
+	assert.Equal(t, len(strings.Split(second, "\n")), len(strings.Split(first, "\n")))
+	// As some spreadsheets write it: byte order mark, semicolons, CR LF.
+	excel := "\ufeff" + strings.ReplaceAll(strings.ReplaceAll(second, ",", ";"), "\n", "\r\n")
+	_, err = s.put(t, "ann", excel)
+	assert.NilError(t, err)
+	// An older export does not write over newer rows.
+	_, err = s.put(t, "bob", first)
+	assert.Assert(t, fault.Is(err, fault.CodeConflict))
+}
+
+// TestNothingIsWrittenFromAFileWithMistakes names every mistake with its line.
+func TestNothingIsWrittenFromAFileWithMistakes(t *testing.T) {
+	s := newSystem(t, nil)
+	bad := sample +
+		"client,b,,,,0,0,,0\n" + // weight
+		"client,c,,,,x,y,,0\n" + // two cells
+		"client,fitter-1,,,,3,0,,0\n" + // twice
+		"client,d,,,,1,0\n" + // a cell too few
+		"client,e,,,,1,0,caf\xe9,0\n" // not UTF-8
+	_, err := s.put(t, "ann", bad)
+	assert.Equal(t, process.ExitCode(err), process.ExitFailure)
+	for _, want := range []string{
+		"line 7: weight 0", `line 8: weight "x"`, `line 8: limit "y"`, "line 9: client fitter-1 stands on line 6",
+		"line 10: has 7 cells", "line 11: notice of e is not UTF-8",
+	} {
+		assert.ErrorContains(t, err, want)
+	}
+	_, err = s.put(t, "ann", sample+"service,other,nobody,,pnw-x pnw-b,1,0,,0\n")
+	assert.ErrorContains(t, err, "line 7: data centre pnw-x of other has no row")
+	assert.ErrorContains(t, err, "line 7: team nobody of other has no row")
+	assert.Equal(t, s.version(), uint64(0))
+	appends, _ := s.store.Totals()
+	assert.Equal(t, appends, uint64(0))
+}
+
+// TestLoserIsToldWhoWonAndWhatChanged races two operators on one row.
+func TestLoserIsToldWhoWonAndWhatChanged(t *testing.T) {
+	h := &holdUp{ready: make(chan struct{})}
+	s := newSystem(t, func(c api.Committer) api.Committer { h.Committer = c; return h })
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	h.wait = 2
+	errs := map[string]error{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for operator, weight := range map[string]string{"ann": "weight=5", "bob": "weight=7"} {
+		wg.Go(func() {
+			out, err := s.run(operator, "table", "set", "client", "fitter-1", weight)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				err = fault.New(fault.CodeConflict, fault.StepConfig, "", out)
+			}
+			errs[operator] = err
+		})
+	}
+	wg.Wait()
+	winner, loser, kept, lost := "ann", "bob", "5", "7"
+	if errs["ann"] != nil {
+		winner, loser, kept, lost = "bob", "ann", "7", "5"
+	}
+	assert.NilError(t, errs[winner])
+	assert.ErrorContains(t, errs[loser], `weight is "`+kept+`", not "`+lost+`"`)
+	assert.ErrorContains(t, errs[loser], `changed by "`+winner+`"`)
+}
+
+func TestLoserOfADeletionIsToldWhoDeleted(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	out, err := s.run("ann", "table", "get")
+	assert.NilError(t, err)
+	_, err = s.run("bob", "table", "delete", "client", "fitter-1")
+	assert.NilError(t, err)
+	_, err = s.put(t, "ann", out)
+	assert.ErrorContains(t, err, "row fitter-1 was deleted")
+	assert.ErrorContains(t, err, `changed by "bob"`)
+}
+
+// TestPartialSuccessIsReportedRowByRow lets another operator change one row
+// between the check of the file and its writing.
+func TestPartialSuccessIsReportedRowByRow(t *testing.T) {
+	other := &overtake{}
+	s := newSystem(t, func(c api.Committer) api.Committer { other.Committer = c; return other })
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	out, err := s.run("ann", "table", "get")
+	assert.NilError(t, err)
+	s.follower.View(func(t *table.Table) {
+		row := t.Row(pb.RowKind_ROW_KIND_CLIENT, "fitter-1")
+		other.first = &pb.Record{Author: "bob", Body: &pb.Record_RowPut{RowPut: &pb.RowPut{
+			Row: &pb.Row{Kind: row.Kind, Name: row.Name, Weight: 9}, BaseVersion: row.Version,
+		}}}
+	})
+	printed, err := s.put(t, "ann", out)
+	assert.ErrorContains(t, err, "1 of 5 rows not written")
+	assert.Equal(t, process.ExitCode(err), process.ExitFailure)
+	assert.Equal(t, strings.Count(printed, "in force at table version"), 4)
+	assert.Assert(t, strings.Contains(printed, "fitter-1 (line"), printed)
+	assert.Assert(t, strings.Contains(printed, `changed by "bob"`), printed)
+}
+
+// overtake commits one record of another operator before the next one.
+type overtake struct {
+	api.Committer
+	mu    sync.Mutex
+	first *pb.Record
+}
+
+func (o *overtake) Commit(ctx context.Context, rec *pb.Record) (ledger.Verdict, error) {
+	o.mu.Lock()
+	first := o.first
+	o.first = nil
+	if first != nil {
+		if v, err := o.Committer.Commit(ctx, first); err != nil || v.Rejection != nil {
+			o.mu.Unlock()
+			return v, err
+		}
+	}
+	o.mu.Unlock()
+	return o.Committer.Commit(ctx, rec)
+}
+
+// announce adds an endpoint of 8 slots.
+func (s *system) announce(t *testing.T, agent, dataCentre string, running uint32, version uint64) {
+	_, err := s.registry.Announce(context.Background(), &pb.AnnounceRequest{
+		Endpoint: &pb.Endpoint{Agent: agent, Incarnation: "1", Address: "127.0.0.1:1", Service: "quotedesk", DataCentre: dataCentre, Slots: 8},
+		Sequence: 1, Healthy: true, Running: running, Worker: "w-" + agent, TableVersion: version,
+	})
+	assert.NilError(t, err)
+}
+
+// TestDrainAsksForTheCall walks an operator through plan, refusal, call and
+// change.
+func TestDrainAsksForTheCall(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	s.announce(t, "agent-1", "pnw-a", 7, 0)
+	s.announce(t, "agent-2", "pnw-b", 7, 0)
+	plan, err := s.run("ann", "drain", "pnw-b", "--plan")
+	assert.NilError(t, err)
+	for _, want := range []string{
+		"1 of 2 workers leave", "service quotedesk: 8 of 16 slots left for 14 requests, 42.8% of the load does not fit",
+		`client fitter-1 (weight 2, "call the showroom"): may slow, NOT told`,
+	} {
+		assert.Assert(t, strings.Contains(plan, want), plan)
+	}
+	_, err = s.run("ann", "drain", "pnw-b")
+	assert.ErrorContains(t, err, "not told yet: fitter-1")
+	assert.Equal(t, process.ExitCode(err), process.ExitFailure)
+	assert.Assert(t, !s.out("pnw-b"))
+	_, err = s.run("ann", "notice", "fitter-1", "pnw-a")
+	assert.NilError(t, err)
+	_, err = s.run("ann", "drain", "pnw-b")
+	assert.ErrorContains(t, err, "not told yet: fitter-1")
+	_, err = s.run("ann", "drain", "pnw-b", "--called", "fitter-1")
+	assert.NilError(t, err)
+	assert.Assert(t, s.out("pnw-b"))
+	notices, err := s.run("bob", "notice", "--list")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(notices, "fitter-1 told of pnw-b by ann"), notices)
+	_, err = s.run("ann", "restore", "pnw-b")
+	assert.NilError(t, err)
+	assert.Assert(t, !s.out("pnw-b"))
+}
+
+func (s *system) out(dataCentre string) bool {
+	var out bool
+	s.follower.View(func(t *table.Table) { out = t.DataCentreOut(dataCentre) })
+	return out
+}
+
+func TestDrainGoesOnWithYes(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	s.announce(t, "agent-1", "pnw-a", 7, 0)
+	s.announce(t, "agent-2", "pnw-b", 7, 0)
+	_, err = s.run("ann", "drain", "pnw-b", "--yes")
+	assert.NilError(t, err)
+	assert.Assert(t, s.out("pnw-b"))
+}
+
+func TestNoticeOfNothingIsRefused(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	before := s.version()
+	for _, args := range [][]string{
+		{"notice", "nobody", "pnw-a"}, {"notice", "fitter-1", "nowhere"}, {"notice", "fitter-1", "pnw-a", "--hours", "0"},
+	} {
+		_, err := s.run("ann", args...)
+		assert.Assert(t, err != nil, args)
+	}
+	assert.Equal(t, s.version(), before)
+}
+
+func TestWaitNamesWhoLags(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	s.announce(t, "agent-1", "pnw-a", 0, s.version())
+	s.announce(t, "agent-2", "pnw-b", 0, s.version()-1)
+	_, err = s.run("ann", "wait", "--timeout", "1ms")
+	assert.ErrorContains(t, err, "agent agent-2")
+	assert.Assert(t, !strings.Contains(err.Error(), "agent-1"), err)
+	_, err = s.run("ann", "wait", "--timeout", "1ms", "--version", "1")
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	silent := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, err = s.run("ann", "wait", "--timeout", "1ms", "--version", "1", "--entry", s.address+","+silent)
+	assert.ErrorContains(t, err, "entry at "+silent+" (does not answer)")
+}
+
+func TestBadSettingsHaveExitCode2(t *testing.T) {
+	for _, args := range [][]string{{"status", "--entry", "nowhere"}, {"status", "--operator", " "}, {"no-such-command"}} {
+		cmd := New()
+		cmd.SetArgs(args)
+		assert.Equal(t, process.ExitCode(cmd.Execute()), process.ExitBadSetting, args)
+	}
+}
+
+func TestLogOutageRefusesChangesAsNotRun(t *testing.T) {
+	s := newSystem(t, nil)
+	_, err := s.put(t, "ann", sample)
+	assert.NilError(t, err)
+	s.store.SetFaults(logstore.Faults{Down: true})
+	printed, err := s.run("ann", "table", "set", "client", "fitter-1", "weight=9")
+	assert.Assert(t, err != nil)
+	assert.Assert(t, strings.Contains(printed, "not run"), printed)
+	res, err := http.Get("http://" + s.address + "/v1/table")
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	assert.Assert(t, res.Header.Get("X-Chervil-Table-Age-Ms") != "")
+}
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -77,10 +78,11 @@
 		"table version %d is not in force at %s", version, strings.Join(lagging, ", "))
 }
 
-// lagging returns the processes below the version, over all named entries.
+// lagging returns the processes below the version, over all named entries. An
+// entry that does not answer lags as long as another one answers.
 func (sh *shell) lagging(cmd *cobra.Command, version *uint64) ([]string, error) {
-	fleets, err := sh.fleets(cmd)
-	if err != nil {
+	fleets, silent, err := sh.fleets(cmd)
+	if len(fleets) == 0 {
 		return nil, err
 	}
 	if *version == 0 {
@@ -88,29 +90,49 @@
 			*version = max(*version, f.TableVersion)
 		}
 	}
+	return append(behind(fleets, *version), silent...), nil
+}
+
+// behind names each process that reports an older version to any entry.
+func behind(fleets []api.Fleet, version uint64) []string {
 	var out []string
+	add := func(name string, at uint64) {
+		if at < version && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
 	for _, f := range fleets {
-		if f.TableVersion < *version {
-			out = append(out, "entry "+f.Entry)
+		add("entry "+f.Entry, f.TableVersion)
+		for _, m := range f.Members {
+			add("agent "+m.Agent, newest(fleets, m.Agent))
 		}
+	}
+	return out
+}
+
+// newest returns the highest version that an agent reported to any entry.
+func newest(fleets []api.Fleet, agent string) uint64 {
+	var at uint64
+	for _, f := range fleets {
 		for _, m := range f.Members {
-			if m.TableVersion < *version {
-				out = append(out, "agent "+m.Agent)
+			if m.Agent == agent {
+				at = max(at, m.TableVersion)
 			}
 		}
 	}
-	return out, nil
+	return at
 }
 
-func (sh *shell) fleets(cmd *cobra.Command) ([]api.Fleet, error) {
-	var out []api.Fleet
+// fleets asks every named entry; those that do not answer are named.
+func (sh *shell) fleets(cmd *cobra.Command) (out []api.Fleet, silent []string, last error) {
 	for _, entry := range *sh.entries {
 		var f api.Fleet
 		one := NewClient([]string{entry}, *sh.operator)
 		if _, err := one.Do(cmd.Context(), Call{Method: http.MethodGet, Path: "/v1/fleet"}, &f); err != nil {
-			return nil, err
+			silent, last = append(silent, "entry at "+entry+" (does not answer)"), err
+			continue
 		}
 		out = append(out, f)
 	}
-	return out, nil
+	return out, silent, last
 }
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -7,7 +7,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -53,16 +52,27 @@
 	}
 }
 
+// putRows writes the rows of a CSV file and reports each; it fails if one of
+// them is not done.
 func (sh *shell) putRows(cmd *cobra.Command, csv []byte) error {
-	var done []api.Change
+	var changes []api.Change
 	call := Call{Method: http.MethodPut, Path: "/v1/table/rows", Body: csv, Type: contentTypeCSV}
-	if _, err := sh.client.Do(cmd.Context(), call, &done); err != nil {
+	if _, err := sh.client.Do(cmd.Context(), call, &changes); err != nil {
 		return err
 	}
-	for _, c := range done {
-		fmt.Fprintf(cmd.OutOrStdout(), "%s in force at table version %d\n", c.Row, c.Version)
+	failed := 0
+	for _, c := range changes {
+		if c.Outcome == fault.Done {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s in force at table version %d\n", c.Row, c.Version)
+			continue
+		}
+		failed++
+		fmt.Fprintf(cmd.OutOrStdout(), "%s (line %d) %s: %s\n", c.Row, c.Line, c.Outcome, c.Detail)
 	}
-	return nil
+	if failed == 0 {
+		return nil
+	}
+	return fault.Newf(fault.CodeConflict, fault.StepConfig, "", "%d of %d rows not written, the others are in force", failed, len(changes)).WithOutcome(fault.Unknown)
 }
 
 func (sh *shell) tableSetCommand() *cobra.Command {
@@ -135,35 +145,3 @@
 	fmt.Fprintf(cmd.OutOrStdout(), "%s in force at table version %d\n", done.Row, done.Version)
 	return nil
 }
-
-func (sh *shell) drainCommand() *cobra.Command {
-	return &cobra.Command{
-		Use: "drain DATA-CENTRE", Short: "Takes a data centre out of service", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return sh.change(cmd, Call{Method: http.MethodPost, Path: "/v1/data-centres/" + args[0] + "/out"})
-		},
-	}
-}
-
-func (sh *shell) restoreCommand() *cobra.Command {
-	return &cobra.Command{
-		Use: "restore DATA-CENTRE", Short: "Brings a data centre back into service", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return sh.change(cmd, Call{Method: http.MethodPost, Path: "/v1/data-centres/" + args[0] + "/back"})
-		},
-	}
-}
-
-func (sh *shell) noticeCommand() *cobra.Command {
-	var hours uint32
-	cmd := &cobra.Command{
-		Use: "notice CLIENT SUBJECT", Short: "Records that a client was told of a planned slowdown", Args: cobra.ExactArgs(2),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			until := time.Now().Add(time.Duration(hours) * time.Hour).UnixMilli()
-			body := fmt.Appendf(nil, `{"client":%q,"subject":%q,"until_ms":%d}`, args[0], args[1], until)
-			return sh.change(cmd, Call{Method: http.MethodPost, Path: "/v1/notices", Body: body, Type: contentTypeJSON})
-		},
-	}
-	cmd.Flags().Uint32Var(&hours, "hours", 24, "how long the notice is good for")
-	return cmd
-}
--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -58,6 +58,7 @@
 	v1.DELETE("/table/rows/:kind/:name", a.deleteRow)
 	v1.POST("/data-centres/:name/out", a.changeDataCentre(true))
 	v1.POST("/data-centres/:name/back", a.changeDataCentre(false))
+	v1.GET("/data-centres/:name/plan", a.planDrain)
 	v1.POST("/notices", a.giveNotice)
 	v1.GET("/notices", a.listNotices)
 	v1.GET("/fleet", a.fleet)
--- a/internal/events/ledger.go
+++ b/internal/events/ledger.go
@@ -22,4 +22,5 @@
 	LogWentBack       = define(3022, Fault, "log ends below what was read from it, view not trusted")
 	RecordRepeated    = define(3023, Info, "second copy of a record ignored")
 	SnapshotFailed    = define(3024, Warning, "snapshot not written, tried again later")
+	DrainUnwarned     = define(3111, Warning, "data centre taken out before all slowed clients were told")
 )
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	pb "chervilridge/api/chervil/v1"
 )
@@ -24,6 +25,8 @@
 		return fmt.Errorf("name %q is not 1 to %d letters, digits, dots, dashes or underscores", r.Name, maxNameLength)
 	case r.Weight < 1 || r.Weight > maxWeight:
 		return fmt.Errorf("weight %d of %s is out of range 1 to %d", r.Weight, r.Name, maxWeight)
+	case !utf8.ValidString(r.Notice):
+		return fmt.Errorf("notice of %s is not UTF-8 text", r.Name)
 	case len(r.Notice) > maxNoticeLength:
 		return fmt.Errorf("notice of %s is longer than %d bytes", r.Name, maxNoticeLength)
 	case r.Kind == pb.RowKind_ROW_KIND_DATA_CENTRE && r.Region == "":
@@ -31,9 +34,48 @@
 	case r.Out && r.Kind != pb.RowKind_ROW_KIND_DATA_CENTRE:
 		return fmt.Errorf("only a data centre can be out of service, %s is none", r.Name)
 	}
+	if err := checkReferences(r); err != nil {
+		return err
+	}
 	return checkQuota(r)
 }
 
+func checkReferences(r *pb.Row) error {
+	for _, name := range append([]string{r.Team, r.Region}, r.DataCentres...) {
+		if name != "" && !validName(name) {
+			return fmt.Errorf("%q in the row of %s is not a name of 1 to %d letters, digits, dots, dashes or underscores", name, r.Name, maxNameLength)
+		}
+	}
+	return nil
+}
+
+// CheckTogether returns what is wrong with rows beside the table that they are
+// to join: data centres and teams that have no row.
+func (t *Table) CheckTogether(lines []Line) error {
+	joined := map[Key]bool{}
+	for key := range t.rows {
+		joined[key] = true
+	}
+	for _, l := range lines {
+		joined[Key{l.Row.Kind, l.Row.Name}] = true
+	}
+	var wrong mistakes
+	for _, l := range lines {
+		for _, name := range l.Row.DataCentres {
+			if !joined[Key{pb.RowKind_ROW_KIND_DATA_CENTRE, name}] {
+				wrong.add(l.Number, fmt.Errorf("data centre %s of %s has no row", name, l.Row.Name))
+			}
+		}
+		if l.Row.Team != "" && !joined[Key{pb.RowKind_ROW_KIND_TEAM, l.Row.Team}] {
+			wrong.add(l.Number, fmt.Errorf("team %s of %s has no row", l.Row.Team, l.Row.Name))
+		}
+	}
+	if len(wrong) == 0 {
+		return nil
+	}
+	return wrong.err()
+}
+
 func checkQuota(r *pb.Row) error {
 	q := r.Quota
 	if q != nil && (q.CpuMilli < 0 || q.MemoryMb < 0 || q.Accelerators < 0) {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -26,9 +26,13 @@
 type Table struct {
 	version uint64
 	rows    map[Key]*pb.Row
-	notices []*pb.NoticeGiven
+	notices []*pb.NoticeGiven // newest of each client and subject, oldest first
+	deleted []*pb.Row         // newest deletions, oldest first
 }
 
+// maxDeleted is how many deletions are remembered, to name their authors.
+const maxDeleted = 256
+
 // New returns an empty table.
 func New() *Table {
 	return &Table{rows: map[Key]*pb.Row{}}
@@ -73,7 +77,7 @@
 	case *pb.Record_RowPut:
 		return t.put(rec.Author, body.RowPut)
 	case *pb.Record_RowDelete:
-		return t.remove(body.RowDelete)
+		return t.remove(rec.Author, body.RowDelete)
 	case *pb.Record_DataCentreChange:
 		return t.changeDataCentre(rec.Author, body.DataCentreChange)
 	case *pb.Record_NoticeGiven:
@@ -88,6 +92,7 @@
 	}
 	key := Key{p.Row.Kind, p.Row.Name}
 	if rej := t.checkBase(key, p.BaseVersion); rej != nil {
+		rej.Detail += Differences(t.rows[key], p.Row)
 		return rej
 	}
 	t.set(key, proto.CloneOf(p.Row), author)
@@ -101,16 +106,18 @@
 	t.rows[key] = row
 }
 
-func (t *Table) remove(d *pb.RowDelete) *ledger.Rejection {
+func (t *Table) remove(author string, d *pb.RowDelete) *ledger.Rejection {
 	key := Key{d.Kind, d.Name}
-	if t.rows[key] == nil {
-		return ledger.Reject(ledger.ReasonNotFound, "no row %s", d.Name)
-	}
 	if rej := t.checkBase(key, d.BaseVersion); rej != nil {
 		return rej
 	}
+	if t.rows[key] == nil {
+		return ledger.Reject(ledger.ReasonNotFound, "no row %s", d.Name)
+	}
 	t.version++
 	delete(t.rows, key)
+	t.deleted = append(t.deleted, &pb.Row{Kind: d.Kind, Name: d.Name, Version: t.version, ChangedBy: author})
+	t.deleted = t.deleted[max(0, len(t.deleted)-maxDeleted):]
 	return nil
 }
 
@@ -134,29 +141,46 @@
 		return ledger.Reject(ledger.ReasonInvalid, "a notice names a client and a subject")
 	}
 	t.version++
-	t.notices = append(t.notices, proto.CloneOf(n))
+	older := func(o *pb.NoticeGiven) bool { return o.Client == n.Client && o.Subject == n.Subject }
+	t.notices = append(slices.DeleteFunc(slices.Clone(t.notices), older), proto.CloneOf(n))
 	return nil
 }
 
 // checkBase rejects a change that builds on another version than the row has,
-// and names who changed the row.
+// and names who changed or deleted the row.
 func (t *Table) checkBase(key Key, base uint64) *ledger.Rejection {
-	current, author := uint64(0), ""
-	if row := t.rows[key]; row != nil {
-		current, author = row.Version, row.ChangedBy
-	}
-	if current == base {
+	row := t.rows[key]
+	if row.GetVersion() == base {
 		return nil
 	}
-	rej := ledger.Reject(ledger.ReasonStaleVersion,
-		"row %s is at version %d, the change builds on %d", key.Name, current, base)
-	rej.Winner = author
+	if row != nil {
+		rej := ledger.Reject(ledger.ReasonStaleVersion,
+			"row %s is at version %d, the change builds on %d", key.Name, row.Version, base)
+		rej.Winner = row.ChangedBy
+		return rej
+	}
+	rej := ledger.Reject(ledger.ReasonStaleVersion, "row %s was deleted, the change builds on version %d", key.Name, base)
+	for _, d := range t.deleted {
+		if d.Kind == key.Kind && d.Name == key.Name {
+			rej.Winner = d.ChangedBy
+		}
+	}
+	return rej
+}
+
+// CheckBase returns why a change that builds on the version would lose, or nil.
+func (t *Table) CheckBase(row *pb.Row) *ledger.Rejection {
+	key := Key{row.Kind, row.Name}
+	rej := t.checkBase(key, row.Version)
+	if rej != nil {
+		rej.Detail += Differences(t.rows[key], row)
+	}
 	return rej
 }
 
 // Snapshot implements ledger.Machine.
 func (t *Table) Snapshot() ([]byte, error) {
-	state := &pb.TableState{Version: t.version, Rows: t.Rows(), Notices: t.notices}
+	state := &pb.TableState{Version: t.version, Rows: t.Rows(), Notices: t.notices, Deleted: t.deleted}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(state)
 }
 
@@ -166,7 +190,7 @@
 	if err := proto.Unmarshal(data, state); err != nil {
 		return err
 	}
-	t.version, t.notices = state.Version, state.Notices
+	t.version, t.notices, t.deleted = state.Version, state.Notices, state.Deleted
 	t.rows = make(map[Key]*pb.Row, len(state.Rows))
 	for _, r := range state.Rows {
 		t.rows[Key{r.Kind, r.Name}] = r
--- a/internal/table/view/view.go
+++ b/internal/table/view/view.go
@@ -55,3 +55,23 @@
 // Age returns how old the table is, also one that a peer gave; false while there
 // is none.
 func (v *View) Age() (time.Duration, bool) { return v.follower.StateAge() }
+
+// CheckLines returns what speaks against writing the rows of a file: names that
+// have no row, and rows that others changed since.
+func (v *View) CheckLines(lines []table.Line) (lost []Lost, err error) {
+	v.follower.View(func(t *table.Table) {
+		err = t.CheckTogether(lines)
+		for _, l := range lines {
+			if rej := t.CheckBase(l.Row); rej != nil {
+				lost = append(lost, Lost{Line: l, Rejection: rej})
+			}
+		}
+	})
+	return lost, err
+}
+
+// Lost is a row that builds on another version than the one in force.
+type Lost struct {
+	Line      table.Line
+	Rejection *ledger.Rejection
+}
