--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"chervilridge/internal/ledger"
 	"chervilridge/internal/request/parse"
 	"chervilridge/internal/request/pick"
 	"chervilridge/internal/settings"
@@ -33,6 +34,8 @@
 	Policy          *string
 	DataCentre      *string
 	Hop             *time.Duration
+	SnapshotEvery   *time.Duration
+	SnapshotEntries *int64
 }
 
 // NewOptions adds the settings to the set.
@@ -59,6 +62,8 @@
 		Policy:          set.Choice("policy", pick.NameNearLeastTime, "routing policy", pick.Names()...),
 		DataCentre:      set.String("data-centre", "", "data centre of this entry; empty prefers no endpoint for being near", false),
 		Hop:             set.Duration("data-centre-hop", 500*time.Microsecond, 0, time.Second, "one-way delay to another data centre"),
+		SnapshotEvery:   set.Duration("snapshot-every", 5*time.Minute, time.Second, 24*time.Hour, "longest time between snapshots of a stream; at most a third of the log's retention"),
+		SnapshotEntries: set.Int("snapshot-entries", 5000, 10, 10_000_000, "entries", "most entries between snapshots of a stream; at most a third of the log's retention"),
 	}
 }
 
@@ -66,3 +71,10 @@
 func (o *Options) Limits() parse.Limits {
 	return parse.Limits{MaxBodyBytes: *o.MaxBody, DefaultDeadline: *o.DefaultDeadline, MaxDeadline: *o.MaxDeadline}
 }
+
+// snapshots returns when the entries write snapshots of the table and the
+// claims. The entries do it since they are few and write these streams anyway;
+// which of them does is settled by who begins first.
+func (o *Options) snapshots() ledger.SnapshotOptions {
+	return ledger.SnapshotOptions{Every: *o.SnapshotEvery, Entries: uint64(*o.SnapshotEntries)}
+}
--- a/internal/table/view/view.go
+++ b/internal/table/view/view.go
@@ -2,6 +2,8 @@
 package view
 
 import (
+	"time"
+
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/table"
@@ -49,3 +51,27 @@
 	v.follower.View(func(t *table.Table) { n = t.Version() })
 	return n
 }
+
+// Age returns how old the table is, also one that a peer gave; false while there
+// is none.
+func (v *View) Age() (time.Duration, bool) { return v.follower.StateAge() }
+
+// CheckLines returns what speaks against writing the rows of a file: names that
+// have no row, and rows that others changed since.
+func (v *View) CheckLines(lines []table.Line) (lost []Lost, err error) {
+	v.follower.View(func(t *table.Table) {
+		err = t.CheckTogether(lines)
+		for _, l := range lines {
+			if rej := t.CheckBase(l.Row); rej != nil {
+				lost = append(lost, Lost{Line: l, Rejection: rej})
+			}
+		}
+	})
+	return lost, err
+}
+
+// Lost is a row that builds on another version than the one in force.
+type Lost struct {
+	Line      table.Line
+	Rejection *ledger.Rejection
+}
