--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -84,6 +85,7 @@
 func (o *Owner) assign(ctx context.Context, epoch uint64, key attemptKey, a placement.Assignment) {
 	v, err := o.commit(ctx, epoch, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: key.ref.JobID, Index: key.ref.Index, Attempt: key.attempt, Worker: a.Worker, Reserved: a.Reserved,
+		Detail: whyThere(a),
 	}}})
 	o.noteLog(err)
 	if err != nil || v.Rejection != nil {
@@ -95,6 +97,16 @@
 	o.start(ctx, epoch, key, a.Worker)
 }
 
+// whyThere tells people why a task was given to its worker.
+func whyThere(a placement.Assignment) string {
+	urgent := ""
+	if a.Task.Urgent {
+		urgent = ", urgent"
+	}
+	return fmt.Sprintf("best score %.3f for %d m cores, %d MB, %d accelerators%s", a.Score,
+		a.Reserved.GetCpuMilli(), a.Reserved.GetMemoryMb(), a.Reserved.GetAccelerators(), urgent)
+}
+
 // start sends the start, unless the lease, the worker or its data centre have
 // gone meanwhile; then the attempt is given back as never started.
 func (o *Owner) start(ctx context.Context, epoch uint64, key attemptKey, worker string) {
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -43,7 +43,8 @@
 		job.Spec.MaxFailures = DefaultMaxFailures
 	}
 	for i := range j.Spec.Tasks {
-		task := &pb.Task{Index: i, State: pb.TaskState_TASK_STATE_PENDING, ChangedMs: rec.TimeMs}
+		task := &pb.Task{Index: i, State: pb.TaskState_TASK_STATE_PENDING}
+		note(rec, task, eventSubmitted, "by team "+j.Spec.Team+" as job class "+j.Spec.JobClass)
 		job.Tasks = append(job.Tasks, task)
 		s.pending[TaskRef{j.JobId, i}] = task
 	}
@@ -58,6 +59,7 @@
 	for _, id := range c.JobIds {
 		if job := s.jobs[id]; job != nil {
 			known++
+			noteCancel(rec, job)
 			job.Cancelled = true
 			s.endWaiting(rec, job, pb.TaskState_TASK_STATE_CANCELLED, "job cancelled")
 		}
@@ -86,7 +88,16 @@
 		task.State = state
 		task.Reason = reason
 		delete(s.pending, TaskRef{job.Id, task.Index})
-		note(rec, task, state.String(), reason)
+		note(rec, task, eventEnded+stateName(state), reason)
+	}
+}
+
+// noteCancel tells the granted tasks' history of the first cancellation.
+func noteCancel(rec *pb.Record, job *pb.Job) {
+	for _, task := range job.Tasks {
+		if !job.Cancelled && task.State == pb.TaskState_TASK_STATE_ASSIGNED {
+			note(rec, task, eventCancel, "")
+		}
 	}
 }
 
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"fmt"
+	"strings"
+
 	"google.golang.org/protobuf/proto"
 
 	pb "chervilridge/api/chervil/v1"
@@ -35,7 +38,7 @@
 	worker.Reserved = resources.Add(worker.Reserved, a.Reserved)
 	worker.Assigned[ref] = task
 	delete(s.pending, ref)
-	note(rec, task, "assigned", "")
+	note(rec, task, eventAssigned, a.Detail)
 	return nil
 }
 
@@ -69,11 +72,40 @@
 		task.Failures++
 	}
 	task.Reason = r.Detail
-	note(rec, task, r.Reason.String(), r.Detail)
+	note(rec, task, eventReleased+reasonName(r.Reason), releaseDetail(r))
 	s.settle(ref, job, task)
+	if task.State != pb.TaskState_TASK_STATE_PENDING {
+		note(rec, task, eventEnded+stateName(task.State), task.Reason)
+	}
 	return nil
 }
 
+// What the history of a task calls its steps.
+const (
+	eventSubmitted = "submitted"
+	eventAssigned  = "assigned"
+	eventReleased  = "released: "
+	eventFinished  = "finished"
+	eventCancel    = "cancel requested"
+	eventEnded     = "ended: "
+)
+
+func reasonName(r pb.ReleaseReason) string {
+	name := strings.TrimPrefix(r.String(), "RELEASE_REASON_")
+	return strings.ReplaceAll(strings.ToLower(name), "_", " ")
+}
+
+func stateName(s pb.TaskState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "TASK_STATE_"))
+}
+
+func releaseDetail(r *pb.TaskReleased) string {
+	if len(r.Checkpoint) == 0 {
+		return r.Detail
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%s, checkpoint of %d bytes", r.Detail, len(r.Checkpoint)), ", ")
+}
+
 // settle decides what a released task becomes.
 func (s *State) settle(ref TaskRef, job *pb.Job, task *pb.Task) {
 	switch {
@@ -96,9 +128,10 @@
 	if task.Failures >= job.Spec.MaxFailures*sameWorkerFailures {
 		return true
 	}
+	failed := eventReleased + reasonName(pb.ReleaseReason_RELEASE_REASON_FAILED)
 	workers := map[string]bool{}
 	for _, e := range task.History {
-		if e.What == pb.ReleaseReason_RELEASE_REASON_FAILED.String() {
+		if e.What == failed {
 			workers[e.Worker] = true
 		}
 	}
@@ -117,7 +150,7 @@
 	task.State = pb.TaskState_TASK_STATE_FINISHED
 	task.Result = f.Result
 	task.Checkpoint = nil
-	note(rec, task, "finished", "")
+	note(rec, task, eventFinished, fmt.Sprintf("ran %d ms, result of %d bytes", f.RanMs, len(f.Result)))
 	return nil
 }
 
