Co-location control in the agent, and the owner's pace under test

Cause: nothing acted on the service's latency in line; an evicted task would have gone straight back to the worker it had to leave. Ruled out: control by the platform's usage figures (they lag) and by the ten second window of the heartbeats (an action shows too late in it). Change: internal/agent/colocation decides purely from latency over target, slot load and what runs: halve every share, the floor at once when severe, evict only when the floor was not enough, within a budget, never an attempt younger than the minimum run, the victim with the most relief for each second of lost work; restore in steps, approaching by halves a share that proved too high; an idle service releases what was throttled. Worker shares and evictions go through the grants; a worker gets nothing new for a while after an eviction.

--- a/internal/agent/grants/grants_test.go
+++ b/internal/agent/grants/grants_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/agent/colocation"
 	"chervilridge/internal/platform"
 	"chervilridge/internal/standin/worker"
 )
@@ -238,3 +239,37 @@
 	now = end.Add(time.Millisecond)
 	assert.Equal(t, len(w.Running()), 0, "runs beyond the end of the grant")
 }
+
+// troubled is a service far over its target.
+type troubled struct{}
+
+func (troubled) Recent() (p99, target time.Duration, samples int64) {
+	return time.Second, 100 * time.Millisecond, 1000
+}
+func (troubled) LoadMilli() uint32 { return 500 }
+func (troubled) Name() string      { return "s" }
+
+// TestControlThrottlesThenEvicts runs the control over the real grants: the
+// eviction is reported with its reason and checkpoint.
+func TestControlThrottlesThenEvicts(t *testing.T) {
+	b := newBench(time.Minute)
+	req := start(b.grants, "j", 1)
+	_, err := b.grants.StartTask(t.Context(), req)
+	assert.NilError(t, err)
+	policy := colocation.DefaultPolicy()
+	policy.Settle, policy.MinRun = 0, 0
+	control := colocation.New(policy, troubled{}, b.grants)
+	control.Round(t.Context())
+	attempts, err := b.grants.Attempts(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, attempts[0].ShareMilli, policy.FloorMilli, "throttled first")
+	for range policy.EvictRounds {
+		control.Round(t.Context())
+	}
+	list, err := b.worker.List(t.Context())
+	assert.NilError(t, err)
+	report := b.grants.report(list[0])
+	assert.Equal(t, report.State, pb.AttemptState_ATTEMPT_STATE_STOPPED)
+	assert.Equal(t, report.Reason, pb.ReleaseReason_RELEASE_REASON_EVICTED)
+	assert.Check(t, len(report.Checkpoint) > 0)
+}
--- a/internal/agent/grants/held.go
+++ b/internal/agent/grants/held.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/agent/colocation"
 	"chervilridge/internal/platform"
 	"chervilridge/internal/resources"
 )
@@ -13,6 +14,9 @@
 type hold struct {
 	key      platform.TaskKey
 	reserved *pb.Resources
+	jobClass string
+	// shareMilli is the share of its processors; 0 if it is not known.
+	shareMilli uint32
 	// until is the end of the grant; zero if it is not known.
 	until time.Time
 	// doubtful means that the start had no answer.
@@ -27,7 +31,10 @@
 func (g *Grants) hold(key platform.TaskKey, req *pb.StartTaskRequest, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.held[key] = &hold{key: key, reserved: req.Reserved, until: until, doubtful: true, checkpointed: time.Now()}
+	g.held[key] = &hold{
+		key: key, reserved: req.Reserved, jobClass: req.JobClass, shareMilli: colocation.FullShare,
+		until: until, doubtful: true, checkpointed: time.Now(),
+	}
 }
 
 // settle notes that the worker has answered for the attempt.
@@ -116,6 +123,7 @@
 	if h == nil {
 		return
 	}
+	r.ShareMilli = h.shareMilli
 	if len(r.Checkpoint) == 0 {
 		r.Checkpoint = h.checkpoint
 	}
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -47,13 +47,14 @@
 	service string
 	slots   int
 	window  *latency.Window
+	recent  *latency.Window
 	gate    *admission.Gate
 	run     *runner.Runner
 	table   *view.View
 }
 
-func newServiceView(o *Options, w *latency.Window, g *admission.Gate, run *runner.Runner, v *view.View) *serviceView {
-	return &serviceView{service: *o.Service, slots: int(*o.Slots), window: w, gate: g, run: run, table: v}
+func newServiceView(o *Options, w *latency.Window, recent recentWindow, g *admission.Gate, run *runner.Runner, v *view.View) *serviceView {
+	return &serviceView{service: *o.Service, slots: int(*o.Slots), window: w, recent: recent.Window, gate: g, run: run, table: v}
 }
 
 // Name returns the name of the service.
@@ -66,6 +67,14 @@
 	return p99, time.Duration(row.GetLatencyTargetMs()) * time.Millisecond
 }
 
+// Recent returns the 99th percentile over a short window, its target and the
+// number of answers in the window.
+func (s *serviceView) Recent() (p99, target time.Duration, samples int64) {
+	p99, samples = s.recent.P99()
+	_, target = s.Latency()
+	return p99, target, samples
+}
+
 // LoadMilli returns the share of the slots in use in thousandths.
 func (s *serviceView) LoadMilli() uint32 {
 	running, _ := s.gate.Load()
--- a/internal/agent/latency/latency.go
+++ b/internal/agent/latency/latency.go
@@ -66,3 +66,13 @@
 	}
 	w.began = now
 }
+
+// Windows observes into several windows of different lengths.
+type Windows []*Window
+
+// Observe adds one latency to each window.
+func (ws Windows) Observe(d time.Duration) {
+	for _, w := range ws {
+		w.Observe(d)
+	}
+}
--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -11,6 +11,7 @@
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/agent/admission"
 	"chervilridge/internal/agent/announce"
+	"chervilridge/internal/agent/colocation"
 	"chervilridge/internal/agent/execution"
 	"chervilridge/internal/agent/grants"
 	"chervilridge/internal/agent/latency"
@@ -30,7 +31,10 @@
 
 const (
 	latencyWindow = 10 * time.Second
-	probeEvery    = time.Second
+	// controlWindow is short, so that an action soon shows in it.
+	controlWindow   = 2 * time.Second
+	controlInterval = 500 * time.Millisecond
+	probeEvery      = time.Second
 	// firstServiceTime judges the wait for a slot before any was measured.
 	firstServiceTime = 5 * time.Millisecond
 )
@@ -48,7 +52,7 @@
 		fx.Supply(set, options),
 		fx.Provide(
 			process.NewBackground, telemetry.New, peer.NewPool, peer.NewServer,
-			newIdentity, newLog, newTable, newView, newRunner, newGate, newStore, newLatency,
+			newIdentity, newLog, newTable, newView, newRunner, newGate, newStore, newLatency, newControlWindow,
 			newHealth, newServiceView, newAnnouncer, newShardOwners,
 		),
 		fx.Invoke(serveMetrics, runWorker, serveGRPC, leave),
@@ -78,11 +82,16 @@
 
 func newLatency() *latency.Window { return latency.NewWindow(latencyWindow) }
 
-func newRunner(o *Options, id Identity, gate *admission.Gate, store *execution.Store, window *latency.Window) *runner.Runner {
+// recentWindow is the latency window of the co-location control.
+type recentWindow struct{ *latency.Window }
+
+func newControlWindow() recentWindow { return recentWindow{latency.NewWindow(controlWindow)} }
+
+func newRunner(o *Options, id Identity, gate *admission.Gate, store *execution.Store, window *latency.Window, recent recentWindow) *runner.Runner {
 	return runner.New(runner.Options{
 		Agent: id.Name, Incarnation: id.Incarnation, Service: *o.Service,
 		Endpoint: *o.Endpoint, Connections: int(*o.Connections),
-	}, gate, store, window)
+	}, gate, store, latency.Windows{window, recent.Window})
 }
 
 func newAnnouncer(o *Options, id Identity, gate *admission.Gate, run *runner.Runner, h *health,
@@ -114,6 +123,8 @@
 	}, worker)
 	pb.RegisterTaskRunnerServer(server, g)
 	bg.Go(grants.NewBeater(g, a, s, pool, *o.GRPCAddress, *o.BeatEvery).Run)
+	control := colocation.New(colocation.DefaultPolicy(), s, g)
+	bg.Go(func(ctx context.Context) { control.Run(ctx, controlInterval) })
 }
 
 func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
--- a/internal/matrix/cluster.go
+++ b/internal/matrix/cluster.go
@@ -35,6 +35,7 @@
 	confirmAfter    = 200 * time.Millisecond
 	checkpointEvery = 30 * time.Millisecond
 	poll            = 40 * time.Millisecond
+	evictPause      = 100 * time.Millisecond
 	// outGrace is how long after its acceptance a start may still happen in a
 	// data centre that was taken out.
 	outGrace         = tableFreshness + startAllowance + callDelay
@@ -192,7 +193,7 @@
 	n.lease = ownership.New(ownership.Options{Owner: incarnation, Address: n.address, Lease: lease}, n.state, committer)
 	scheduler := owner.New(owner.Options{
 		Grant: grant, WorkerSilence: 4 * beatEvery, Lease: lease, StartAllowance: startAllowance,
-		TableFreshness: tableFreshness, ConfirmAfter: confirmAfter,
+		TableFreshness: tableFreshness, ConfirmAfter: confirmAfter, EvictPause: evictPause,
 	}, n.lease, n.state, rows, committer, n.pool)
 	pb.RegisterShardOwnerServiceServer(n.server, scheduler)
 	for _, run := range []func(context.Context){rows.Run, n.state.Run, committer.Run, n.lease.Run, scheduler.Run} {
--- a/internal/scheduler/owner/beat.go
+++ b/internal/scheduler/owner/beat.go
@@ -110,6 +110,12 @@
 	case !running:
 		return verdictRecord
 	}
+	return o.renew(key, r)
+}
+
+// renew extends a granted attempt, unless its grant has ended: from then on it is
+// being released.
+func (o *Owner) renew(key attemptKey, r *pb.AttemptReport) verdict {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	v := o.view(key)
--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -28,6 +28,8 @@
 	// confirmAfter is how long a granted attempt may go unreported before the
 	// agent is asked about it.
 	confirmAfter = 3 * time.Second
+	// evictPause lets the service beside a worker recover.
+	evictPause = 15 * time.Second
 	// grantMarginShare is the part of a grant added for clocks that run at
 	// different rates.
 	grantMarginShare = 10
@@ -44,12 +46,15 @@
 	StartAllowance time.Duration
 	TableFreshness time.Duration
 	ConfirmAfter   time.Duration
+	// EvictPause is how long a worker gets nothing new after an eviction.
+	EvictPause time.Duration
 }
 
 func (o Options) withDefaults() Options {
 	o.StartAllowance = cmp.Or(o.StartAllowance, StartAllowance)
 	o.TableFreshness = cmp.Or(o.TableFreshness, TableFreshness)
 	o.ConfirmAfter = cmp.Or(o.ConfirmAfter, confirmAfter)
+	o.EvictPause = cmp.Or(o.EvictPause, evictPause)
 	return o
 }
 
--- a/internal/scheduler/owner/pace.go
+++ b/internal/scheduler/owner/pace.go
@@ -53,6 +53,8 @@
 	backoff
 	attempts int
 	jobs     map[string]bool
+	// evicted is the end of the pause after an eviction.
+	evicted time.Time
 }
 
 func newPace() *pace {
@@ -78,7 +80,7 @@
 		}
 	}
 	for i, w := range snap.Workers {
-		if f := o.pace.workers[w.Name]; f != nil && f.waits(now) {
+		if f := o.pace.workers[w.Name]; f != nil && (f.waits(now) || now.Before(f.evicted)) {
 			snap.Workers[i].Ready = false
 		}
 	}
@@ -141,19 +143,33 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.pace.tasks, ref)
-	delete(o.pace.workers, worker)
+	if f := o.pace.workers[worker]; f != nil {
+		o.pace.workers[worker] = &workerFaults{jobs: map[string]bool{}, evicted: f.evicted}
+	}
 }
 
-// noteFailed counts a failed attempt on a worker. One that is the worker's own
-// fault holds the worker back at once, others when they look like its fault.
-func (o *Owner) noteFailed(ref shard.TaskRef, worker string, workerFault bool) {
+// noteEvicted keeps new work from a worker whose service had to be relieved.
+func (o *Owner) noteEvicted(worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	f := o.pace.workers[worker]
+	o.pace.faultsOf(worker).evicted = time.Now().Add(o.options.EvictPause)
+}
+
+func (p *pace) faultsOf(worker string) *workerFaults {
+	f := p.workers[worker]
 	if f == nil {
 		f = &workerFaults{jobs: map[string]bool{}}
-		o.pace.workers[worker] = f
+		p.workers[worker] = f
 	}
+	return f
+}
+
+// noteFailed counts a failed attempt on a worker. One that is the worker's own
+// fault holds the worker back at once, others when they look like its fault.
+func (o *Owner) noteFailed(ref shard.TaskRef, worker string, workerFault bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.pace.faultsOf(worker)
 	f.attempts++
 	f.jobs[ref.JobID] = true
 	suspect := f.attempts >= suspectFailures && len(f.jobs) >= suspectJobs
--- a/internal/scheduler/owner/reconcile.go
+++ b/internal/scheduler/owner/reconcile.go
@@ -242,6 +242,8 @@
 // noteRelease holds back what failed.
 func (o *Owner) noteRelease(key attemptKey, reason pb.ReleaseReason) {
 	switch reason {
+	case pb.ReleaseReason_RELEASE_REASON_EVICTED:
+		o.noteEvicted(o.workerOf(key.ref))
 	case pb.ReleaseReason_RELEASE_REASON_NOT_STARTED:
 		o.noteNotStarted(key.ref)
 	case pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT:
