--- a/internal/matrix/cluster.go
+++ b/internal/matrix/cluster.go
@@ -41,6 +41,9 @@
 	outGrace         = tableFreshness + startAllowance + callDelay
 	appendsPerSecond = 200
 
+	// retention is how long the log keeps a record on its own clock, which jumps.
+	retention = time.Hour
+
 	workerCPU    = 4000
 	workerMemory = 4096
 	drained      = "dc-b"
@@ -49,6 +52,7 @@
 // cluster is three agents with their workers over one log, in this process.
 type cluster struct {
 	ctx      context.Context
+	jumped   atomic.Int64 // nanoseconds that the log's clock is ahead
 	store    *logstore.Store
 	recorder *worker.Recorder
 	workers  map[string]*worker.Worker
@@ -60,6 +64,7 @@
 	opGate   *gate
 
 	slow    atomic.Bool
+	gap     atomic.Bool // whether a node missed what the log has forgotten
 	stepped atomic.Bool
 
 	mu     sync.Mutex
@@ -90,10 +95,11 @@
 
 func newCluster(ctx context.Context) (*cluster, error) {
 	c := &cluster{
-		ctx: ctx, store: logstore.New(logstore.Options{}), recorder: worker.NewRecorder(), pool: peer.NewPool(),
+		ctx: ctx, recorder: worker.NewRecorder(), pool: peer.NewPool(),
 		workers: map[string]*worker.Worker{}, nodes: map[string]*node{}, epochs: map[uint64]*gate{},
 		opGate: &gate{}, met: make(chan struct{}),
 	}
+	c.store = logstore.New(logstore.Options{RetainFor: retention, Now: c.logNow})
 	c.recorder.FollowsLedger()
 	c.observe()
 	for _, name := range names {
--- a/internal/matrix/faults.go
+++ b/internal/matrix/faults.go
@@ -24,6 +24,7 @@
 	StepRenew      Step = "renew"
 	StepCheckpoint Step = "checkpoint"
 	StepEvict      Step = "evict"
+	StepRelease    Step = "release"
 	StepResume     Step = "resume"
 	StepComplete   Step = "complete"
 	StepCancel     Step = "cancel"
@@ -38,7 +39,7 @@
 // Steps lists the steps in order of a task's life.
 var Steps = []Step{
 	StepClaim, StepAssign, StepStart, StepRenew, StepCheckpoint, StepEvict,
-	StepResume, StepComplete, StepCancel, StepStop, StepConfigure,
+	StepRelease, StepResume, StepComplete, StepCancel, StepStop, StepConfigure,
 }
 
 // onWorker maps a step to the call on the worker within it.
@@ -53,6 +54,8 @@
 	pauseTime = 2 * lease              // of a paused process
 	cutTime   = 2 * grant
 	slowTime  = time.Second
+	// lateTime is longer than an owner waits for a silent agent.
+	lateTime  = startAllowance + grant + grant/5 + 250*time.Millisecond
 	drainTime = time.Second
 )
 
@@ -68,6 +71,8 @@
 	NotApplicable func(step Step) string
 }
 
+const faultRetention = "retention passed"
+
 // Faults lists the faults of the design page.
 var Faults = []Fault{
 	{Name: "kill agent", Strike: killAgent},
@@ -79,13 +84,14 @@
 	{Name: "one-way silence", Strike: muteAgent},
 	{Name: "slow", Strike: slowAll},
 	{Name: "answer lost", Strike: func(*cluster, Step, string) directive { return directive{loseAnswer: true} }},
+	{Name: "late delivery", Strike: deliverLate},
 	{Name: "doubled", Strike: func(*cluster, Step, string) directive { return directive{double: true} }},
 	{Name: "worker answer lost", Worker: true, Strike: func(*cluster, Step, string) directive { return directive{loseAnswer: true} }},
 	{Name: "worker late effect", Worker: true, Strike: func(*cluster, Step, string) directive { return directive{late: true} }},
 	{Name: "worker doubled", Worker: true, Strike: func(*cluster, Step, string) directive { return directive{double: true} }},
 	{Name: "clock step", Strike: stepClock},
 	{Name: "log down long", Strike: logDown},
-	{Name: "retention passed", NotApplicable: func(Step) string { return "not exercised: this harness writes no snapshots" }},
+	{Name: faultRetention, Strike: passRetention},
 	{Name: "restart all", Strike: restartAll},
 	{Name: "two operators", Strike: twoOperators, NotApplicable: notConfigure},
 	{Name: "drain and takeover", Strike: drainAndTakeover, NotApplicable: notConfigure},
@@ -186,6 +192,15 @@
 	return directive{}
 }
 
+// deliverLate keeps one message back until its sender has given it up, and cuts
+// its receiver off meanwhile, so that nobody can ask about it.
+func deliverLate(c *cluster, _ Step, node string) directive {
+	g := c.target(node).gate
+	g.set(func(g *gate) { g.cut = true })
+	time.AfterFunc(lateTime, func() { g.set(func(g *gate) { g.cut = false }) })
+	return directive{hold: lateTime}
+}
+
 func slowAll(c *cluster, _ Step, _ string) directive {
 	c.slow.Store(true)
 	time.AfterFunc(slowTime, func() { c.slow.Store(false) })
@@ -203,6 +218,21 @@
 	return directive{}
 }
 
+// passRetention pauses the owner while the log forgets what it has not read yet.
+// It wakes up with a gap and takes its state from a snapshot.
+func passRetention(c *cluster, step Step, node string) directive {
+	n := c.ownerAt(step, node)
+	n.gate.pause()
+	go func() {
+		c.sleep(pauseTime)
+		if err := c.forget(n); err != nil {
+			c.note(err.Error())
+		}
+		n.gate.resume()
+	}()
+	return directive{}
+}
+
 func restartAll(c *cluster, _ Step, _ string) directive {
 	for _, n := range c.all() {
 		c.replace(n)
--- a/internal/matrix/matrix.go
+++ b/internal/matrix/matrix.go
@@ -118,6 +118,9 @@
 	if v := c.verify(); len(v) > 0 {
 		return "FAIL", strings.Join(v, "; ")
 	}
+	if cell.Fault.Name == faultRetention && !c.gap.Load() {
+		return "not exercised", "the paused owner had read everything"
+	}
 	return "ok", ""
 }
 
@@ -129,7 +132,7 @@
 		c.submitJob(mainJob, mainTasks, mainPayload)
 		arm()
 		c.replace(c.owner())
-	case StepEvict, StepResume:
+	case StepEvict, StepRelease, StepResume:
 		arm()
 		c.submitJob(mainJob, mainTasks, mainPayload)
 		c.until(meetWait, func() bool { return c.evict(1) > 0 })
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -13,7 +13,7 @@
 	"chervilridge/internal/standin/logstore"
 )
 
-const parallelCells = 6
+const parallelCells = 8
 
 // TestMatrix runs every fault at every step. A cell that was not exercised is
 // printed as such and is not counted as passed.
--- a/internal/matrix/ports.go
+++ b/internal/matrix/ports.go
@@ -13,9 +13,10 @@
 
 // directive is what a fault asks of the very call that met it.
 type directive struct {
-	loseAnswer bool // the call takes effect, its caller learns nothing
-	double     bool // the call takes effect twice
-	late       bool // the call takes effect late, its caller learns nothing
+	loseAnswer bool          // the call takes effect, its caller learns nothing
+	double     bool          // the call takes effect twice
+	late       bool          // the call takes effect late, its caller learns nothing
+	hold       time.Duration // the call is kept back that long
 }
 
 const (
@@ -43,6 +44,7 @@
 		return 0, err
 	}
 	d := p.meet(batch)
+	p.cluster.sleep(d.hold)
 	if !p.gate.pass() {
 		return 0, platform.ErrUnavailable
 	}
@@ -87,6 +89,8 @@
 		return StepClaim
 	case *pb.Record_TaskAssigned:
 		return StepAssign
+	case *pb.Record_TaskReleased:
+		return StepRelease
 	case *pb.Record_TaskFinished:
 		return StepComplete
 	case *pb.Record_JobsCancelled:
@@ -173,6 +177,7 @@
 		return nil, errGone
 	}
 	d, _ := n.cluster.meet(stepOfMessage(req), n.name)
+	n.cluster.sleep(d.hold)
 	if (sender != nil && !sender.pass()) || !n.gate.pass() {
 		return nil, errGone
 	}
