A task leaves a worker that failed it; bounds on results

Cause: the emptiest worker is the one that fails everything, so a task went back to it until it was stopped for failures that were not its own. Ruled out: holding a worker back after failures of one job; a job that fails everywhere would pause workers for others. Change: a planned assignment to a worker that failed the task before is turned down a few times in a row, with a short rest of that worker so that planning finds another. A result above the bound is rejected by replay and counts as a failure of the task. An owner takes nothing from an agent that knows a newer one.

--- a/internal/matrix/faults.go
+++ b/internal/matrix/faults.go
@@ -7,7 +7,6 @@
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
-	"chervilridge/internal/platform"
 	"chervilridge/internal/standin/logstore"
 	"chervilridge/internal/standin/worker"
 	"chervilridge/internal/table"
@@ -51,7 +50,7 @@
 const (
 	downTime  = 200 * time.Millisecond // of a killed process
 	outage    = grant + lease          // of the log, longer than a grant
-	pauseTime = 2 * lease              // of a paused process
+	pauseTime = 5 * lease / 2          // of a paused process
 	cutTime   = 2 * grant
 	slowTime  = time.Second
 	// lateTime is longer than an owner waits for a silent agent.
@@ -291,16 +290,18 @@
 }
 
 // evict stops up to count running attempts the way the control of the
-// co-location does; it returns how many it tried.
+// co-location does, those of the long tasks first; it returns how many it tried.
 func (c *cluster) evict(count int) int {
 	tried := 0
-	for _, n := range c.all() {
-		for key := range c.workers[n.name].Running() {
-			if tried == count {
-				return tried
+	for _, job := range []string{sideJob, mainJob} {
+		for _, n := range c.all() {
+			for key := range c.workers[n.name].Running() {
+				if key.JobID != job || tried == count {
+					continue
+				}
+				tried++
+				_ = n.grants.Evict(c.ctx, key)
 			}
-			tried++
-			_ = n.grants.Evict(c.ctx, platform.TaskKey(key))
 		}
 	}
 	return tried
--- a/internal/matrix/matrix_test.go
+++ b/internal/matrix/matrix_test.go
@@ -11,6 +11,7 @@
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/shard"
 	"chervilridge/internal/standin/logstore"
+	"chervilridge/internal/standin/worker"
 )
 
 const parallelCells = 8
@@ -75,3 +76,27 @@
 	}
 	return kept && task.State == pb.TaskState_TASK_STATE_FINISHED
 }
+
+// TestBlackHole lets one worker fail everything at once: every task is done by
+// the others, and the worker is not asked over and over.
+func TestBlackHole(t *testing.T) {
+	c, err := newCluster(t.Context())
+	assert.NilError(t, err)
+	defer c.close()
+	assert.Assert(t, c.until(readyWait, c.ready))
+	c.workers["n1"].SetFaults(worker.Faults{BlackHole: true})
+	c.submitJob(sideJob, 1, sidePayload)
+	c.submitJob(mainJob, mainTasks, mainPayload)
+	assert.Assert(t, c.until(settleWait, c.settled), c.describe())
+	assert.Equal(t, len(c.verify()), 0, "%v", c.recorder.Violations())
+	failures := uint32(0)
+	c.state.View(func(s *shard.State) {
+		for _, id := range s.Jobs() {
+			for _, task := range s.Job(id).Tasks {
+				failures += task.Failures
+			}
+		}
+	})
+	t.Logf("%d failed attempts of %d tasks", failures, mainTasks+1)
+	assert.Check(t, failures <= 2*(mainTasks+1), "%d failed attempts", failures)
+}
--- a/internal/scheduler/owner/beat.go
+++ b/internal/scheduler/owner/beat.go
@@ -74,6 +74,9 @@
 }
 
 func (o *Owner) answer(epoch uint64, req *pb.BeatRequest, r *pb.AttemptReport, reply *pb.BeatReply) {
+	if r.Epoch > epoch {
+		return // the agent has heard from a newer owner
+	}
 	key := attemptKey{shard.TaskRef{JobID: r.Attempt.JobId, Index: r.Attempt.Index}, r.Attempt.Attempt}
 	switch o.judge(key, req.Worker.Worker, r) {
 	case verdictRenew:
--- a/internal/scheduler/owner/pace.go
+++ b/internal/scheduler/owner/pace.go
@@ -23,11 +23,17 @@
 	// jobs, with none finished in between.
 	suspectFailures = 3
 	suspectJobs     = 2
+
+	// A task is kept from a worker that failed it, by a short pause of the worker
+	// so that planning finds another, at most that often in a row.
+	steerPause = 300 * time.Millisecond
+	maxSteers  = 4
 )
 
 // backoff doubles a pause with each failure in a row.
 type backoff struct {
 	failures int
+	steers   int // plans in a row that were turned down for the worker they chose
 	until    time.Time
 }
 
@@ -53,8 +59,9 @@
 	backoff
 	attempts int
 	jobs     map[string]bool
-	// evicted is the end of the pause after an eviction.
-	evicted time.Time
+	// rests is the end of the pause after an eviction or for a task to be steered
+	// elsewhere.
+	rests time.Time
 }
 
 func newPace() *pace {
@@ -80,7 +87,7 @@
 		}
 	}
 	for i, w := range snap.Workers {
-		if f := o.pace.workers[w.Name]; f != nil && (f.waits(now) || now.Before(f.evicted)) {
+		if f := o.pace.workers[w.Name]; f != nil && (f.waits(now) || now.Before(f.rests)) {
 			snap.Workers[i].Ready = false
 		}
 	}
@@ -130,11 +137,7 @@
 func (o *Owner) noteNotStarted(ref shard.TaskRef) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	b := o.pace.tasks[ref]
-	if b == nil {
-		b = &backoff{}
-		o.pace.tasks[ref] = b
-	}
+	b := o.pace.taskOf(ref)
 	b.fail(time.Now(), longestPause)
 }
 
@@ -144,7 +147,7 @@
 	defer o.mu.Unlock()
 	delete(o.pace.tasks, ref)
 	if f := o.pace.workers[worker]; f != nil {
-		o.pace.workers[worker] = &workerFaults{jobs: map[string]bool{}, evicted: f.evicted}
+		o.pace.workers[worker] = &workerFaults{jobs: map[string]bool{}, rests: f.rests}
 	}
 }
 
@@ -152,7 +155,45 @@
 func (o *Owner) noteEvicted(worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.pace.faultsOf(worker).evicted = time.Now().Add(o.options.EvictPause)
+	o.pace.faultsOf(worker).rest(time.Now().Add(o.options.EvictPause))
+}
+
+func (f *workerFaults) rest(until time.Time) {
+	if until.After(f.rests) {
+		f.rests = until
+	}
+}
+
+// steer reports whether the task should rather run on another worker than the
+// planned one, which failed it before.
+func (o *Owner) steer(ref shard.TaskRef, worker string) bool {
+	failed := false
+	o.state.View(func(s *shard.State) {
+		_, task := s.Task(ref)
+		failed = shard.FailedOn(task, worker)
+	})
+	if !failed {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b := o.pace.taskOf(ref)
+	if b.steers >= maxSteers {
+		b.steers = 0
+		return false
+	}
+	b.steers++
+	o.pace.faultsOf(worker).rest(time.Now().Add(steerPause))
+	return true
+}
+
+func (p *pace) taskOf(ref shard.TaskRef) *backoff {
+	b := p.tasks[ref]
+	if b == nil {
+		b = &backoff{}
+		p.tasks[ref] = b
+	}
+	return b
 }
 
 func (p *pace) faultsOf(worker string) *workerFaults {
--- a/internal/scheduler/owner/reconcile.go
+++ b/internal/scheduler/owner/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -205,6 +206,11 @@
 	}
 	switch r.State {
 	case pb.AttemptState_ATTEMPT_STATE_FINISHED:
+		if len(r.Result) > shard.MaxResultBytes {
+			detail := fmt.Sprintf("result has %d bytes, allowed are %d", len(r.Result), shard.MaxResultBytes)
+			o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_FAILED, nil, detail)
+			return
+		}
 		o.finish(ctx, epoch, key, r)
 	case pb.AttemptState_ATTEMPT_STATE_FAILED:
 		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_FAILED, r.Checkpoint, r.Detail)
--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -29,6 +29,9 @@
 	plan := placement.Make(snapshot)
 	for _, a := range plan.Assignments {
 		key := attemptKey{a.Task.Ref, a.Task.Attempt + 1}
+		if o.steer(a.Task.Ref, a.Worker) {
+			continue
+		}
 		if p := o.admit(key, a.Worker); p != nil {
 			go func() {
 				defer o.discharge(p, key, a.Worker)
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -88,6 +88,7 @@
 	eventFinished  = "finished"
 	eventCancel    = "cancel requested"
 	eventEnded     = "ended: "
+	eventFailed    = eventReleased + "failed"
 )
 
 func reasonName(r pb.ReleaseReason) string {
@@ -128,16 +129,25 @@
 	if task.Failures >= job.Spec.MaxFailures*sameWorkerFailures {
 		return true
 	}
-	failed := eventReleased + reasonName(pb.ReleaseReason_RELEASE_REASON_FAILED)
 	workers := map[string]bool{}
 	for _, e := range task.History {
-		if e.What == failed {
+		if e.What == eventFailed {
 			workers[e.Worker] = true
 		}
 	}
 	return len(workers) >= int(job.Spec.MaxFailures)
 }
 
+// FailedOn reports whether the task's kept history has a failure on the worker.
+func FailedOn(task *pb.Task, worker string) bool {
+	for _, e := range task.GetHistory() {
+		if e.Worker == worker && e.What == eventFailed {
+			return true
+		}
+	}
+	return false
+}
+
 // finish ends a task with its result, also one whose job was cancelled while
 // it ran: work that is done is not thrown away.
 func (s *State) finish(rec *pb.Record, f *pb.TaskFinished) *ledger.Rejection {
@@ -146,9 +156,13 @@
 	if rej != nil {
 		return rej
 	}
+	if len(f.Result) > MaxResultBytes {
+		return ledger.Reject(ledger.ReasonInvalid, "result has %d bytes, allowed are %d", len(f.Result), MaxResultBytes)
+	}
 	s.freeWorker(ref, task)
 	task.State = pb.TaskState_TASK_STATE_FINISHED
 	task.Result = f.Result
+	task.Reason = ""
 	task.Checkpoint = nil
 	note(rec, task, eventFinished, fmt.Sprintf("ran %d ms, result of %d bytes", f.RanMs, len(f.Result)))
 	return nil
--- a/internal/shard/task_test.go
+++ b/internal/shard/task_test.go
@@ -117,3 +117,33 @@
 		"ended: cancelled|1|a|1|job cancelled",
 	})
 }
+
+// TestWaveOfCancellationsIsOneRecord cancels a thousand jobs at once.
+func TestWaveOfCancellationsIsOneRecord(t *testing.T) {
+	const jobs = 1000
+	s := newCase(t)
+	wave := &pb.JobsCancelled{JobIds: []string{"j"}}
+	for i := range jobs {
+		id := fmt.Sprint("wave", i)
+		must(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: id, Spec: &pb.JobSpec{
+			Team: "t", JobClass: "c", Tasks: 1, Resources: &pb.Resources{CpuMilli: 1},
+		}}}})
+		wave.JobIds = append(wave.JobIds, id)
+	}
+	assignTo(t, s, "a", 1)
+	must(t, s, &pb.Record{Body: &pb.Record_JobsCancelled{JobsCancelled: wave}})
+	assert.Equal(t, len(s.Pending()), 0)
+	_, running := s.Task(TaskRef{"j", 0})
+	assert.Equal(t, running.State, pb.TaskState_TASK_STATE_ASSIGNED, "ends when its worker has stopped it")
+	releaseAs(t, s, 1, pb.ReleaseReason_RELEASE_REASON_CANCELLED)
+	assert.Equal(t, running.State, pb.TaskState_TASK_STATE_CANCELLED)
+}
+
+func TestResultTooLargeIsRejected(t *testing.T) {
+	s := newCase(t)
+	assignTo(t, s, "a", 1)
+	rej := s.Apply(&pb.Record{Epoch: 1, Body: &pb.Record_TaskFinished{TaskFinished: &pb.TaskFinished{
+		JobId: "j", Attempt: 1, Result: make([]byte, MaxResultBytes+1),
+	}}})
+	assert.Check(t, rej != nil)
+}
