Control under fuzzing; a guard never takes a whole short grant

Cause: an agent stops an attempt a fixed time before its grant ends; with the shortest grant that the settings allowed that was the whole grant. Ruled out: no guard at all; then the worker alone ends the attempt and nobody has asked for the checkpoint. Change: the guard is at most a quarter of the grant, and grants are 5 s or more. rapid feeds the control any latency, load and batch work: never below the floor, never without samples, never two changes within the settling time, no eviction above the floor, of a young attempt or beyond the budget.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,4 @@
 fuzz:
 	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000 -rapid.seed=0
 	go test -count=1 -run TestTaskProtocol ./internal/agent/grants -rapid.checks=20000 -rapid.seed=0
+	go test -count=1 -run TestDecisionsKeepThePolicy ./internal/agent/colocation -rapid.checks=5000 -rapid.seed=0
--- a/internal/agent/grants/held.go
+++ b/internal/agent/grants/held.go
@@ -17,8 +17,8 @@
 	jobClass string
 	// shareMilli is the share of its processors; 0 if it is not known.
 	shareMilli uint32
-	// until is the end of the grant; zero if it is not known.
-	until time.Time
+	// since and until bound the grant; zero if it is not known.
+	since, until time.Time
 	// doubtful means that the start had no answer.
 	doubtful bool
 	// reason is why the agent stopped the attempt.
@@ -33,7 +33,7 @@
 	defer g.mu.Unlock()
 	g.held[key] = &hold{
 		key: key, reserved: req.Reserved, jobClass: req.JobClass, shareMilli: colocation.FullShare,
-		until: until, doubtful: true, checkpointed: time.Now(),
+		since: time.Now(), until: until, doubtful: true, checkpointed: time.Now(),
 	}
 }
 
--- a/internal/agent/grants/tend.go
+++ b/internal/agent/grants/tend.go
@@ -12,9 +12,13 @@
 // DefaultCheckpointEvery is the time between checkpoints of a running attempt.
 const DefaultCheckpointEvery = 10 * time.Second
 
+// guardShare is the part of a grant that may be given up to stop in time.
+const guardShare = 4
+
 // Tend looks after the running attempts: it saves their progress now and then,
 // and stops those whose grant is about to run out while the worker still takes
-// orders. guard is how long before the end of the grant an attempt is stopped.
+// orders. guard is how long before the end of the grant an attempt is stopped, at
+// most a guardShare of the grant.
 func (g *Grants) Tend(ctx context.Context, guard time.Duration) {
 	list, err := g.worker.List(ctx)
 	if err != nil {
@@ -28,9 +32,10 @@
 }
 
 func (g *Grants) tendOne(ctx context.Context, key platform.TaskKey, guard time.Duration) {
-	var until, saved time.Time
-	g.change(key, func(h *hold) { until, saved = h.until, h.checkpointed })
+	var since, until, saved time.Time
+	g.change(key, func(h *hold) { since, until, saved = h.since, h.until, h.checkpointed })
 	now := time.Now()
+	guard = min(guard, until.Sub(since)/guardShare)
 	switch {
 	case !until.IsZero() && until.Sub(now) < guard:
 		g.lapse(ctx, key)
@@ -71,5 +76,5 @@
 	if g.worker.Renew(callCtx, key, lease) != nil {
 		return
 	}
-	g.change(key, func(h *hold) { h.until, h.doubtful = end, false })
+	g.change(key, func(h *hold) { h.since, h.until, h.doubtful = time.Now(), end, false })
 }
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -56,7 +56,7 @@
 		AnnounceEvery:   set.Duration("announce-every", 500*time.Millisecond, 50*time.Millisecond, 10*time.Second, "time between heartbeats to the entries"),
 		BeatEvery:       set.Duration("beat-every", 500*time.Millisecond, 50*time.Millisecond, 10*time.Second, "time between heartbeats to the shard's owner"),
 		ShardLease:      set.Duration("shard-lease", 5*time.Second, 500*time.Millisecond, 5*time.Minute, "length of a shard lease"),
-		Grant:           set.Duration("grant", 30*time.Second, time.Second, time.Hour, "how long a task may run without renewal"),
+		Grant:           set.Duration("grant", 30*time.Second, 5*time.Second, time.Hour, "how long a task may run without renewal"),
 		TablePoll:       set.Duration("table-poll", 500*time.Millisecond, 50*time.Millisecond, 10*time.Second, "how long one read of the log waits for a record"),
 		AppendBudget:    set.Int("append-budget", 20, 1, 1000, "appends/s", "most appends a second to one stream"),
 		AnswerRetention: set.Duration("answer-retention", 10*time.Minute, time.Minute, 24*time.Hour, "how long the outcome of a request is kept"),
