--- a/internal/agent/colocation/fuzz_test.go
+++ b/internal/agent/colocation/fuzz_test.go
@@ -32,6 +32,29 @@
 	acted     bool
 }
 
+// mood is how the service does for a while.
+type mood struct {
+	lowMs, highMs int
+	samples       []int64
+	targets       []time.Duration
+}
+
+var moods = []mood{
+	{0, 200, []int64{0, 29, 30, 1000}, []time.Duration{target, target, target, 0}},
+	{110, 200, []int64{30, 1000}, []time.Duration{target}},
+	{110, 140, []int64{1000}, []time.Duration{target}},
+	{0, 70, []int64{30, 1000}, []time.Duration{target}},
+	{200, 200, []int64{29}, []time.Duration{target}},
+}
+
+func (m mood) draw(rt *rapid.T) Snapshot {
+	return Snapshot{
+		P99:    time.Duration(rapid.IntRange(m.lowMs, m.highMs).Draw(rt, "p99")) * time.Millisecond,
+		Target: rapid.SampledFrom(m.targets).Draw(rt, "target"), Samples: rapid.SampledFrom(m.samples).Draw(rt, "samples"),
+		LoadMilli: rapid.Uint32Range(0, 1000).Draw(rt, "load"),
+	}
+}
+
 // TestDecisionsKeepThePolicy feeds any latency, load and batch work, and checks
 // what must hold whatever the service does.
 func TestDecisionsKeepThePolicy(t *testing.T) {
@@ -39,25 +62,22 @@
 		p, st, now := DefaultPolicy(), NewState(), time.Duration(0)
 		var attempts []Attempt
 		var past history
-		born := 0
+		born, mood := 0, moods[0]
 		rt.Repeat(map[string]func(*rapid.T){
 			"begin": func(rt *rapid.T) {
 				born++
 				attempts = append(attempts, attempt(fmt.Sprint("j", born), rapid.Int64Range(1, 8000).Draw(rt, "cpu"), 0, 0, FullShare))
 			},
-			"end": func(*rapid.T) { attempts = attempts[min(1, len(attempts)):] },
+			"mood": func(rt *rapid.T) { mood = rapid.SampledFrom(moods).Draw(rt, "mood") },
+			"end":  func(*rapid.T) { attempts = attempts[min(1, len(attempts)):] },
 			"": func(rt *rapid.T) {
 				step := rapid.SampledFrom([]time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 40 * time.Second}).Draw(rt, "step")
 				now += step
 				for i := range attempts {
 					attempts[i].Ran += step
 				}
-				s := Snapshot{
-					Now: now, P99: time.Duration(rapid.IntRange(0, 200).Draw(rt, "p99")) * time.Millisecond,
-					Target:    rapid.SampledFrom([]time.Duration{target, target, target, 0}).Draw(rt, "target"),
-					Samples:   rapid.SampledFrom([]int64{0, 29, 30, 1000, 1000}).Draw(rt, "samples"),
-					LoadMilli: rapid.Uint32Range(0, 1000).Draw(rt, "load"), Attempts: attempts,
-				}
+				s := mood.draw(rt)
+				s.Now, s.Attempts = now, attempts
 				actions, next := Decide(p, s, st)
 				past.check(rt, p, s, st, next, actions)
 				attempts = carried(attempts, actions)
