--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,13 @@
 matrix:
 	go test -count=1 -v -run 'TestMatrix$$' ./internal/matrix 2>/dev/null
 
-# fuzz drives the state machine of a shard against its oracle, with a fresh seed.
+# fuzz drives the life of tasks and the protocol between owner and agent, with
+# fresh seeds.
 fuzz:
-	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000
+	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000 -rapid.seed=0
+	go test -count=1 -run TestTaskProtocol ./internal/agent/grants -rapid.checks=20000 -rapid.seed=0
+	go test -count=1 -run TestDecisionsKeepThePolicy ./internal/agent/colocation -rapid.checks=5000 -rapid.seed=0
+
+# Compares all routing policies in one run on a fake clock.
 bench-routing:
 	go run ./cmd/chervil-bench-routing -seed 1
--- a/internal/agent/grants/grants_test.go
+++ b/internal/agent/grants/grants_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/agent/colocation"
 	"chervilridge/internal/platform"
 	"chervilridge/internal/standin/worker"
 )
@@ -118,7 +119,21 @@
 	assert.ErrorContains(t, err, "may still take effect")
 	reply, err := b.grants.StartTask(t.Context(), start(b.grants, "k", 1))
 	assert.NilError(t, err)
-	assert.Equal(t, reply.Started, false)
+	assert.Equal(t, reply.Reason, "agent started just now")
+	assert.Equal(t, len(b.worker.Running()), 0)
+}
+
+// TestRefusalIsNoProofAfterARestart covers a doubled start whose first copy was
+// carried out by the agent's predecessor.
+func TestRefusalIsNoProofAfterARestart(t *testing.T) {
+	b := newBench(time.Minute)
+	req := start(b.grants, "j", 1)
+	_, err := b.grants.StartTask(t.Context(), req)
+	assert.NilError(t, err)
+	next := New(Options{Incarnation: "i2", Began: time.Now().Add(-time.Minute), CallDelay: testCallDelay}, b.worker)
+	reply, err := next.StartTask(t.Context(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Started, true)
 }
 
 func TestDoubledStartIsAnsweredLikeTheFirst(t *testing.T) {
@@ -203,6 +218,9 @@
 	b.grants.Tend(t.Context(), time.Second)
 	assert.Equal(t, len(b.worker.Running()), 1, "far from the end of the grant")
 	b.grants.Tend(t.Context(), 2*testGrant)
+	assert.Equal(t, len(b.worker.Running()), 1, "no guard takes a whole grant")
+	b.grants.change(keyOf(req.Attempt), func(h *hold) { h.until = time.Now().Add(testGrant / 10); h.since = h.until.Add(-testGrant) })
+	b.grants.Tend(t.Context(), testGrant/5)
 	assert.Equal(t, len(b.worker.Running()), 0, "guard reaches the end of the grant")
 	list, err := b.worker.List(t.Context())
 	assert.NilError(t, err)
@@ -238,3 +256,37 @@
 	now = end.Add(time.Millisecond)
 	assert.Equal(t, len(w.Running()), 0, "runs beyond the end of the grant")
 }
+
+// troubled is a service far over its target.
+type troubled struct{}
+
+func (troubled) Recent() (p99, target time.Duration, samples int64) {
+	return time.Second, 100 * time.Millisecond, 1000
+}
+func (troubled) LoadMilli() uint32 { return 500 }
+func (troubled) Name() string      { return "s" }
+
+// TestControlThrottlesThenEvicts runs the control over the real grants: the
+// eviction is reported with its reason and checkpoint.
+func TestControlThrottlesThenEvicts(t *testing.T) {
+	b := newBench(time.Minute)
+	req := start(b.grants, "j", 1)
+	_, err := b.grants.StartTask(t.Context(), req)
+	assert.NilError(t, err)
+	policy := colocation.DefaultPolicy()
+	policy.Settle, policy.MinRun = 0, 0
+	control := colocation.New(policy, troubled{}, b.grants)
+	control.Round(t.Context())
+	attempts, err := b.grants.Attempts(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, attempts[0].ShareMilli, policy.FloorMilli, "throttled first")
+	for range policy.EvictRounds {
+		control.Round(t.Context())
+	}
+	list, err := b.worker.List(t.Context())
+	assert.NilError(t, err)
+	report := b.grants.report(list[0])
+	assert.Equal(t, report.State, pb.AttemptState_ATTEMPT_STATE_STOPPED)
+	assert.Equal(t, report.Reason, pb.ReleaseReason_RELEASE_REASON_EVICTED)
+	assert.Check(t, len(report.Checkpoint) > 0)
+}
--- a/internal/agent/grants/held.go
+++ b/internal/agent/grants/held.go
@@ -4,6 +4,7 @@
 	"time"
 
 	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/agent/colocation"
 	"chervilridge/internal/platform"
 	"chervilridge/internal/resources"
 )
@@ -13,8 +14,11 @@
 type hold struct {
 	key      platform.TaskKey
 	reserved *pb.Resources
-	// until is the end of the grant; zero if it is not known.
-	until time.Time
+	jobClass string
+	// shareMilli is the share of its processors; 0 if it is not known.
+	shareMilli uint32
+	// since and until bound the grant; zero if it is not known.
+	since, until time.Time
 	// doubtful means that the start had no answer.
 	doubtful bool
 	// reason is why the agent stopped the attempt.
@@ -27,7 +31,10 @@
 func (g *Grants) hold(key platform.TaskKey, req *pb.StartTaskRequest, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.held[key] = &hold{key: key, reserved: req.Reserved, until: until, doubtful: true, checkpointed: time.Now()}
+	g.held[key] = &hold{
+		key: key, reserved: req.Reserved, jobClass: req.JobClass, shareMilli: colocation.FullShare,
+		since: time.Now(), until: until, doubtful: true, checkpointed: time.Now(),
+	}
 }
 
 // settle notes that the worker has answered for the attempt.
@@ -42,11 +49,14 @@
 }
 
 // change updates the hold of an attempt; one that an earlier incarnation
-// started gets a hold now.
+// started gets a hold now, one that was given up stays so.
 func (g *Grants) change(key platform.TaskKey, do func(*hold)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.held[key]
+	if _, gone := g.tombstones[key]; gone && h == nil {
+		return
+	}
 	if h == nil {
 		h = &hold{key: key, checkpointed: time.Now()}
 		g.held[key] = h
@@ -116,6 +126,7 @@
 	if h == nil {
 		return
 	}
+	r.ShareMilli = h.shareMilli
 	if len(r.Checkpoint) == 0 {
 		r.Checkpoint = h.checkpoint
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -135,7 +135,7 @@
 	f.start(a.name, "chervil-agent", "--name", a.name, "--grpc-address", freeAddress(f.t), "--metrics-address", freeAddress(f.t),
 		"--log-address", f.platform, "--worker-address", f.platform, "--worker", fmt.Sprintf("worker-%d", n),
 		"--entries", strings.Join(f.grpc, ","), "--service", "quotedesk", "--endpoint", a.endpoint,
-		"--region", "pnw", "--data-centre", centres[i%len(centres)], "--shard-lease", "2s", "--grant", "4s")
+		"--region", "pnw", "--data-centre", centres[i%len(centres)], "--shard-lease", "2s", "--grant", "5s")
 }
 
 // start runs a program; a name that ran before is started with a new process.
--- a/internal/matrix/faults.go
+++ b/internal/matrix/faults.go
@@ -7,7 +7,6 @@
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
-	"chervilridge/internal/platform"
 	"chervilridge/internal/standin/logstore"
 	"chervilridge/internal/standin/worker"
 	"chervilridge/internal/table"
@@ -24,6 +23,7 @@
 	StepRenew      Step = "renew"
 	StepCheckpoint Step = "checkpoint"
 	StepEvict      Step = "evict"
+	StepRelease    Step = "release"
 	StepResume     Step = "resume"
 	StepComplete   Step = "complete"
 	StepCancel     Step = "cancel"
@@ -38,7 +38,7 @@
 // Steps lists the steps in order of a task's life.
 var Steps = []Step{
 	StepClaim, StepAssign, StepStart, StepRenew, StepCheckpoint, StepEvict,
-	StepResume, StepComplete, StepCancel, StepStop, StepConfigure,
+	StepRelease, StepResume, StepComplete, StepCancel, StepStop, StepConfigure,
 }
 
 // onWorker maps a step to the call on the worker within it.
@@ -50,9 +50,11 @@
 const (
 	downTime  = 200 * time.Millisecond // of a killed process
 	outage    = grant + lease          // of the log, longer than a grant
-	pauseTime = 2 * lease              // of a paused process
+	pauseTime = 5 * lease / 2          // of a paused process
 	cutTime   = 2 * grant
 	slowTime  = time.Second
+	// lateTime is longer than an owner waits for a silent agent.
+	lateTime  = startAllowance + grant + grant/5 + 250*time.Millisecond
 	drainTime = time.Second
 )
 
@@ -68,6 +70,8 @@
 	NotApplicable func(step Step) string
 }
 
+const faultRetention = "retention passed"
+
 // Faults lists the faults of the design page.
 var Faults = []Fault{
 	{Name: "kill agent", Strike: killAgent},
@@ -79,13 +83,14 @@
 	{Name: "one-way silence", Strike: muteAgent},
 	{Name: "slow", Strike: slowAll},
 	{Name: "answer lost", Strike: func(*cluster, Step, string) directive { return directive{loseAnswer: true} }},
+	{Name: "late delivery", Strike: deliverLate},
 	{Name: "doubled", Strike: func(*cluster, Step, string) directive { return directive{double: true} }},
 	{Name: "worker answer lost", Worker: true, Strike: func(*cluster, Step, string) directive { return directive{loseAnswer: true} }},
 	{Name: "worker late effect", Worker: true, Strike: func(*cluster, Step, string) directive { return directive{late: true} }},
 	{Name: "worker doubled", Worker: true, Strike: func(*cluster, Step, string) directive { return directive{double: true} }},
 	{Name: "clock step", Strike: stepClock},
 	{Name: "log down long", Strike: logDown},
-	{Name: "retention passed", NotApplicable: func(Step) string { return "not exercised: this harness writes no snapshots" }},
+	{Name: faultRetention, Strike: passRetention},
 	{Name: "restart all", Strike: restartAll},
 	{Name: "two operators", Strike: twoOperators, NotApplicable: notConfigure},
 	{Name: "drain and takeover", Strike: drainAndTakeover, NotApplicable: notConfigure},
@@ -186,6 +191,15 @@
 	return directive{}
 }
 
+// deliverLate keeps one message back until its sender has given it up, and cuts
+// its receiver off meanwhile, so that nobody can ask about it.
+func deliverLate(c *cluster, _ Step, node string) directive {
+	g := c.target(node).gate
+	g.set(func(g *gate) { g.cut = true })
+	time.AfterFunc(lateTime, func() { g.set(func(g *gate) { g.cut = false }) })
+	return directive{hold: lateTime}
+}
+
 func slowAll(c *cluster, _ Step, _ string) directive {
 	c.slow.Store(true)
 	time.AfterFunc(slowTime, func() { c.slow.Store(false) })
@@ -203,6 +217,21 @@
 	return directive{}
 }
 
+// passRetention pauses the owner while the log forgets what it has not read yet.
+// It wakes up with a gap and takes its state from a snapshot.
+func passRetention(c *cluster, step Step, node string) directive {
+	n := c.ownerAt(step, node)
+	n.gate.pause()
+	go func() {
+		c.sleep(pauseTime)
+		if err := c.forget(n); err != nil {
+			c.note(err.Error())
+		}
+		n.gate.resume()
+	}()
+	return directive{}
+}
+
 func restartAll(c *cluster, _ Step, _ string) directive {
 	for _, n := range c.all() {
 		c.replace(n)
@@ -261,16 +290,18 @@
 }
 
 // evict stops up to count running attempts the way the control of the
-// co-location does; it returns how many it tried.
+// co-location does, those of the long tasks first; it returns how many it tried.
 func (c *cluster) evict(count int) int {
 	tried := 0
-	for _, n := range c.all() {
-		for key := range c.workers[n.name].Running() {
-			if tried == count {
-				return tried
+	for _, job := range []string{sideJob, mainJob} {
+		for _, n := range c.all() {
+			for key := range c.workers[n.name].Running() {
+				if key.JobID != job || tried == count {
+					continue
+				}
+				tried++
+				_ = n.grants.Evict(c.ctx, key)
 			}
-			tried++
-			_ = n.grants.Evict(c.ctx, platform.TaskKey(key))
 		}
 	}
 	return tried
--- a/internal/scheduler/owner/beat.go
+++ b/internal/scheduler/owner/beat.go
@@ -75,6 +75,9 @@
 }
 
 func (o *Owner) answer(epoch uint64, req *pb.BeatRequest, r *pb.AttemptReport, reply *pb.BeatReply) {
+	if r.Epoch > epoch {
+		return // the agent has heard from a newer owner
+	}
 	key := attemptKey{shard.TaskRef{JobID: r.Attempt.JobId, Index: r.Attempt.Index}, r.Attempt.Attempt}
 	switch o.judge(key, req.Worker.Worker, r) {
 	case verdictRenew:
@@ -111,6 +114,12 @@
 	case !running:
 		return verdictRecord
 	}
+	return o.renew(key, r)
+}
+
+// renew extends a granted attempt, unless its grant has ended: from then on it is
+// being released.
+func (o *Owner) renew(key attemptKey, r *pb.AttemptReport) verdict {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	v := o.view(key)
--- a/internal/scheduler/owner/pace.go
+++ b/internal/scheduler/owner/pace.go
@@ -23,11 +23,17 @@
 	// jobs, with none finished in between.
 	suspectFailures = 3
 	suspectJobs     = 2
+
+	// A task is kept from a worker that failed it, by a short pause of the worker
+	// so that planning finds another, at most that often in a row.
+	steerPause = 300 * time.Millisecond
+	maxSteers  = 4
 )
 
 // backoff doubles a pause with each failure in a row.
 type backoff struct {
 	failures int
+	steers   int // plans in a row that were turned down for the worker they chose
 	until    time.Time
 }
 
@@ -53,6 +59,9 @@
 	backoff
 	attempts int
 	jobs     map[string]bool
+	// rests is the end of the pause after an eviction or for a task to be steered
+	// elsewhere.
+	rests time.Time
 }
 
 func newPace() *pace {
@@ -78,7 +87,7 @@
 		}
 	}
 	for i, w := range snap.Workers {
-		if f := o.pace.workers[w.Name]; f != nil && f.waits(now) {
+		if f := o.pace.workers[w.Name]; f != nil && (f.waits(now) || now.Before(f.rests)) {
 			snap.Workers[i].Ready = false
 		}
 	}
@@ -128,11 +137,7 @@
 func (o *Owner) noteNotStarted(ref shard.TaskRef) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	b := o.pace.tasks[ref]
-	if b == nil {
-		b = &backoff{}
-		o.pace.tasks[ref] = b
-	}
+	b := o.pace.taskOf(ref)
 	b.fail(time.Now(), longestPause)
 }
 
@@ -141,19 +146,71 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.pace.tasks, ref)
-	delete(o.pace.workers, worker)
+	if f := o.pace.workers[worker]; f != nil {
+		o.pace.workers[worker] = &workerFaults{jobs: map[string]bool{}, rests: f.rests}
+	}
 }
 
-// noteFailed counts a failed attempt on a worker. One that is the worker's own
-// fault holds the worker back at once, others when they look like its fault.
-func (o *Owner) noteFailed(ref shard.TaskRef, worker string, workerFault bool) {
+// noteEvicted keeps new work from a worker whose service had to be relieved.
+func (o *Owner) noteEvicted(worker string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pace.faultsOf(worker).rest(time.Now().Add(o.options.EvictPause))
+}
+
+func (f *workerFaults) rest(until time.Time) {
+	if until.After(f.rests) {
+		f.rests = until
+	}
+}
+
+// steer reports whether the task should rather run on another worker than the
+// planned one, which failed it before.
+func (o *Owner) steer(ref shard.TaskRef, worker string) bool {
+	failed := false
+	o.state.View(func(s *shard.State) {
+		_, task := s.Task(ref)
+		failed = shard.FailedOn(task, worker)
+	})
+	if !failed {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	f := o.pace.workers[worker]
+	b := o.pace.taskOf(ref)
+	if b.steers >= maxSteers {
+		b.steers = 0
+		return false
+	}
+	b.steers++
+	o.pace.faultsOf(worker).rest(time.Now().Add(steerPause))
+	return true
+}
+
+func (p *pace) taskOf(ref shard.TaskRef) *backoff {
+	b := p.tasks[ref]
+	if b == nil {
+		b = &backoff{}
+		p.tasks[ref] = b
+	}
+	return b
+}
+
+func (p *pace) faultsOf(worker string) *workerFaults {
+	f := p.workers[worker]
 	if f == nil {
 		f = &workerFaults{jobs: map[string]bool{}}
-		o.pace.workers[worker] = f
+		p.workers[worker] = f
 	}
+	return f
+}
+
+// noteFailed counts a failed attempt on a worker. One that is the worker's own
+// fault holds the worker back at once, others when they look like its fault.
+func (o *Owner) noteFailed(ref shard.TaskRef, worker string, workerFault bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.pace.faultsOf(worker)
 	f.attempts++
 	f.jobs[ref.JobID] = true
 	suspect := f.attempts >= suspectFailures && len(f.jobs) >= suspectJobs
--- a/internal/scheduler/owner/reconcile.go
+++ b/internal/scheduler/owner/reconcile.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -205,6 +206,11 @@
 	}
 	switch r.State {
 	case pb.AttemptState_ATTEMPT_STATE_FINISHED:
+		if len(r.Result) > shard.MaxResultBytes {
+			detail := fmt.Sprintf("result has %d bytes, allowed are %d", len(r.Result), shard.MaxResultBytes)
+			o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_FAILED, nil, detail)
+			return
+		}
 		o.finish(ctx, epoch, key, r)
 	case pb.AttemptState_ATTEMPT_STATE_FAILED:
 		o.release(ctx, epoch, key, pb.ReleaseReason_RELEASE_REASON_FAILED, r.Checkpoint, r.Detail)
@@ -242,6 +248,8 @@
 // noteRelease holds back what failed.
 func (o *Owner) noteRelease(key attemptKey, reason pb.ReleaseReason) {
 	switch reason {
+	case pb.ReleaseReason_RELEASE_REASON_EVICTED:
+		o.noteEvicted(o.workerOf(key.ref))
 	case pb.ReleaseReason_RELEASE_REASON_NOT_STARTED:
 		o.noteNotStarted(key.ref)
 	case pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT:
--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -29,6 +30,9 @@
 	plan := o.plan(snapshot)
 	for _, a := range plan.Assignments {
 		key := attemptKey{a.Task.Ref, a.Task.Attempt + 1}
+		if o.steer(a.Task.Ref, a.Worker) {
+			continue
+		}
 		if p := o.admit(key, a.Worker); p != nil {
 			o.insight.begin(key, a)
 			go func() {
@@ -47,6 +51,7 @@
 	defer o.insight.end(key)
 	v, err := o.commit(ctx, epoch, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: key.ref.JobID, Index: key.ref.Index, Attempt: key.attempt, Worker: a.Worker, Reserved: a.Reserved,
+		Detail: whyThere(a),
 	}}})
 	o.noteLog(err)
 	if err != nil || v.Rejection != nil {
@@ -58,6 +63,16 @@
 	o.start(ctx, epoch, key, a.Worker)
 }
 
+// whyThere tells people why a task was given to its worker.
+func whyThere(a placement.Assignment) string {
+	urgent := ""
+	if a.Task.Urgent {
+		urgent = ", urgent"
+	}
+	return fmt.Sprintf("best score %.3f for %d m cores, %d MB, %d accelerators%s", a.Score,
+		a.Reserved.GetCpuMilli(), a.Reserved.GetMemoryMb(), a.Reserved.GetAccelerators(), urgent)
+}
+
 // start sends the start, unless the lease, the worker or its data centre have
 // gone meanwhile; then the attempt is given back as never started.
 func (o *Owner) start(ctx context.Context, epoch uint64, key attemptKey, worker string) {
--- a/internal/shard/learned.go
+++ b/internal/shard/learned.go
@@ -132,9 +132,9 @@
 
 func outcomeOf(what string) (failed, ok bool) {
 	switch what {
-	case finishedNote:
+	case eventFinished:
 		return false, true
-	case pb.ReleaseReason_RELEASE_REASON_FAILED.String(), pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT.String():
+	case eventFailed, eventWorkerFault:
 		return true, true
 	}
 	return false, false
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"fmt"
+	"strings"
+
 	"google.golang.org/protobuf/proto"
 
 	pb "chervilridge/api/chervil/v1"
@@ -8,9 +11,6 @@
 	"chervilridge/internal/resources"
 )
 
-// finishedNote is the step of a task's history that ends it with a result.
-const finishedNote = "finished"
-
 // assign grants the next attempt of a waiting task to a worker, within the
 // worker's capacity.
 func (s *State) assign(rec *pb.Record, a *pb.TaskAssigned) *ledger.Rejection {
@@ -38,7 +38,7 @@
 	worker.Reserved = resources.Add(worker.Reserved, a.Reserved)
 	worker.Assigned[ref] = task
 	delete(s.pending, ref)
-	note(rec, task, "assigned", "")
+	note(rec, task, eventAssigned, a.Detail)
 	return nil
 }
 
@@ -73,11 +73,43 @@
 		task.Failures++
 	}
 	task.Reason = r.Detail
-	note(rec, task, r.Reason.String(), r.Detail)
+	note(rec, task, eventReleased+reasonName(r.Reason), releaseDetail(r))
 	s.settle(ref, job, task)
+	if task.State != pb.TaskState_TASK_STATE_PENDING {
+		note(rec, task, eventEnded+stateName(task.State), task.Reason)
+	}
 	return nil
 }
 
+// What the history of a task calls its steps.
+const (
+	eventSubmitted = "submitted"
+	eventAssigned  = "assigned"
+	eventReleased  = "released: "
+	eventFinished  = "finished"
+	eventCancel    = "cancel requested"
+	eventEnded     = "ended: "
+	eventFailed    = eventReleased + "failed"
+
+	eventWorkerFault = eventReleased + "worker fault"
+)
+
+func reasonName(r pb.ReleaseReason) string {
+	name := strings.TrimPrefix(r.String(), "RELEASE_REASON_")
+	return strings.ReplaceAll(strings.ToLower(name), "_", " ")
+}
+
+func stateName(s pb.TaskState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "TASK_STATE_"))
+}
+
+func releaseDetail(r *pb.TaskReleased) string {
+	if len(r.Checkpoint) == 0 {
+		return r.Detail
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%s, checkpoint of %d bytes", r.Detail, len(r.Checkpoint)), ", ")
+}
+
 // settle decides what a released task becomes.
 func (s *State) settle(ref TaskRef, job *pb.Job, task *pb.Task) {
 	switch {
@@ -102,13 +134,23 @@
 	}
 	workers := map[string]bool{}
 	for _, e := range task.History {
-		if e.What == pb.ReleaseReason_RELEASE_REASON_FAILED.String() {
+		if e.What == eventFailed {
 			workers[e.Worker] = true
 		}
 	}
 	return len(workers) >= int(job.Spec.MaxFailures)
 }
 
+// FailedOn reports whether the task's kept history has a failure on the worker.
+func FailedOn(task *pb.Task, worker string) bool {
+	for _, e := range task.GetHistory() {
+		if e.Worker == worker && e.What == eventFailed {
+			return true
+		}
+	}
+	return false
+}
+
 // finish ends a task with its result, also one whose job was cancelled while
 // it ran: work that is done is not thrown away.
 func (s *State) finish(rec *pb.Record, f *pb.TaskFinished) *ledger.Rejection {
@@ -117,12 +159,16 @@
 	if rej != nil {
 		return rej
 	}
+	if len(f.Result) > MaxResultBytes {
+		return ledger.Reject(ledger.ReasonInvalid, "result has %d bytes, allowed are %d", len(f.Result), MaxResultBytes)
+	}
 	s.learnFinished(job, task, f)
 	s.freeWorker(ref, task)
 	task.State = pb.TaskState_TASK_STATE_FINISHED
 	task.Result = f.Result
+	task.Reason = ""
 	task.Checkpoint = nil
-	note(rec, task, finishedNote, "")
+	note(rec, task, eventFinished, fmt.Sprintf("ran %d ms, result of %d bytes", f.RanMs, len(f.Result)))
 	return nil
 }
 
