--- a/internal/scheduler/learn/interference.go
+++ b/internal/scheduler/learn/interference.go
@@ -17,30 +17,43 @@
 
 const (
 	milli = 1000
-	// idleShare of the processors is too little batch work to slow a service.
-	idleShare = 0.02
-	// settleTime is how long the work on a worker must have been the same before
-	// its latency is learned from: the latency window and the report lag.
-	settleTime = 4 * time.Second
-	// aloneStep and effectStep are how far one measurement moves an estimate.
-	aloneStep  = 0.1
-	effectStep = 0.25
-	// lowestRise lets the lowest latency seen grow slowly, where a service was
-	// never seen alone.
-	lowestRise = 1.002
-	// publishChange is the relative change that is worth a record.
+	// latencyWindow is about the time that a service's latency is measured over.
+	latencyWindow = 2 * time.Second
+	// firstWindows are needed before a worker's latency is learned from.
+	firstWindows = 2
+	// residualWeight smooths the noise of single measurements.
+	residualWeight = 0.2
+	// leastShare of the processors is too little to be worth a term.
+	leastShare = 0.001
+	// publishChange is the change of an effect that is worth a record.
 	publishChange = 0.15
-	maxExcess     = 50.0
+	maxExcess     = 5.0
+)
+
+// Variances of the coefficients before any evidence.
+const (
+	levelVariance  = 100.0
+	loadVariance   = 1.0
+	effectVariance = 1.0
+	slopeVariance  = 0.25 // of an effect over the load
+	// knownVariance is that of an effect that the ledger has.
+	knownVariance = 0.05
 )
 
 // Band returns the load band of a service, 0 for the lowest, from the share of
 // its slots in use in thousandths.
 func Band(loadMilli uint32) uint32 { return min(loadMilli*Bands/milli, Bands-1) }
 
-// Use is what one class holds of a worker's processors, after throttling.
+// centre returns the load in the middle of a band, 0 to 1.
+func centre(band uint32) float64 { return (float64(band) + 0.5) / Bands }
+
+// Use is what one task holds of a worker's processors.
 type Use struct {
-	Class    string
+	Class string
+	// CPUMilli is reserved for it, and Share the part of that which it may use
+	// now, 0 to 1.
 	CPUMilli int64
+	Share    float64
 }
 
 // Sample is one heartbeat's measurement.
@@ -56,179 +69,127 @@
 	At time.Duration
 }
 
-type pair struct {
-	service string
-	class   string
-	band    uint32
-}
-
-type base struct {
-	service string
-	band    uint32
-}
-
-type alone struct {
-	p99    float64 // microseconds without batch work; 0 if never seen
-	lowest float64
-}
-
-type effect struct {
-	excess    float64
-	samples   uint32
-	published float64
-	saved     bool
-}
-
-type composition struct {
-	uses  []Use
-	since time.Duration
+// Reading is what a measurement says of the service.
+type Reading struct {
+	// Slowdown is its latency over its latency alone; 0 if it was not measured.
+	Slowdown float64
+	// Band of its load.
+	Band uint32
 }
 
 // Learner learns interference of one shard. It is safe for concurrent use; one
 // lock guards it. What it publishes as records survives it, the rest is learned
 // anew.
 type Learner struct {
-	mu      sync.Mutex
-	alone   map[base]*alone
-	effects map[pair]*effect
-	workers map[string]*composition
+	mu       sync.Mutex
+	services map[string]*service
+	workers  map[string]*window
 }
 
 // New returns a learner that starts from what the ledger has.
 func New(known []*pb.InterferenceLearned) *Learner {
-	l := &Learner{alone: map[base]*alone{}, effects: map[pair]*effect{}, workers: map[string]*composition{}}
+	l := &Learner{services: map[string]*service{}, workers: map[string]*window{}}
 	for _, k := range known {
-		excess := float64(k.SlowdownMilli)/milli - 1
-		l.effects[pair{k.Service, k.JobClass, k.LoadBand}] = &effect{
-			excess: excess, samples: k.Samples, published: excess, saved: true,
-		}
+		l.service(k.Service).seed(k)
 	}
 	return l
 }
 
-// Observe takes a measurement in and returns the service's slowdown, its latency
-// over its latency alone; 0 if that is not known.
-func (l *Learner) Observe(s Sample) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s.Uses = merged(s.Uses)
-	settled := l.settled(s)
-	if s.Service == "" || s.P99 <= 0 || s.CapacityMilli <= 0 {
-		return 0
-	}
-	band := Band(s.LoadMilli)
-	b := l.alone[base{s.Service, band}]
-	if b == nil {
-		b = &alone{}
-		l.alone[base{s.Service, band}] = b
-	}
-	p99 := float64(s.P99.Microseconds())
-	if settled {
-		l.learn(s, b, band, p99)
+func (l *Learner) service(name string) *service {
+	s := l.services[name]
+	if s == nil {
+		s = newService()
+		l.services[name] = s
 	}
-	if b.reference() == 0 {
-		return 0
-	}
-	return p99 / b.reference()
+	return s
 }
 
-func (l *Learner) learn(s Sample, b *alone, band uint32, p99 float64) {
-	b.lowest = min(p99, max(b.lowest, 1)*lowestRise)
-	if b.lowest <= lowestRise {
-		b.lowest = p99
-	}
-	if s.share() < idleShare {
-		b.see(p99)
-		return
+// Observe takes a measurement in and returns what it says of the service.
+func (l *Learner) Observe(s Sample) Reading {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.worker(s)
+	out := Reading{Band: Band(uint32(w.load * milli))}
+	if s.Service == "" || s.P99 <= 0 || s.CapacityMilli <= 0 {
+		return out
 	}
-	l.attribute(s, band, p99/b.reference()-1)
-}
-
-func (b *alone) see(p99 float64) {
-	if b.p99 == 0 {
-		b.p99 = p99
-		return
+	service := l.service(s.Service)
+	measured := math.Log(float64(s.P99.Microseconds()))
+	if s.At-w.first >= firstWindows*latencyWindow {
+		service.learn(w, measured)
 	}
-	b.p99 += aloneStep * (p99 - b.p99)
+	out.Slowdown = service.slowdown(w, measured)
+	return out
 }
 
-func (b *alone) reference() float64 {
-	if b.p99 > 0 {
-		return b.p99
+// window is the work on a worker and the load of its service, averaged over about
+// the time that the latency is. To learn only while both are steady would not do:
+// under control they are steady only where the service is quick.
+type window struct {
+	first  time.Duration
+	at     time.Duration
+	load   float64 // 0 to 1
+	shares []share // by class
+	// throttle is the share that the work may use.
+	throttle float64
+	// residual is what the model leaves unexplained here, smoothed.
+	residual float64
+}
+
+// share is the part of the worker's processors that a class holds.
+type share struct {
+	class string
+	part  float64
+}
+
+// worker takes a sample into the worker's window.
+func (l *Learner) worker(s Sample) *window {
+	load := float64(s.LoadMilli) / milli
+	w := l.workers[s.Worker]
+	if w == nil {
+		w = &window{first: s.At, at: s.At, load: load, throttle: 1}
+		l.workers[s.Worker] = w
+	}
+	since := (s.At - w.at).Seconds()
+	weight := 1 - math.Exp(-since/latencyWindow.Seconds())
+	w.at = s.At
+	w.throttle += weight * (s.throttle() - w.throttle)
+	w.load += weight * (load - w.load)
+	for i := range w.shares {
+		w.shares[i].part *= 1 - weight
 	}
-	return b.lowest
-}
-
-func (s Sample) share() float64 {
-	var sum int64
 	for _, u := range s.Uses {
-		sum += u.CPUMilli
-	}
-	return float64(sum) / float64(s.CapacityMilli)
-}
-
-// attribute corrects the effects of the classes on the worker in proportion to
-// what each holds (normalised least mean squares).
-func (l *Learner) attribute(s Sample, band uint32, excess float64) {
-	predicted, norm := 0.0, 0.0
-	effects := make([]*effect, len(s.Uses))
-	for i, u := range s.Uses {
-		effects[i] = l.effect(pair{s.Service, u.Class, band})
-		share := float64(u.CPUMilli) / float64(s.CapacityMilli)
-		predicted += effects[i].excess * share
-		norm += share * share
-	}
-	for i, u := range s.Uses {
-		e := effects[i]
-		share := float64(u.CPUMilli) / float64(s.CapacityMilli)
-		if share < idleShare {
-			continue
-		}
-		e.excess += effectStep * (excess - predicted) * share / norm
-		e.excess = min(max(e.excess, 0), maxExcess)
-		e.samples++
+		w.add(u.Class, weight*float64(u.CPUMilli)/float64(max(s.CapacityMilli, 1)))
 	}
+	w.shares = slices.DeleteFunc(w.shares, func(h share) bool { return h.part < leastShare })
+	return w
 }
 
-func (l *Learner) effect(p pair) *effect {
-	e := l.effects[p]
-	if e == nil {
-		e = &effect{}
-		l.effects[p] = e
+// throttle returns the part of its processors that batch work may use.
+func (s Sample) throttle() float64 {
+	reserved, usable := 0.0, 0.0
+	for _, u := range s.Uses {
+		reserved += float64(u.CPUMilli)
+		usable += float64(u.CPUMilli) * u.Share
 	}
-	return e
-}
-
-// settled reports whether the worker has run the same work for long enough.
-func (l *Learner) settled(s Sample) bool {
-	c := l.workers[s.Worker]
-	if c == nil || !slices.Equal(c.uses, s.Uses) {
-		l.workers[s.Worker] = &composition{uses: s.Uses, since: s.At}
-		return false
+	if reserved == 0 {
+		return 1
 	}
-	return s.At-c.since >= settleTime
+	return usable / reserved
 }
 
-// merged adds up the uses of each class, in order of class.
-func merged(uses []Use) []Use {
-	sorted := slices.Clone(uses)
-	slices.SortFunc(sorted, func(a, b Use) int { return cmp.Compare(a.Class, b.Class) })
-	var out []Use
-	for _, u := range sorted {
-		if n := len(out); n > 0 && out[n-1].Class == u.Class {
-			out[n-1].CPUMilli += u.CPUMilli
-			continue
-		}
-		out = append(out, u)
+func (w *window) add(class string, part float64) {
+	i, found := slices.BinarySearchFunc(w.shares, class, func(h share, class string) int { return cmp.Compare(h.class, class) })
+	if !found {
+		w.shares = slices.Insert(w.shares, i, share{class: class})
 	}
-	return out
+	w.shares[i].part += part
 }
 
-// Forget drops a worker that is gone.
-func (l *Learner) Forget(worker string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.workers, worker)
+type pair struct {
+	service string
+	class   string
+	band    uint32
 }
 
 // Table is what was learned at one moment. It is read-only.
@@ -236,36 +197,24 @@
 	effects map[pair]model.Effect
 }
 
+// Effect implements model.Effects.
+func (t *Table) Effect(service, class string, band uint32) model.Effect {
+	return t.effects[pair{service, class, band}]
+}
+
 // Table returns a copy of what is known now.
 func (l *Learner) Table() *Table {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := &Table{effects: make(map[pair]model.Effect, len(l.effects))}
-	for p, e := range l.effects {
-		t.effects[p] = model.Effect{Excess: e.excess, Samples: e.samples}
-	}
-	return t
-}
-
-// Effect implements model.Effects. A band without measurements takes the effect
-// of the next higher one that has some, since a lower load suffers less. Else it
-// takes that of the next lower one as a first guess, with no samples, so that it
-// is still probed with care.
-func (t *Table) Effect(service, class string, band uint32) model.Effect {
-	if e := t.effects[pair{service, class, band}]; e.Samples > 0 {
-		return e
-	}
-	for b := band + 1; b < Bands; b++ {
-		if e := t.effects[pair{service, class, b}]; e.Samples > 0 {
-			return e
-		}
-	}
-	for b := int(band) - 1; b >= 0; b-- {
-		if e := t.effects[pair{service, class, uint32(b)}]; e.Samples > 0 {
-			return model.Effect{Excess: e.Excess}
+	t := &Table{effects: map[pair]model.Effect{}}
+	for name, s := range l.services {
+		for class, e := range s.effects {
+			for band := range uint32(Bands) {
+				t.effects[pair{name, class, band}] = model.Effect{Excess: s.excess(e, centre(band)), Samples: e.samples}
+			}
 		}
 	}
-	return model.Effect{}
+	return t
 }
 
 // Publish returns the effects that changed enough to be worth a record, and
@@ -274,20 +223,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []*pb.InterferenceLearned
-	for p, e := range l.effects {
-		if e.samples < atLeast || e.saved && math.Abs(e.excess-e.published) <= publishChange*(1+e.published) {
-			continue
+	for name, s := range l.services {
+		for class, e := range s.effects {
+			out = append(out, s.publish(name, class, e, atLeast)...)
 		}
-		e.published, e.saved = e.excess, true
-		out = append(out, &pb.InterferenceLearned{
-			Service: p.service, JobClass: p.class, LoadBand: p.band,
-			SlowdownMilli: uint32(math.Round((1 + e.excess) * milli)), Samples: e.samples,
-		})
 	}
-	slices.SortFunc(out, compareLearned)
+	slices.SortFunc(out, func(a, b *pb.InterferenceLearned) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.JobClass, b.JobClass), cmp.Compare(a.LoadBand, b.LoadBand))
+	})
 	return out
 }
-
-func compareLearned(a, b *pb.InterferenceLearned) int {
-	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.JobClass, b.JobClass), cmp.Compare(a.LoadBand, b.LoadBand))
-}
--- a/internal/scheduler/owner/insight.go
+++ b/internal/scheduler/owner/insight.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -41,8 +42,10 @@
 	service  string
 	loadBand uint32
 	slowdown float64
-	used     model.Amount
-	measured time.Time // when the usage was measured
+	// throttled is set while the agent holds batch work back.
+	throttled bool
+	used      model.Amount
+	measured  time.Time // when the usage was measured
 }
 
 type centreView struct {
@@ -90,13 +93,13 @@
 	o.enterInsight(epoch, now)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	slowdown := i.learner.Observe(learn.Sample{
+	reading := i.learner.Observe(learn.Sample{
 		Worker: req.Worker.Worker, Service: req.Service, P99: time.Duration(req.ServiceP99Us) * time.Microsecond,
 		LoadMilli: req.ServiceLoadMilli, CapacityMilli: req.Worker.Capacity.GetCpuMilli(), Uses: uses, At: now.Sub(i.entered),
 	})
 	i.services[req.Worker.Worker] = serviceView{
-		service: req.Service, loadBand: learn.Band(req.ServiceLoadMilli), slowdown: slowdown,
-		used: model.FromProto(req.Used), measured: now.Add(-time.Duration(req.UsedAgeMs) * time.Millisecond),
+		service: req.Service, loadBand: reading.Band, slowdown: reading.Slowdown,
+		throttled: slices.ContainsFunc(req.Attempts, throttled), used: model.FromProto(req.Used), measured: now.Add(-time.Duration(req.UsedAgeMs) * time.Millisecond),
 	}
 }
 
@@ -106,8 +109,7 @@
 	o.insight.enter(epoch, now, known)
 }
 
-// uses returns what each class holds of the worker's processors now, after
-// throttling; an agent that reports no share does not throttle.
+// uses returns what each running attempt holds of the worker's processors.
 func (o *Owner) uses(req *pb.BeatRequest) []learn.Use {
 	var out []learn.Use
 	o.state.View(func(s *shard.State) {
@@ -116,16 +118,25 @@
 			if task == nil || task.Reserved == nil || r.State != pb.AttemptState_ATTEMPT_STATE_RUNNING {
 				continue
 			}
-			share := int64(r.ShareMilli)
-			if share == 0 {
-				share = fullShareMilli
-			}
-			out = append(out, learn.Use{Class: job.Spec.JobClass, CPUMilli: task.Reserved.CpuMilli * share / fullShareMilli})
+			out = append(out, learn.Use{Class: job.Spec.JobClass, CPUMilli: task.Reserved.CpuMilli, Share: shareOf(r)})
 		}
 	})
 	return out
 }
 
+// shareOf returns the part of its processors that an attempt may use; an agent
+// that reports none does not throttle.
+func shareOf(r *pb.AttemptReport) float64 {
+	if r.ShareMilli == 0 {
+		return 1
+	}
+	return float64(r.ShareMilli) / fullShareMilli
+}
+
+func throttled(r *pb.AttemptReport) bool {
+	return r.State == pb.AttemptState_ATTEMPT_STATE_RUNNING && shareOf(r) < 1
+}
+
 // dataCentres returns the data centres of the table with the share of each that
 // may be used. The lock must be held.
 func (i *insight) dataCentres(t *table.Table, now time.Time) []model.DataCentre {
--- a/internal/scheduler/owner/snapshot.go
+++ b/internal/scheduler/owner/snapshot.go
@@ -141,7 +141,7 @@
 		Capacity: model.FromProto(w.Registered.Capacity), Measured: service.used,
 		Ready:       view != nil && !view.leaving && b.now.Sub(view.seen) <= o.options.WorkerSilence,
 		Quarantined: w.Quarantined, Probation: w.Probation(),
-		Service: service.service, LoadBand: service.loadBand, Slowdown: service.slowdown,
+		Service: service.service, LoadBand: service.loadBand, Throttled: service.throttled, Slowdown: service.slowdown,
 	}
 	for ref, task := range w.Assigned {
 		b.hold(&out, b.state.Job(ref.JobID).Spec, model.FromProto(task.Reserved), o.attempts[attemptKey{ref, task.Attempt}], service.measured)
--- a/internal/scheduler/placement/filter/filter.go
+++ b/internal/scheduler/placement/filter/filter.go
@@ -90,6 +90,9 @@
 	if n.Service == "" {
 		return None
 	}
+	if n.Throttled {
+		return ServiceSlow
+	}
 	if t.Aged && n.Tasks == 0 && n.Slowdown <= c.Policy.MaxSlowdown {
 		return None
 	}
--- a/internal/scheduler/placement/filter/filter_test.go
+++ b/internal/scheduler/placement/filter/filter_test.go
@@ -81,6 +81,11 @@
 			w.Slowdown = 1.3
 			s.Effects = known{Excess: 0, Samples: 100}
 		}, ServiceSlow},
+		{"agent throttles batch work there", func(w *model.Worker, _ *model.Task, s *model.Snapshot) {
+			service(w)
+			w.Throttled = true
+			s.Effects = known{Excess: 0, Samples: 100}
+		}, ServiceSlow},
 		{"waited long and goes alone", func(w *model.Worker, task *model.Task, s *model.Snapshot) {
 			service(w)
 			s.NowMs = 100_000
--- a/internal/scheduler/placement/placement_test.go
+++ b/internal/scheduler/placement/placement_test.go
@@ -124,6 +124,17 @@
 	assert.Equal(t, p.Assignments[0].Reserved.CpuMilli, whole.CPUMilli)
 }
 
+// TestQuotaCutsTheMargin: a quota that leaves the floor of an estimate but not its
+// margin lets the task run with the floor.
+func TestQuotaCutsTheMargin(t *testing.T) {
+	w := waiting("j", model.Amount{CPUMilli: 1_100}, 0)
+	w.Floor = model.Amount{CPUMilli: 1_000}
+	quota := []model.Team{{Name: "t", Quota: model.Amount{CPUMilli: 1_000}}}
+	p := Make(Snapshot{Settled: true, Workers: []Worker{worker("w1")}, Tasks: []Task{w}, Teams: quota})
+	assert.Equal(t, len(p.Assignments), 1)
+	assert.Equal(t, p.Assignments[0].Reserved.CpuMilli, int64(1_000))
+}
+
 // TestProbing: an unknown class runs on few workers only, one task on each.
 func TestProbing(t *testing.T) {
 	s := Snapshot{Settled: true, Effects: unknown{}}
