--- a/internal/scheduler/owner/insight.go
+++ b/internal/scheduler/owner/insight.go
@@ -23,7 +23,12 @@
 // anew. One lock guards it; it may be taken while Owner.mu is held, not the other
 // way round.
 type insight struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	epochInsight
+}
+
+// epochInsight is the part that begins anew with each epoch.
+type epochInsight struct {
 	epoch       uint64
 	entered     time.Time
 	learner     *learn.Learner
@@ -65,7 +70,7 @@
 	if i.learner != nil && i.epoch == epoch {
 		return
 	}
-	*i = insight{
+	i.epochInsight = epochInsight{
 		epoch: epoch, entered: now, learner: learn.New(known), services: map[string]serviceView{},
 		underWay: map[attemptKey]placement.Assignment{}, centres: map[string]*centreView{},
 		quarantines: map[string]*quarantineView{}, waiting: map[string]string{},
--- a/internal/scheduler/placement/filter/filter.go
+++ b/internal/scheduler/placement/filter/filter.go
@@ -99,7 +99,7 @@
 	if !c.Known(n, t.ClassIndex) {
 		return checkProbe(c, t, n)
 	}
-	if c.Predict(n, t, need) > c.Policy.MaxSlowdown {
+	if c.TooSlow(c.Growth(n, t, need)) {
 		return ServiceSlow
 	}
 	return None
--- a/internal/scheduler/placement/hold/hold.go
+++ b/internal/scheduler/placement/hold/hold.go
@@ -61,7 +61,7 @@
 // away from the service, while none of its class runs anywhere.
 func (k *Keeper) crowdedOut(t *model.Item, n *model.Node) bool {
 	return n.Service != "" && n.Tasks > 0 && k.cluster.Classes[t.ClassIndex].Running == 0 &&
-		k.cluster.Predict(n, t, k.cluster.Reserve(t, n)) > k.cluster.Policy.MaxSlowdown
+		k.cluster.TooSlow(k.cluster.Growth(n, t, k.cluster.Reserve(t, n)))
 }
 
 // wait returns when the node is expected to be able to take the task.
--- a/internal/scheduler/placement/model/cluster.go
+++ b/internal/scheduler/placement/model/cluster.go
@@ -25,6 +25,9 @@
 	RackIndex   int
 	Out         bool
 	profile     int
+	measured    float64 // natural logarithm of the measured slowdown
+	owned       bool    // Held is the plan's own copy
+	classOf     []int   // class of each task held at first
 	// HeldFor is the task that the node is held back for; Spare is what is free
 	// beside it and HeldUntil when it is expected to find room.
 	HeldFor   *Item
@@ -67,6 +70,8 @@
 
 	effects [][]Effect // by profile and class
 	probing []int      // by class: workers with a task of an unknown pair
+
+	mostGrowth float64
 }
 
 // profile is what decides how a class affects a worker's service.
@@ -75,13 +80,17 @@
 	band    uint32
 }
 
+// rack names a rack; racks of different data centres may share a name.
+type rack struct{ centre, name string }
+
 // Compile makes the working state of a snapshot.
 func Compile(s Snapshot) *Cluster {
 	b := builder{
 		cluster: &Cluster{Policy: s.Policy.WithDefaults()},
-		classes: map[string]int{}, teams: map[string]int{}, centres: map[string]int{}, racks: map[string]int{},
+		classes: map[string]int{}, teams: map[string]int{}, centres: map[string]int{}, racks: map[rack]int{},
 		profiles: map[profile]int{}, out: map[string]DataCentre{},
 	}
+	b.cluster.mostGrowth = math.Log(b.cluster.Policy.MaxSlowdown)
 	b.addRows(s)
 	b.addTasks(s)
 	b.addNodes(s)
@@ -96,7 +105,7 @@
 	classes  map[string]int
 	teams    map[string]int
 	centres  map[string]int
-	racks    map[string]int
+	racks    map[rack]int
 	profiles map[profile]int
 	out      map[string]DataCentre
 }
@@ -146,24 +155,40 @@
 }
 
 func (b *builder) addNodes(s Snapshot) {
-	workers := slices.Clone(s.Workers)
-	slices.SortFunc(workers, func(x, y Worker) int { return strings.Compare(x.Name, y.Name) })
-	for _, w := range workers {
-		for _, h := range w.Held {
-			b.class(h.Class)
+	order := make([]*Worker, len(s.Workers))
+	held := 0
+	for i := range s.Workers {
+		order[i] = &s.Workers[i]
+		held += len(s.Workers[i].Held)
+	}
+	slices.SortFunc(order, func(x, y *Worker) int { return strings.Compare(x.Name, y.Name) })
+	classOf := make([]int, 0, held)
+	for _, w := range order {
+		for i := range w.Held {
+			classOf = append(classOf, b.class(w.Held[i].Class))
 		}
 	}
-	for _, w := range workers {
-		b.cluster.Nodes = append(b.cluster.Nodes, b.node(w))
+	kinds := len(b.cluster.Classes)
+	nodes := make([]Node, len(order))
+	b.cluster.Nodes = make([]*Node, len(order))
+	counts := make([]uint16, len(order)*kinds)
+	for i, w := range order {
+		n := &nodes[i]
+		n.ByClass, counts = counts[:kinds], counts[kinds:]
+		n.classOf, classOf = classOf[:len(w.Held)], classOf[len(w.Held):]
+		b.fill(n, w)
+		b.cluster.Nodes[i] = n
 	}
 	b.cluster.Centres, b.cluster.Racks = len(b.centres), len(b.racks)
 }
 
-func (b *builder) node(w Worker) *Node {
-	n := &Node{
-		Worker: w, ByClass: make([]uint16, len(b.cluster.Classes)), Tasks: len(w.Held),
-		CentreIndex: index(b.centres, w.DataCentre), RackIndex: index(b.racks, w.DataCentre+"/"+w.Rack),
-		profile: index(b.profiles, profile{w.Service, w.LoadBand}),
+func (b *builder) fill(n *Node, w *Worker) {
+	n.Worker, n.Tasks = *w, len(w.Held)
+	n.CentreIndex = index(b.centres, w.DataCentre)
+	n.RackIndex = index(b.racks, rack{w.DataCentre, w.Rack})
+	n.profile = index(b.profiles, profile{w.Service, w.LoadBand})
+	if w.Slowdown > 0 {
+		n.measured = math.Log(w.Slowdown)
 	}
 	centre, known := b.out[w.DataCentre]
 	n.Out = centre.Out
@@ -172,9 +197,9 @@
 		n.Usable = w.Capacity.Scale(centre.Share)
 	}
 	var reserved Amount
-	for _, h := range w.Held {
-		reserved = reserved.Add(h.Reserved)
-		n.ByClass[b.classes[h.Class]]++
+	for i := range w.Held {
+		reserved = reserved.Add(w.Held[i].Reserved)
+		n.ByClass[n.classOf[i]]++
 	}
 	// A usage report lags: what started after it is counted on top of it.
 	committed := reserved.Max(w.Measured.Add(w.Unseen))
@@ -183,7 +208,6 @@
 	if !n.Out {
 		b.cluster.Total = b.cluster.Total.Add(w.Capacity)
 	}
-	return n
 }
 
 func index[K comparable](m map[K]int, key K) int {
@@ -233,13 +257,14 @@
 func (b *builder) count() {
 	c := b.cluster
 	c.probing = make([]int, len(c.Classes))
+	counts := make([]int, len(c.Classes)*(c.Centres+c.Racks))
 	for _, class := range c.Classes {
-		class.PerCentre, class.PerRack = make([]int, c.Centres), make([]int, c.Racks)
+		class.PerCentre, counts = counts[:c.Centres], counts[c.Centres:]
+		class.PerRack, counts = counts[:c.Racks], counts[c.Racks:]
 	}
 	for _, n := range c.Nodes {
-		for _, h := range n.Held {
-			k := b.classes[h.Class]
-			n.Excess += c.excess(n, k, h.Reserved)
+		for i, k := range n.classOf {
+			n.Excess += c.excess(n, k, n.Held[i].Reserved)
 			c.Classes[k].PerCentre[n.CentreIndex]++
 			c.Classes[k].PerRack[n.RackIndex]++
 		}
@@ -264,12 +289,16 @@
 // is unknown to.
 func (c *Cluster) Probing(class int) int { return c.probing[class] }
 
-// Predict returns the slowdown of the node's service with the task added. What
-// is measured counts if it is worse than what the model says.
-func (c *Cluster) Predict(n *Node, t *Item, need Amount) float64 {
-	return max(math.Exp(n.Excess), n.Slowdown) * math.Exp(c.excess(n, t.ClassIndex, need))
+// Growth returns the natural logarithm of the predicted slowdown of the node's
+// service with the task added. What is measured counts if it is worse than what
+// the model says.
+func (c *Cluster) Growth(n *Node, t *Item, need Amount) float64 {
+	return max(n.Excess, n.measured) + c.excess(n, t.ClassIndex, need)
 }
 
+// TooSlow reports whether a growth is above what the policy allows.
+func (c *Cluster) TooSlow(growth float64) bool { return growth > c.mostGrowth }
+
 // Reserve returns what the task reserves on the node: its need, cut to the
 // worker's capacity as long as that is no less than the floor.
 func (c *Cluster) Reserve(t *Item, n *Node) Amount {
@@ -291,7 +320,10 @@
 	n.Excess += c.excess(n, k, need)
 	n.ByClass[k]++
 	n.Tasks++
-	n.Held = append(slices.Clip(n.Held), Held{Class: t.Class, Reserved: need, Remaining: t.RunTime})
+	if !n.owned {
+		n.Held, n.owned = slices.Clip(n.Held), true
+	}
+	n.Held = append(n.Held, Held{Class: t.Class, Reserved: need, Remaining: t.RunTime})
 	class, team := c.Classes[k], c.Teams[t.TeamIndex]
 	class.PerCentre[n.CentreIndex]++
 	class.PerRack[n.RackIndex]++
--- a/internal/scheduler/placement/score/score.go
+++ b/internal/scheduler/placement/score/score.go
@@ -6,7 +6,7 @@
 // Weights of the parts. The service beside the worker comes first: one step of
 // its slowdown outweighs all that the other parts can give.
 const (
-	slowdownStep   = 0.02 // slowdowns within one step count as equal
+	growthStep     = 0.02 // slowdowns within one step of their logarithm count as equal
 	slowdownWeight = 10.0
 	spreadWeight   = 2.0 // each of racks and data centres
 	headroomWeight = 1.0
@@ -22,7 +22,7 @@
 	if n.Service == "" {
 		return 0
 	}
-	return float64(int((c.Predict(n, t, need) - 1) / slowdownStep))
+	return float64(int(c.Growth(n, t, need) / growthStep))
 }
 
 // spread is 2 for a rack and a data centre without the class, less the more of
