--- a/internal/bench/placement/policy.go
+++ b/internal/bench/placement/policy.go
@@ -130,7 +130,7 @@
 		return out
 	}
 	reading := p.learner.Observe(learn.Sample{
-		Worker: k.name, Service: k.service.Name, P99: time.Duration(k.measured * float64(time.Millisecond)),
+		Worker: k.name, Service: k.service.Name, P99: time.Duration(k.reported * float64(time.Millisecond)),
 		LoadMilli: uint32(k.load * 1000), CapacityMilli: k.capacity.CPUMilli, Uses: held, At: time.Duration(w.second) * time.Second,
 	})
 	out.Slowdown, out.LoadBand = reading.Slowdown, reading.Band
--- a/internal/bench/placement/world.go
+++ b/internal/bench/placement/world.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	usageLag      = 5 // seconds that a usage report is old
-	latencyNoise  = 0.06
-	latencySmooth = 0.4 // weight of the newest second in the latency window
-	tailFactor    = 3.0 // p99 over median of a service alone
+	usageLag     = 5 // seconds that a usage report is old
+	latencyNoise = 0.06
+	inlineSmooth = 0.4  // weight of the newest second in what the control sees
+	reportSmooth = 0.22 // the same in what the beats report: a window of 10 s
+	tailFactor   = 3.0  // p99 over median of a service alone
 )
 
 // task is a batch task of the run.
@@ -48,7 +49,8 @@
 	control  Controller
 	load     float64
 	slowdown float64 // true
-	measured float64 // p99 of the service in milliseconds, smoothed and noisy
+	measured float64 // p99 of the service in milliseconds as the control sees it
+	reported float64 // the same as the beats report it
 	usage    []model.Amount
 }
 
@@ -222,9 +224,10 @@
 	noise := 1 + latencyNoise*(w.noise.Float64()*2-1)
 	p99 := w.deployment.Service.MedianMs * tailFactor * interference.Alone(k.load) * k.slowdown * noise
 	if k.measured == 0 || w.out(k) {
-		k.measured = p99
+		k.measured, k.reported = p99, p99
 	}
-	k.measured += latencySmooth * (p99 - k.measured)
+	k.measured += inlineSmooth * (p99 - k.measured)
+	k.reported += reportSmooth * (p99 - k.reported)
 	var sum model.Amount
 	for _, t := range k.running {
 		sum = sum.Add(model.Amount{CPUMilli: int64(float64(t.need.CPUMilli) * k.share), MemoryMB: t.need.MemoryMB})
--- a/internal/scheduler/learn/interference.go
+++ b/internal/scheduler/learn/interference.go
@@ -17,8 +17,9 @@
 
 const (
 	milli = 1000
-	// latencyWindow is about the time that a service's latency is measured over.
-	latencyWindow = 2 * time.Second
+	// latencyWindow is the time constant that comes closest to the agent's window
+	// of ten seconds over a service's latency.
+	latencyWindow = 4 * time.Second
 	// firstWindows are needed before a worker's latency is learned from.
 	firstWindows = 2
 	// residualWeight smooths the noise of single measurements.
--- a/internal/scheduler/learn/interference_test.go
+++ b/internal/scheduler/learn/interference_test.go
@@ -13,6 +13,8 @@
 const (
 	capacity = 32_000
 	aloneP99 = 50 * time.Millisecond
+	// newest is the weight of the newest second in an agent's latency window.
+	newest = 0.22
 )
 
 // feed lets workers with changing work be measured; excess is the true effect of
@@ -65,7 +67,7 @@
 		if i%40 < 8 {
 			cpu = 0
 		}
-		window += 0.4 * (1.5*float64(cpu)/capacity - window)
+		window += newest * (1.5*float64(cpu)/capacity - window)
 		l.Observe(Sample{
 			Worker: "w", Service: "s", P99: time.Duration(float64(aloneP99) * math.Exp(window)), LoadMilli: 100,
 			CapacityMilli: capacity, Uses: []Use{{"c", cpu, 1}}, At: time.Duration(i) * time.Second,
@@ -86,7 +88,7 @@
 			cpu = int64(rng.IntN(4)) * 2_000
 		}
 		excess := 1.5 * float64(cpu) / capacity * share
-		window += 0.4 * (excess + 0.12*(rng.Float64()*2-1) - window)
+		window += newest * (excess + 0.12*(rng.Float64()*2-1) - window)
 		l.Observe(Sample{
 			Worker: "w", Service: "s", P99: time.Duration(float64(aloneP99) * math.Exp(window)), LoadMilli: 100,
 			CapacityMilli: capacity, Uses: []Use{{"c", cpu, share}}, At: time.Duration(i) * time.Second,
@@ -158,7 +160,7 @@
 func TestSlowdown(t *testing.T) {
 	l := New(nil)
 	s := Sample{Worker: "w", Service: "s", P99: aloneP99, LoadMilli: 100, CapacityMilli: capacity}
-	for i := range 20 {
+	for i := range 400 {
 		s.At = time.Duration(i) * time.Second
 		l.Observe(s)
 	}
--- a/internal/scheduler/learn/regression.go
+++ b/internal/scheduler/learn/regression.go
@@ -4,10 +4,10 @@
 
 const (
 	// forget is how much of the old evidence stays with each measurement.
-	forget = 0.9997
+	forget = 0.99995
 	// measurementVariance is that of the logarithm of a latency, and of what the
 	// straight lines of the model leave out.
-	measurementVariance = 0.002
+	measurementVariance = 0.03
 )
 
 // regression is a recursive least squares fit with forgetting and instrumental
--- a/internal/scheduler/placement/filter/filter.go
+++ b/internal/scheduler/placement/filter/filter.go
@@ -84,8 +84,10 @@
 	return t.RunTime > n.HeldUntil && !need.Within(n.Spare)
 }
 
-// checkService keeps the service beside the worker quick. A task that has
-// waited long may go beside it alone, since the agent throttles it if need be.
+// checkService keeps the service beside the worker quick. If nothing of a class
+// runs, a task of it that has waited long may go beside a service alone, since
+// the agent throttles it if need be; otherwise the worst classes would take every
+// worker that comes free.
 func checkService(c *model.Cluster, t *model.Item, n *model.Node, need model.Amount) Reason {
 	if n.Service == "" {
 		return None
@@ -93,7 +95,7 @@
 	if n.Throttled {
 		return ServiceSlow
 	}
-	if t.Aged && n.Tasks == 0 && n.Slowdown <= c.Policy.MaxSlowdown {
+	if t.Aged && n.Tasks == 0 && c.Classes[t.ClassIndex].Running == 0 && n.Slowdown <= c.Policy.MaxSlowdown {
 		return None
 	}
 	if !c.Known(n, t.ClassIndex) {
--- a/internal/scheduler/placement/filter/filter_test.go
+++ b/internal/scheduler/placement/filter/filter_test.go
@@ -91,6 +91,12 @@
 			s.NowMs = 100_000
 			s.Effects = known{Excess: 9, Samples: 100}
 		}, None},
+		{"waited long but its class runs elsewhere", func(w *model.Worker, _ *model.Task, s *model.Snapshot) {
+			service(w)
+			s.NowMs = 100_000
+			s.Effects = known{Excess: 9, Samples: 100}
+			s.Classes = []model.Class{{Name: "c", Running: 1}}
+		}, ServiceSlow},
 		{"unknown pair probed once", func(w *model.Worker, _ *model.Task, s *model.Snapshot) {
 			service(w)
 			s.Effects = known{}
--- a/internal/scheduler/placement/ramp/ramp.go
+++ b/internal/scheduler/placement/ramp/ramp.go
@@ -6,9 +6,9 @@
 // How a data centre comes back.
 const (
 	// FirstShare of its capacity may be used at once.
-	FirstShare = 0.1
+	FirstShare = 0.2
 	// Duration is how long it takes until all of it may be used.
-	Duration = 60 * time.Second
+	Duration = 30 * time.Second
 )
 
 // Share returns the part of the capacity that may be used, 0 to 1, of a data
