Announcements: owners only when they differ, lists rebuilt only when they change

Cause: an entry rebuilt and sorted a service's list at each heartbeat and sent all shard owners in each reply. Seen failing: TestHeartbeatWithoutChangeKeepsTheList on the older code. Ruled out: versions of the owners' list, since each entry counts its own; a digest needs no agreement. Change: internal/shardowners keeps owners and digest for entry and agent, where the same logic stood twice; renew publishes only when standing changes.

--- a/internal/agent/announce/announce.go
+++ b/internal/agent/announce/announce.go
@@ -12,6 +12,7 @@
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/events"
 	"chervilridge/internal/peer"
+	"chervilridge/internal/shardowners"
 )
 
 const (
@@ -37,7 +38,7 @@
 	answered map[string]time.Time // entry address -> last answer
 	named    map[string]time.Time // entry address -> when another entry last named it
 	failing  map[string]bool
-	owners   map[uint32]*pb.ShardOwner
+	owners   *shardowners.Book
 	sequence uint64
 }
 
@@ -46,7 +47,7 @@
 	a := &Announcer{
 		pool: pool, interval: interval, describe: describe,
 		seeds: map[string]bool{}, answered: map[string]time.Time{}, named: map[string]time.Time{}, failing: map[string]bool{},
-		owners: map[uint32]*pb.ShardOwner{},
+		owners: shardowners.New(),
 	}
 	for _, s := range seeds {
 		a.seeds[s] = true
@@ -55,11 +56,7 @@
 }
 
 // Owner returns the newest owner known of a shard, or nil.
-func (a *Announcer) Owner(shard uint32) *pb.ShardOwner {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.owners[shard]
-}
+func (a *Announcer) Owner(shard uint32) *pb.ShardOwner { return a.owners.Owner(shard) }
 
 // Run announces until the context ends.
 func (a *Announcer) Run(ctx context.Context) {
@@ -81,6 +78,7 @@
 	a.mu.Lock()
 	a.sequence++
 	req.Sequence = a.sequence
+	req.OwnersDigest = a.owners.Digest()
 	entries := a.entries(time.Now())
 	req.Entries = a.live(time.Now())
 	a.mu.Unlock()
@@ -157,10 +155,5 @@
 		}
 		a.named[e] = now
 	}
-	for _, o := range reply.Owners {
-		if held := a.owners[o.Shard]; held == nil || held.Epoch < o.Epoch {
-			a.owners[o.Shard] = o
-			events.OwnerLearned.Log("shard", o.Shard, "epoch", o.Epoch, "agent", o.Agent)
-		}
-	}
+	a.owners.Learn(reply.Owners)
 }
--- a/internal/bench/capacity/announce.go
+++ b/internal/bench/capacity/announce.go
@@ -17,6 +17,7 @@
 	announceRounds = 20
 	parallelCalls  = 4
 	announceLease  = time.Minute
+	ownedShards    = 64 // shards that the first agents own
 )
 
 // Announcements measures one heartbeat of an agent to one entry.
@@ -40,7 +41,9 @@
 		defer pools[i].Close()
 		senders[i] = announce.New(pools[i], []string{listener.Addr().String()}, time.Second, describe(i))
 	}
-	sendAll(senders) // connections are not part of a heartbeat's cost
+	for range 2 { // connections and learning are not part of a heartbeat's cost
+		sendAll(senders)
+	}
 	cpu, bytes := cpuTime(), listener.bytes.Load()
 	for range announceRounds {
 		sendAll(senders)
@@ -59,8 +62,12 @@
 		Agent: fmt.Sprintf("agent-%d", i), Incarnation: ident.New(), Address: fmt.Sprintf("10.0.%d.%d:9001", i/250, i%250),
 		Service: "quotedesk", Region: "pnw", DataCentre: "pnw-a", Slots: 8, Connections: 64,
 	}
+	var shards []*pb.OwnedShard
+	if i < ownedShards {
+		shards = []*pb.OwnedShard{{Shard: uint32(i), Epoch: 1}}
+	}
 	return func() *pb.AnnounceRequest {
-		return &pb.AnnounceRequest{Endpoint: endpoint, Running: 3, Healthy: true, TableVersion: 1300, Worker: fmt.Sprintf("worker-%d", i)}
+		return &pb.AnnounceRequest{Endpoint: endpoint, Shards: shards, Running: 3, Healthy: true, TableVersion: 1300, Worker: fmt.Sprintf("worker-%d", i)}
 	}
 }
 
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -38,20 +38,32 @@
 
 func (rec *record) lapsed() bool { return !rec.lapsedAt.IsZero() }
 
+// standing is what decides whether readers see a member.
+type standing struct {
+	leaving, healthy, lapsed bool
+}
+
+func (rec *record) standing() standing {
+	return standing{rec.leaving, rec.healthy, rec.lapsed()}
+}
+
 // renew adds or extends a lease. An older incarnation or heartbeat is ignored;
 // incarnations are ULIDs and sort by time. Only once the lease of the newest has
 // lapsed does another one take over: the clock of its instance was set back.
 func (sh *registryShard) renew(req *pb.AnnounceRequest, now time.Time) {
 	e := req.Endpoint
 	rec := sh.records[e.Agent]
+	joined := false
 	if rec == nil || rec.member.Endpoint.Incarnation < e.Incarnation || rec.lapsed() && rec.member.Endpoint.Incarnation != e.Incarnation {
 		rec = &record{member: &Member{Endpoint: e, joinedAt: now}}
 		sh.records[e.Agent] = rec
+		joined = true
 		events.EndpointJoined.Log("agent", e.Agent, "incarnation", e.Incarnation, "service", e.Service, "dataCentre", e.DataCentre, "peer", e.Address)
 	}
 	if rec.member.Endpoint.Incarnation != e.Incarnation || req.Sequence <= rec.sequence {
 		return
 	}
+	before := rec.standing()
 	if req.Leaving && !rec.leaving {
 		events.EndpointLeaving.Log("agent", e.Agent, "incarnation", e.Incarnation, "service", e.Service)
 	}
@@ -64,7 +76,9 @@
 	rec.worker = req.Worker
 	rec.member.Running.Store(int64(req.Running))
 	rec.member.Queued.Store(int64(req.Queued))
-	sh.publish(e.Service)
+	if joined || before != rec.standing() {
+		sh.publish(e.Service)
+	}
 }
 
 // publish rebuilds the list that readers of the service see. When most leases
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -4,15 +4,14 @@
 	"context"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	pb "chervilridge/api/chervil/v1"
-	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
+	"chervilridge/internal/shardowners"
 )
 
 const (
@@ -29,15 +28,13 @@
 	entries *Entries
 	version func() uint64 // of the table in force
 	shards  [shardCount]registryShard
-
-	ownersMu sync.Mutex
-	owners   map[uint32]*pb.ShardOwner
+	owners  *shardowners.Book
 }
 
 // NewRegistry returns an empty registry whose leases last that long. Agents are
 // told the entries and the version of the table in force.
 func NewRegistry(lease time.Duration, entries *Entries, version func() uint64) *Registry {
-	r := &Registry{lease: lease, entries: entries, version: version, owners: map[uint32]*pb.ShardOwner{}}
+	r := &Registry{lease: lease, entries: entries, version: version, owners: shardowners.New()}
 	for i := range r.shards {
 		r.shards[i].lease = lease
 		r.shards[i].records = map[string]*record{}
@@ -92,11 +89,13 @@
 }
 
 // Owner returns the owner of a shard as agents announced it, or nil.
-func (r *Registry) Owner(shard uint32) *pb.ShardOwner {
-	r.ownersMu.Lock()
-	defer r.ownersMu.Unlock()
-	return r.owners[shard]
-}
+func (r *Registry) Owner(shard uint32) *pb.ShardOwner { return r.owners.Owner(shard) }
+
+// Owners returns the owners of all shards with a known one, by shard.
+func (r *Registry) Owners() []*pb.ShardOwner { return r.owners.List() }
+
+// OwnersDigest returns the digest of the known shard owners.
+func (r *Registry) OwnersDigest() uint64 { return r.owners.Digest() }
 
 // Announce implements the Registry service. Without an endpoint it is the
 // greeting of another entry.
@@ -109,7 +108,7 @@
 	}
 	r.entries.Note(req.Entries, now)
 	return &pb.AnnounceReply{
-		LeaseMs: r.lease.Milliseconds(), Owners: r.Owners(),
+		LeaseMs: r.lease.Milliseconds(), Owners: r.owners.Unknown(req.OwnersDigest),
 		Entries: r.entries.Live(now), TableVersion: r.version(),
 	}, nil
 }
@@ -159,38 +158,12 @@
 
 func (r *Registry) noteOwner(shards []*pb.OwnedShard, e *pb.Endpoint) {
 	for _, s := range shards {
-		r.learnOwner(&pb.ShardOwner{Shard: s.Shard, Epoch: s.Epoch, Agent: e.Agent, Address: e.Address})
+		r.owners.Learn([]*pb.ShardOwner{{Shard: s.Shard, Epoch: s.Epoch, Agent: e.Agent, Address: e.Address}})
 	}
 }
 
 // Learn takes the shard owners that another entry knows.
-func (r *Registry) Learn(reply *pb.AnnounceReply) {
-	for _, o := range reply.Owners {
-		r.learnOwner(o)
-	}
-}
-
-func (r *Registry) learnOwner(o *pb.ShardOwner) {
-	r.ownersMu.Lock()
-	defer r.ownersMu.Unlock()
-	if held := r.owners[o.Shard]; held != nil && held.Epoch >= o.Epoch {
-		return
-	}
-	r.owners[o.Shard] = o
-	events.OwnerLearned.Log("shard", o.Shard, "epoch", o.Epoch, "agent", o.Agent)
-}
-
-// Owners returns the owners of all shards with a known one, by shard.
-func (r *Registry) Owners() []*pb.ShardOwner {
-	r.ownersMu.Lock()
-	defer r.ownersMu.Unlock()
-	out := make([]*pb.ShardOwner, 0, len(r.owners))
-	for _, o := range r.owners {
-		out = append(out, o)
-	}
-	slices.SortFunc(out, func(a, b *pb.ShardOwner) int { return int(a.Shard) - int(b.Shard) })
-	return out
-}
+func (r *Registry) Learn(reply *pb.AnnounceReply) { r.owners.Learn(reply.Owners) }
 
 // Status is a member as operators see it.
 type Status struct {
--- a/internal/membership/registry_test.go
+++ b/internal/membership/registry_test.go
@@ -161,3 +161,17 @@
 	e.Note([]string{"other"}, now.Add(entryLease))
 	assert.DeepEqual(t, e.Live(now.Add(entryLease+time.Second)), []string{"other", "self"})
 }
+
+// TestHeartbeatWithoutChangeKeepsTheList: readers' lists are rebuilt only when
+// one of them changes, not at every heartbeat.
+func TestHeartbeatWithoutChangeKeepsTheList(t *testing.T) {
+	f := newFixture()
+	f.beat(t, upTo(endpoints)...)
+	before := f.Members(testService)
+	f.beat(t, upTo(endpoints)...)
+	assert.Assert(t, &before[0] == &f.Members(testService)[0])
+	sick := heartbeat(3, "A", f.sequence+1)
+	sick.Healthy = false
+	assert.NilError(t, f.take(sick, f.now))
+	assert.Equal(t, len(f.Members(testService)), endpoints-1)
+}
