Owner: all granted attempts are walked through twice a second, not at each change

Cause: each round, at every change and ten times a second, walked through all granted attempts and built a set of them. Ruled out: planning, which returns at once while no task waits. Change: the walk is due every 500 ms at most (what it acts on takes seconds) and marks views by a counter instead of building a set.

--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	tickInterval  = 100 * time.Millisecond
-	commitTimeout = 5 * time.Second
-	callTimeout   = 2 * time.Second
+	reconcileInterval = 500 * time.Millisecond
+	tickInterval      = 100 * time.Millisecond
+	commitTimeout     = 5 * time.Second
+	callTimeout       = 2 * time.Second
 	// StartAllowance is how late a start may reach the agent after it was sent.
 	StartAllowance = time.Second
 	// TableFreshness is how old the view of the table may be at a start.
@@ -70,11 +71,13 @@
 	committer *ledger.Committer
 	pool      *peer.Pool
 
-	mu       sync.Mutex
-	epoch    uint64 // epoch that the maps below belong to
-	workers  map[string]*workerView
-	attempts map[attemptKey]*attemptView
-	pace     *pace
+	mu         sync.Mutex
+	epoch      uint64 // epoch that the maps below belong to
+	workers    map[string]*workerView
+	attempts   map[attemptKey]*attemptView
+	walk       uint64    // counts the walks through all granted attempts
+	reconciled time.Time // when the newest walk began
+	pace       *pace
 
 	insight insight
 }
@@ -100,6 +103,7 @@
 	mayRunUntil time.Time
 	confirmed   time.Time // newest beat that reported it
 	busy        bool      // a start, stop, fence or commit is under way
+	walk        uint64    // newest walk that found it granted
 	checkpoint  []byte    // newest that a report of the running attempt named
 	unanswered  backoff   // calls about the attempt that had no answer
 }
@@ -138,10 +142,24 @@
 		return
 	}
 	o.enter(epoch)
-	o.reconcile(ctx, epoch)
+	if o.reconcileDue(time.Now()) {
+		o.reconcile(ctx, epoch)
+	}
 	o.schedule(ctx, epoch)
 }
 
+// reconcileDue bounds how often all granted attempts are walked through: a round
+// follows each change of the ledger, and what a walk acts on takes seconds.
+func (o *Owner) reconcileDue(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Sub(o.reconciled) < reconcileInterval {
+		return false
+	}
+	o.reconciled = now
+	return true
+}
+
 // enter forgets what was learned under an older epoch. A late caller of an older
 // epoch changes nothing.
 func (o *Owner) enter(epoch uint64) {
--- a/internal/scheduler/owner/reconcile.go
+++ b/internal/scheduler/owner/reconcile.go
@@ -57,14 +57,14 @@
 	var out []step
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	granted := map[attemptKey]bool{}
+	o.walk++
 	o.table.View(func(t *table.Table) {
 		o.state.View(func(s *shard.State) {
 			for name, w := range s.Workers() {
 				excess := excessOn(w)
 				for ref, task := range w.Assigned {
 					key := attemptKey{ref, task.Attempt}
-					granted[key] = true
+					o.view(key).walk = o.walk
 					if st := o.decide(t, s.Job(ref.JobID), key, name, w, excess[ref]); st.action != actionNone {
 						out = append(out, st)
 					}
@@ -73,7 +73,7 @@
 		})
 	})
 	for key, v := range o.attempts {
-		if !granted[key] && !v.busy {
+		if v.walk != o.walk && !v.busy {
 			delete(o.attempts, key)
 		}
 	}
