--- a/internal/bench/routing/cases.go
+++ b/internal/bench/routing/cases.go
@@ -17,7 +17,9 @@
 	sweepEvery    = 250 * time.Millisecond
 	meanService   = 20 * time.Millisecond
 	runTime       = 12 * time.Second
-	warmUp        = 2 * time.Second
+	shortWork     = 2 * time.Millisecond
+	shortRunTime  = 3 * time.Second
+	warmUpPart    = 6 // the first sixth of a run does not count
 	disturbBegin  = 4 * time.Second
 	disturbEnd    = 8 * time.Second
 	slowFactor    = 10
@@ -49,6 +51,9 @@
 	Name string
 	// Load is the part of all slots that the requests would keep busy.
 	Load float64
+	// Work is the mean service time, and Length the time of arrivals.
+	Work   time.Duration
+	Length time.Duration
 	// Sigma of the logarithm of the service time.
 	Sigma float64
 	// Entries is how many entries share the requests evenly.
@@ -66,21 +71,25 @@
 // Cases returns the cases in the order of the report.
 func Cases() []Case {
 	return []Case{
-		{"even 50%", 0.50, evenSigma, 2, nil},
-		{"even 80%", 0.80, evenSigma, 2, nil},
-		{"even 95%", 0.95, evenSigma, 2, nil},
-		{"like work 80%", 0.80, likeSigma, 2, nil},
-		{"like work 95%", 0.95, likeSigma, 2, nil},
-		{"like work 95%, 8 entries", 0.95, likeSigma, 8, nil},
-		{"heavy tail 80%", 0.80, heavySigma, 2, nil},
-		{"one 10x slower 60%", 0.60, evenSigma, 2, slowOne},
-		{"one dead, refuses 60%", 0.60, evenSigma, 2, killOne},
-		{"one dead, silent 60%", 0.60, evenSigma, 2, silenceOne},
-		{"data centre out and back 50%", 0.50, evenSigma, 2, drainOne},
-		{"noisy wave 60%", 0.60, evenSigma, 2, noisyWave},
+		{"even 50%", 0.50, meanService, runTime, evenSigma, 2, nil},
+		{"even 80%", 0.80, meanService, runTime, evenSigma, 2, nil},
+		{"even 95%", 0.95, meanService, runTime, evenSigma, 2, nil},
+		{"like work 80%", 0.80, meanService, runTime, likeSigma, 2, nil},
+		{"like work 95%", 0.95, meanService, runTime, likeSigma, 2, nil},
+		{"like work 95%, 8 entries", 0.95, meanService, runTime, likeSigma, 8, nil},
+		{"short like work 95%", 0.95, shortWork, shortRunTime, likeSigma, 2, nil},
+		{"heavy tail 80%", 0.80, meanService, runTime, heavySigma, 2, nil},
+		{"one 10x slower 60%", 0.60, meanService, runTime, evenSigma, 2, slowOne},
+		{"one dead, refuses 60%", 0.60, meanService, runTime, evenSigma, 2, killOne},
+		{"one dead, silent 60%", 0.60, meanService, runTime, evenSigma, 2, silenceOne},
+		{"data centre out and back 50%", 0.50, meanService, runTime, evenSigma, 2, drainOne},
+		{"noisy wave 60%", 0.60, meanService, runTime, evenSigma, 2, noisyWave},
 	}
 }
 
+// counts reports whether a request that arrives at that time is past the warm-up.
+func (c Case) counts(at time.Duration) bool { return at >= c.Length/warmUpPart }
+
 // slowOne makes one endpoint slow from the start.
 func slowOne(f *fleet, _ *rand.Rand) { f.endpoints[0].slowdown = slowFactor }
 
@@ -127,13 +136,13 @@
 
 // arrivals draws Poisson arrivals with log-normal service times.
 func arrivals(c Case, rng *rand.Rand) []arrival {
-	rate := c.Load * runners * slotsEach / meanService.Seconds()
-	mu := math.Log(float64(meanService)) - c.Sigma*c.Sigma/2
+	rate := c.Load * runners * slotsEach / c.Work.Seconds()
+	mu := math.Log(float64(c.Work)) - c.Sigma*c.Sigma/2
 	var out []arrival
 	for t := 0.0; ; {
 		t += rng.ExpFloat64() / rate
 		at := time.Duration(t * float64(time.Second))
-		if at >= runTime {
+		if at >= c.Length {
 			return out
 		}
 		work := time.Duration(math.Exp(mu + c.Sigma*rng.NormFloat64()))
--- a/internal/bench/routing/endpoint.go
+++ b/internal/bench/routing/endpoint.go
@@ -46,13 +46,13 @@
 	service time.Duration // smoothed service time
 }
 
-const (
-	admissionSmoothing = 0.1
-	admissionPrior     = meanService
-)
+// admissionSmoothing is the weight of the newest service time.
+const admissionSmoothing = 0.1
 
-func newEndpoint(c *clock, info *pb.Endpoint) *endpoint {
-	return &endpoint{clock: c, info: info, slowdown: 1, service: admissionPrior}
+// newEndpoint returns an endpoint whose admission begins with a known service
+// time.
+func newEndpoint(c *clock, service time.Duration, info *pb.Endpoint) *endpoint {
+	return &endpoint{clock: c, info: info, slowdown: 1, service: service}
 }
 
 // enter takes a free slot, queues the request, or refuses it.
--- a/internal/bench/routing/fleet.go
+++ b/internal/bench/routing/fleet.go
@@ -17,16 +17,17 @@
 	clock      *clock
 	deployment Deployment
 	begin      time.Time
+	end        time.Time // of the arrivals
 	endpoints  []*endpoint
 	out        map[string]bool
 	onCentre   func()
 }
 
-func newFleet(d Deployment) *fleet {
+func newFleet(d Deployment, of Case) *fleet {
 	c := newClock()
-	f := &fleet{clock: c, deployment: d, begin: c.now, out: map[string]bool{}}
+	f := &fleet{clock: c, deployment: d, begin: c.now, end: c.now.Add(of.Length), out: map[string]bool{}}
 	for i := range runners {
-		f.endpoints = append(f.endpoints, newEndpoint(c, &pb.Endpoint{
+		f.endpoints = append(f.endpoints, newEndpoint(c, of.Work, &pb.Endpoint{
 			Agent: fmt.Sprintf("agent-%02d", i), Incarnation: "1", Service: service,
 			DataCentre: d.Centres[i%len(d.Centres)], Slots: slotsEach,
 		}))
@@ -119,7 +120,7 @@
 func (e *entry) heartbeat(i int) {
 	p := e.fleet.endpoints[i]
 	now := e.fleet.clock.now
-	if p.health != alive || now.After(e.fleet.begin.Add(runTime)) {
+	if p.health != alive || now.After(e.fleet.end) {
 		return
 	}
 	running, queued := int64(len(p.running)), int64(len(p.queue))
@@ -139,7 +140,7 @@
 		}
 	}
 	e.live = live
-	if now.Before(e.fleet.begin.Add(runTime)) {
+	if now.Before(e.fleet.end) {
 		e.fleet.clock.after(sweepEvery, e.sweep)
 	}
 }
--- a/internal/bench/routing/ideal.go
+++ b/internal/bench/routing/ideal.go
@@ -31,21 +31,21 @@
 
 // SimulateIdeal runs the baseline in one case.
 func SimulateIdeal(d Deployment, c Case, o Options) *Figures {
-	f := newFleet(d)
+	f := newFleet(d, c)
 	s := &ideal{fleet: f, busy: make([]int, runners), running: make([][]*idealRequest, runners), figures: newFigures(IdealName)}
 	f.onCentre = s.dispatch
 	if c.Disturb != nil {
 		c.Disturb(f, rand.New(rand.NewPCG(o.Seed, 200)))
 	}
-	f.feed(arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))), s.arrive)
+	f.feed(arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))), func(a arrival) { s.arrive(a, c.counts(a.at)) })
 	f.clock.at(f.begin.Add(disturbBegin), s.takeBack)
 	f.clock.runAll()
 	return s.figures
 }
 
-func (s *ideal) arrive(a arrival) {
+func (s *ideal) arrive(a arrival, counted bool) {
 	s.queue = append(s.queue, &idealRequest{
-		sent: s.fleet.begin.Add(a.at), entry: a.entry, work: a.work, counted: a.at >= warmUp,
+		sent: s.fleet.begin.Add(a.at), entry: a.entry, work: a.work, counted: counted,
 	})
 	s.dispatch()
 }
--- a/internal/bench/routing/simulate.go
+++ b/internal/bench/routing/simulate.go
@@ -36,7 +36,7 @@
 
 // Simulate runs one policy in one case and returns its figures.
 func Simulate(d Deployment, c Case, policy string, o Options) *Figures {
-	f := newFleet(d)
+	f := newFleet(d, c)
 	s := &simulation{fleet: f, options: o, figures: newFigures(policy)}
 	beats := rand.New(rand.NewPCG(o.Seed, 100))
 	for i := range c.Entries {
@@ -47,7 +47,7 @@
 	if c.Disturb != nil {
 		c.Disturb(f, rand.New(rand.NewPCG(o.Seed, 200)))
 	}
-	f.feed(arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))), s.arrive)
+	f.feed(arrivals(c, rand.New(rand.NewPCG(o.Seed, 300))), func(a arrival) { s.arrive(a, c.counts(a.at)) })
 	f.clock.runAll()
 	return s.figures
 }
@@ -62,11 +62,11 @@
 	tries   int
 }
 
-func (s *simulation) arrive(a arrival) {
+func (s *simulation) arrive(a arrival, counted bool) {
 	sent := s.fleet.begin.Add(a.at)
 	fl := &flight{
 		request: &request.Request{Service: service, Repeatable: true, Deadline: sent.Add(deadline - s.fleet.deployment.Client)},
-		entry:   s.entries[a.entry], sent: sent, work: a.work, counted: a.at >= warmUp,
+		entry:   s.entries[a.entry], sent: sent, work: a.work, counted: counted,
 	}
 	fl.entry.tokens = min(fl.entry.tokens+retryShare, retryBurst)
 	s.try(fl)
