Routing: reports age with the service time, requests under way are no load

Cause: with 2 ms of work a report counted for 50 service times, and requests on a 2 ms way counted as if they held the far endpoint's slots, so the near ones filled up.

--- a/internal/membership/estimate.go
+++ b/internal/membership/estimate.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// loadFreshness is how long a load report says anything about the requests
-	// of other entries: most of what ran then has been answered since.
-	loadFreshness = 100 * time.Millisecond
+	// firstFreshness is how long a load report counts while the member's service
+	// time is not known.
+	firstFreshness = 100 * time.Millisecond
 	// serviceSmoothing is the weight of one observation among frequent ones.
 	serviceSmoothing = 0.05
 	// serviceHalfLife is how fast an estimate ages without observations.
@@ -27,15 +27,19 @@
 }
 
 // Load estimates the requests at the endpoint: those of this entry, and those
-// of other entries by the last report, counted less the older it is.
+// of other entries by the last report, counted less the older it is. After one
+// service time it counts for nothing: what ran then has been answered.
 func (m *Member) Load(now time.Time) float64 {
 	own := float64(m.InFlight.Load())
 	others := m.others.Load()
 	if others == 0 {
 		return own
 	}
-	age := now.UnixNano() - m.reportedAt.Load()
-	fresh := 1 - float64(age)/float64(loadFreshness)
+	freshness := m.ServiceTime()
+	if freshness == 0 {
+		freshness = float64(firstFreshness)
+	}
+	fresh := 1 - float64(now.UnixNano()-m.reportedAt.Load())/freshness
 	return own + float64(others)*min(max(fresh, 0), 1)
 }
 
--- a/internal/membership/member_test.go
+++ b/internal/membership/member_test.go
@@ -64,8 +64,8 @@
 		{"others are what the report has beyond the own", 3, 5, 2, 0, 0, 7},
 		{"the reply's own request has left the agent", 3, 5, 0, 1, 0, 6},
 		{"older than the own requests", 5, 2, 0, 0, 0, 5},
-		{"half aged", 0, 4, 0, 0, loadFreshness / 2, 2},
-		{"aged", 1, 9, 0, 0, 10 * loadFreshness, 1},
+		{"half aged", 0, 4, 0, 0, firstFreshness / 2, 2},
+		{"aged", 1, 9, 0, 0, 10 * firstFreshness, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -79,6 +79,16 @@
 	}
 }
 
+// TestLoadAgesWithServiceTime checks that a report counts for one service time.
+func TestLoadAgesWithServiceTime(t *testing.T) {
+	const service = 4 * time.Millisecond
+	m := newTestMember()
+	m.ObserveService(service, start)
+	m.NoteLoad(8, 0, 0, start)
+	assert.Equal(t, m.Load(start.Add(service/2)), 4.0)
+	assert.Equal(t, m.Load(start.Add(service)), 0.0)
+}
+
 // TestServiceTime checks smoothing, ageing and the probe of an idle member.
 func TestServiceTime(t *testing.T) {
 	const typical, slow = float64(20 * time.Millisecond), float64(200 * time.Millisecond)
--- a/internal/request/pick/policies_test.go
+++ b/internal/request/pick/policies_test.go
@@ -48,6 +48,22 @@
 	}
 }
 
+// TestRequestsUnderWayAreNotLoad checks that requests on the long way to a far
+// endpoint do not count as if they held its slots: of 8 in flight, a way as long
+// as the service leaves 4 there.
+func TestRequestsUnderWayAreNotLoad(t *testing.T) {
+	const service, hop = 2 * time.Millisecond, time.Millisecond
+	near, far := member(0, start), member(1, start)
+	for _, m := range []*membership.Member{near, far} {
+		m.ObserveService(service, start)
+	}
+	near.InFlight.Add(14)
+	far.InFlight.Add(8)
+	p := NewPolicy(NameNearLeastTime, SharedRand{}, Distance{DataCentre: "a", Hop: hop})
+	got := p.Pick([]*membership.Member{near, far}, start)
+	assert.Equal(t, got.Member, far, "scores %v and %v", got.Score, got.RunnerUpScore)
+}
+
 // TestSlowEndpointLosesTraffic sends an even stream to three endpoints, of which
 // one is ten times slower, and counts its share; it must be probed again when it
 // has recovered.
--- a/internal/request/pick/score.go
+++ b/internal/request/pick/score.go
@@ -69,8 +69,20 @@
 	if service > 0 && service < likeShare*s.Typical {
 		service = s.Typical
 	}
-	busy := min(OwnLoad(m, s), 1)
-	return float64(d.RoundTrip(m)) + service*(1+busy+turns(m, m.Load(s.Now)))
+	way := float64(d.RoundTrip(m))
+	own := float64(m.InFlight.Load())
+	away := own * underWay(way, service)
+	busy := min((own-away)/slots(m), 1)
+	return way + service*(1+busy+turns(m, m.Load(s.Now)-away))
+}
+
+// underWay returns the part of the requests in flight that are between the
+// entry and the endpoint rather than in a slot.
+func underWay(way, service float64) float64 {
+	if way == 0 {
+		return 0
+	}
+	return way / (way + service)
 }
 
 // turns returns how many service times a request waits behind the load.
