Routing: the log line lists the candidates with their scores

Cause: the issue asks each decision's line for candidates, scores, choice and why; it showed the best two only. Ruled out: listing 500 candidates a request; above 16 the line keeps choice, runner-up and number. Conclusion: the cost is paid by the logged path only.

--- a/internal/request/pick/pick.go
+++ b/internal/request/pick/pick.go
@@ -58,7 +58,7 @@
 
 // Handle sets the request's target and counts it as in flight there.
 func (f *Filter) Handle(ctx context.Context, r *request.Request) (*request.Answer, error) {
-	h, err := f.Begin(r)
+	h, err := f.begin(r, true)
 	if err != nil {
 		return nil, err
 	}
@@ -73,14 +73,19 @@
 // Handover is one request on its way to a member.
 type Handover struct {
 	Decision
-	Left    LeftOut
+	Left LeftOut
+	// Considered is set for a decision that is logged.
+	Considered Considered
+
 	began   time.Time
 	turns   float64 // service times that the request was expected to wait
 	members int     // candidates
 }
 
 // Begin picks the target and counts the request as in flight there until End.
-func (f *Filter) Begin(r *request.Request) (Handover, error) {
+func (f *Filter) Begin(r *request.Request) (Handover, error) { return f.begin(r, false) }
+
+func (f *Filter) begin(r *request.Request, logged bool) (Handover, error) {
 	now := f.options.Now()
 	s := f.scans.Get().(*scan)
 	defer f.scans.Put(s)
@@ -92,6 +97,9 @@
 	}
 	h := Handover{Left: s.left, began: now, members: len(s.candidates)}
 	h.Decision = f.options.Policy.Pick(s.candidates, now)
+	if logged {
+		h.Considered = consider(f.options.Policy, s.candidates, now) // before the request itself counts
+	}
 	h.turns = turns(h.Member, h.Member.Load(now))
 	h.Member.InFlight.Add(1)
 	r.Target = h.Member
@@ -125,5 +133,5 @@
 	events.RequestRouted.Log("request", r.ID, "service", r.Service, "client", r.Client,
 		"peer", h.Member.Endpoint.Agent, "dataCentre", h.Member.Endpoint.DataCentre, "try", len(r.Tried),
 		"policy", f.options.Policy.Name(), "score", h.Score, "runnerUp", runnerUp, "runnerUpScore", h.RunnerUpScore,
-		"candidates", h.members, "leftOut", h.Left)
+		"candidates", h.members, "scores", h.Considered, "leftOut", h.Left)
 }
--- a/internal/request/pick/policies_test.go
+++ b/internal/request/pick/policies_test.go
@@ -141,6 +141,28 @@
 	assert.Equal(t, d.RunnerUpScore, 0.5)
 }
 
+// TestConsideredShowsAllScores checks what the log line tells of a decision, as
+// it stood before the request itself counted.
+func TestConsideredShowsAllScores(t *testing.T) {
+	w := newWorld(3)
+	for i, own := range []int64{8, 2, 4} {
+		w.members[i].InFlight.Add(own)
+	}
+	cases := map[string]string{
+		NameLeastInFlight: "agent-0=1 agent-1=0.25 agent-2=0.5",
+		NameRoundRobin:    "agent-0=0 agent-1=0 agent-2=0",
+	}
+	for name, want := range cases {
+		h, err := w.filter(name).begin(&request.Request{}, true)
+		assert.NilError(t, err)
+		assert.Equal(t, h.Considered.String(), want, name)
+		h.Member.InFlight.Add(-1)
+	}
+	h, err := newWorld(consideredLimit+1).filter(NameLeastInFlight).begin(&request.Request{}, true)
+	assert.NilError(t, err)
+	assert.Equal(t, len(h.Considered), 0)
+}
+
 // TestNamesHavePolicies checks that each name makes a policy of that name.
 func TestNamesHavePolicies(t *testing.T) {
 	for _, name := range Names() {
