--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -33,6 +33,8 @@
 	probeEvery    = time.Second
 	// firstServiceTime judges the wait for a slot before any was measured.
 	firstServiceTime = 5 * time.Millisecond
+	// leaveLinger outlasts the time in which entries notice a silent connection.
+	leaveLinger = 2 * time.Second
 	// maxAnswerMemory bounds the answers kept for those who ask again.
 	maxAnswerMemory = 64 << 20 // bytes
 )
@@ -147,11 +149,21 @@
 }
 
 // leave runs first at a planned stop: announce, refuse new requests, finish
-// those in flight.
+// those in flight. Then it lingers: what entries sent before they heard is
+// refused with proof, and an answer lost on its way can still be asked for.
 func leave(lc fx.Lifecycle, run *runner.Runner, a *announce.Announcer) {
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
 		run.BeginLeave()
 		a.Announce(ctx)
-		return run.FinishLeave(ctx)
+		if err := run.FinishLeave(ctx); err != nil {
+			return err
+		}
+		linger := time.NewTimer(leaveLinger)
+		defer linger.Stop()
+		select {
+		case <-linger.C:
+		case <-ctx.Done():
+		}
+		return nil
 	}})
 }
--- a/internal/request/faulttest/harness_test.go
+++ b/internal/request/faulttest/harness_test.go
@@ -55,11 +55,17 @@
 }
 
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
 	id := r.Header.Get(runner.HeaderRequestID)
 	e.mu.Lock()
 	e.runs[id]++
 	e.mu.Unlock()
-	e.began <- id
+	select {
+	case e.began <- id:
+	default: // nobody waits
+	}
 	if e.answer != nil {
 		e.answer(w, r)
 		return
@@ -217,3 +223,22 @@
 		assert.Assert(t, time.Since(began) < longRequest, "%v", err)
 	}
 }
+
+// total returns how many runs there were, and most how many of one request.
+func (e *endpoint) total() (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, runs := range e.runs {
+		n += runs
+	}
+	return n
+}
+
+func (e *endpoint) most() (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, runs := range e.runs {
+		n = max(n, runs)
+	}
+	return n
+}
