--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,11 @@
 	@test -z "$$(gofmt -l $(GOFILES))"
 	go vet ./...
 	go tool staticcheck ./...
+
+.PHONY: fuzz fuzz-request
+
+fuzz: fuzz-request
+
+# Random histories of the request protocol; SEED=n repeats a run.
+fuzz-request:
+	go test -count=1 ./internal/request/faulttest -run 'TestRequestProtocol$$' -rapid.checks=200000 -rapid.seed=$(or $(SEED),$(shell date +%s)) -v | grep -v '^I'
--- a/internal/request/faulttest/process_test.go
+++ b/internal/request/faulttest/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +31,12 @@
 // the tests can kill, pause and stop real processes.
 const roleVariable = "FAULTTEST_ROLE"
 
+// Unless the command line tells otherwise, the histories are the same in each run.
+const (
+	fixedSeed   = "4"
+	fixedChecks = "5000"
+)
+
 var programs = map[string]func(set *settings.Set) func() fx.Option{
 	"entry": func(set *settings.Set) func() fx.Option {
 		o := entry.NewOptions(set)
@@ -45,6 +52,8 @@
 	if role := os.Getenv(roleVariable); role != "" {
 		os.Exit(process.Main(process.Program{Name: role, Settings: programs[role]}))
 	}
+	_ = flag.Set("rapid.seed", fixedSeed)
+	_ = flag.Set("rapid.checks", fixedChecks)
 	os.Exit(m.Run())
 }
 
