A heartbeat rebuilds the list of endpoints only if it changes it

Cause: each heartbeat rebuilt and sorted its service's list, so that the cost of the heartbeats grew with the square of the endpoints. Ruled out: a list kept sorted by insertion, which still copies it for its readers at each heartbeat.

--- /dev/null
+++ b/internal/bench/heartbeat/doc.go
@@ -0,0 +1,2 @@
+// Package heartbeat measures what an endpoint's heartbeats cost an entry.
+package heartbeat
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -55,6 +55,7 @@
 	if req.Leaving && !rec.leaving {
 		events.EndpointLeaving.Log("agent", e.Agent, "incarnation", e.Incarnation, "service", e.Service)
 	}
+	changed := rec.sequence == 0 || req.Leaving != rec.leaving || req.Healthy != rec.healthy || rec.lapsed()
 	rec.sequence = req.Sequence
 	rec.leaving = rec.leaving || req.Leaving
 	rec.healthy = req.Healthy
@@ -64,7 +65,9 @@
 	rec.worker = req.Worker
 	rec.member.Running.Store(int64(req.Running))
 	rec.member.Queued.Store(int64(req.Queued))
-	sh.publish(e.Service)
+	if changed {
+		sh.publish(e.Service)
+	}
 }
 
 // publish rebuilds the list that readers of the service see. When most leases
