Benchmark of the latency that entry and agent add

Cause: the cost of the request path was not measured. Ruled out: a bound in a test, since the figures depend on the machine.

--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,13 @@
 # Random histories of the request protocol; SEED=n repeats a run.
 fuzz-request:
 	go test -count=1 ./internal/request/faulttest -run 'TestRequestProtocol$$' -rapid.checks=200000 -rapid.seed=$(or $(SEED),$(shell date +%s)) -v | grep -v '^I'
+
+.PHONY: bench-request bench-heartbeat
+
+# Latency, processor time and allocations that entry and agent add to a call.
+bench-request:
+	go test ./internal/bench/request -bench . -run xxx -benchtime 5000x
+
+# Processor time and bytes of heartbeats at an entry by number of endpoints.
+bench-heartbeat:
+	go test ./internal/bench/heartbeat -bench . -run xxx -benchtime 20000x
