--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build generate test demo lint mechanisms bench-capacity matrix fuzz bench-routing bench-placement bench-scale
+.PHONY: build generate test demo lint mechanisms bench-capacity matrix fuzz bench-routing bench-placement bench-scale fuzz-request bench-request bench-heartbeat
 
 build:
 	go build -o bin/ ./cmd/...
@@ -47,3 +47,17 @@
 
 bench-scale:
 	go run ./cmd/bench-scale
+
+fuzz: fuzz-request
+
+# Random histories of the request protocol; SEED=n repeats a run.
+fuzz-request:
+	go test -count=1 ./internal/request/faulttest -run 'TestRequestProtocol$$' -rapid.checks=200000 -rapid.seed=$(or $(SEED),$(shell date +%s)) -v | grep -v '^I'
+
+# Latency, processor time and allocations that entry and agent add to a call.
+bench-request:
+	go test ./internal/bench/request -bench . -run xxx -benchtime 5000x
+
+# Processor time and bytes of heartbeats at an entry by number of endpoints.
+bench-heartbeat:
+	go test ./internal/bench/heartbeat -bench . -run xxx -benchtime 20000x
