--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,11 @@
 	@test -z "$$(gofmt -l $(GOFILES))"
 	go vet ./...
 	go tool staticcheck ./...
+
+# Longer generated runs of ledger and table with any seed: make fuzz-ledger SEED=7
+FUZZ_CHECKS ?= 2000
+SEED ?= 1
+
+.PHONY: fuzz-ledger
+fuzz-ledger:
+	go test -count=1 -timeout 1h -run Oracle ./internal/table ./internal/ledger -rapid.seed=$(SEED) -rapid.checks=$(FUZZ_CHECKS)
--- a/internal/ledger/committer_test.go
+++ b/internal/ledger/committer_test.go
@@ -135,7 +135,7 @@
 	c.SetBudget(budget)
 	start(t, c.Run)
 	loaded(t, f)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, err := c.Commit(ctx, putRow("a", 1, 0))
 	assert.Equal(t, fault.As(err).Outcome, fault.Unknown)
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -138,7 +138,7 @@
 // Run follows the stream until the context ends.
 func (f *Follower[M]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.noteDown(err)
 			pause(ctx, retryPause)
 		}
--- a/internal/ledger/snapshotter_test.go
+++ b/internal/ledger/snapshotter_test.go
@@ -75,6 +75,7 @@
 
 // TestStartFromSnapshotAndTail trims all but 30 entries away and starts a reader.
 func TestStartFromSnapshotAndTail(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, logstore.New(logstore.Options{RetainEntries: 30}), ample)
 	snaps := ledger.NewSnapshotter(ledger.SnapshotOptions{Every: time.Hour, Entries: 10, PartBytes: 2048}, r.follower, r.committer)
 	snaps.SetRandom(func() float64 { return 0 })
@@ -262,6 +263,7 @@
 // lets days pass in which the log forgets after an hour, goes down, and every
 // process is replaced.
 func TestConfigurationOutlivesRetentionOutageAndRestart(t *testing.T) {
+	t.Parallel()
 	const retention, interval = time.Hour, 12 * time.Minute
 	clock := &fakeClock{t: time.Now()}
 	store := logstore.New(logstore.Options{RetainFor: retention, Now: clock.now})
