Ledger: the verdict on a record that a restored state covers

Cause, found in a trial of the real processes: an entry that had taken its table from a peer appended the first change after the outage, then took a newer state from the peer that covered that change, and its caller was told 'unknown' after 5 s although the change was in force. Change: the remembered ids carry one bit, accepted or not; when a state is replaced, those who wait for a record that it covers get the verdict. The reason of a rejection is not kept ('covered_by_restored_state'). Ruled out: not seeding while a commit waits (a caller could block the start). Conclusion: restored states answer waiting callers.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -220,7 +220,7 @@
 		}}}
 	})
 	printed, err := s.put(t, "ann", out)
-	assert.ErrorContains(t, err, "1 of 5 rows not written")
+	assert.ErrorContains(t, err, "1 of 5 rows not done")
 	assert.Equal(t, process.ExitCode(err), process.ExitFailure)
 	assert.Equal(t, strings.Count(printed, "in force at table version"), 4)
 	assert.Assert(t, strings.Contains(printed, "fitter-1 (line"), printed)
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -72,7 +72,7 @@
 	if failed == 0 {
 		return nil
 	}
-	return fault.Newf(fault.CodeConflict, fault.StepConfig, "", "%d of %d rows not written, the others are in force", failed, len(changes)).WithOutcome(fault.Unknown)
+	return fault.Newf(fault.CodeConflict, fault.StepConfig, "", "%d of %d rows not done, see the lines above; the others are in force", failed, len(changes)).WithOutcome(fault.Unknown)
 }
 
 func (sh *shell) tableSetCommand() *cobra.Command {
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -42,11 +42,32 @@
 
 // judge applies the record unless it is a second copy.
 func (f *Follower[M]) judge(offset uint64, rec *pb.Record) *Rejection {
-	if rec.Id != "" && f.recent.note(rec.Id) {
+	if rec.Id == "" {
+		return f.applySafely(offset, rec)
+	}
+	if _, seen := f.recent.lookup(rec.Id); seen {
 		events.RecordRepeated.Log("stream", f.stream, "offset", offset, "record", rec.Id)
 		return Reject(ReasonDuplicate, "second copy of record %s", rec.Id)
 	}
-	return f.applySafely(offset, rec)
+	rej := f.applySafely(offset, rec)
+	f.recent.note(rec.Id, rej == nil)
+	return rej
+}
+
+// settleCovered gives the verdicts on the records that a restored state covers;
+// they will not be replayed here.
+func (f *Follower[M]) settleCovered() {
+	for id := range f.expected {
+		accepted, seen := f.recent.lookup(id)
+		if !seen {
+			continue
+		}
+		v := Verdict{Offset: f.next - 1}
+		if !accepted {
+			v.Rejection = Reject(ReasonCovered, "record was rejected; a restored state covers it and does not say why")
+		}
+		f.settle(id, v)
+	}
 }
 
 // applySafely keeps a record that the machine cannot take from ending every
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -87,6 +87,7 @@
 	}
 	f.machine, f.recent, f.next, f.loaded = machine, recent, snap.covers, true
 	f.restores++
+	f.settleCovered()
 	f.snaps.note(snap, snap.writtenAt(f.now()))
 	events.SnapshotRestored.Log("stream", f.stream, "covers", snap.covers, "bytes", len(snap.data))
 	return nil
@@ -181,6 +182,7 @@
 	}
 	f.machine, f.recent, f.next = machine, recent, state.Covers
 	f.restores++
+	f.settleCovered()
 	f.seed = seed{taken: true, age: state.Age, at: f.now()}
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -22,6 +22,7 @@
 	ReasonOvercommitted Reason = "overcommitted"
 	ReasonInvalid       Reason = "invalid"
 	ReasonForeign       Reason = "foreign_record"
+	ReasonCovered       Reason = "covered_by_restored_state"
 )
 
 // Rejection is replay's verdict on a record whose precondition does not hold.
@@ -54,6 +55,8 @@
 
 // Verdict is what replay decided on a record.
 type Verdict struct {
+	// Offset is where the record stands; for one that a restored state covers, the
+	// last offset of that state.
 	Offset uint64
 	// Rejection is nil if the record was accepted.
 	Rejection *Rejection
--- a/internal/ledger/recent.go
+++ b/internal/ledger/recent.go
@@ -7,12 +7,15 @@
 // its stream; beyond that only the record's own precondition voids it.
 const recentRecords = 1024
 
-// recentIDs remembers the newest record ids of a stream. It is part of the
-// replayed state, so that all readers remember the same ids.
+// acceptedBit of a remembered hash tells whether the record was accepted.
+const acceptedBit = 1
+
+// recentIDs remembers the newest records of a stream and their verdicts. It is
+// part of the replayed state, so that all readers remember the same.
 type recentIDs struct {
 	ring  []uint64 // oldest first, from at on once it is full
 	at    int
-	known map[uint64]bool
+	known map[uint64]bool // by hash without the accepted bit
 }
 
 func newRecentIDs(oldestFirst []uint64) *recentIDs {
@@ -23,23 +26,30 @@
 	return r
 }
 
-// note takes an id in and reports whether it was there already.
-func (r *recentIDs) note(id string) bool {
-	h := xxhash.Sum64String(id)
-	if r.known[h] {
-		return true
+func hashID(id string) uint64 { return xxhash.Sum64String(id) &^ acceptedBit }
+
+// lookup returns whether a record was seen, and then whether it was accepted.
+func (r *recentIDs) lookup(id string) (accepted, seen bool) {
+	accepted, seen = r.known[hashID(id)]
+	return accepted, seen
+}
+
+// note remembers the verdict on a record.
+func (r *recentIDs) note(id string, accepted bool) {
+	h := hashID(id)
+	if accepted {
+		h |= acceptedBit
 	}
 	r.add(h)
-	return false
 }
 
 func (r *recentIDs) add(h uint64) {
-	r.known[h] = true
+	r.known[h&^acceptedBit] = h&acceptedBit != 0
 	if len(r.ring) < recentRecords {
 		r.ring = append(r.ring, h)
 		return
 	}
-	delete(r.known, r.ring[r.at])
+	delete(r.known, r.ring[r.at]&^acceptedBit)
 	r.ring[r.at] = h
 	r.at = (r.at + 1) % recentRecords
 }
--- a/internal/ledger/snapshotter_test.go
+++ b/internal/ledger/snapshotter_test.go
@@ -180,7 +180,7 @@
 	assert.Equal(t, content(f), "version 0 notices 0")
 }
 
-// gate holds a reader's reads back while it is closed.
+// gate holds a reader's reads back while it is closed, and reads anew after.
 type gate struct {
 	platform.Log
 	mu     sync.Mutex
@@ -208,6 +208,7 @@
 	if closed != nil {
 		select {
 		case <-closed:
+			return g.Log.Read(ctx, s, from, limit, wait)
 		case <-ctx.Done():
 		}
 	}
