Planning pauses by what a plan took; interference read from the ledger once an epoch

Cause: every change of the ledger asks for a plan, and a plan over 30,000 waiting tasks takes tens of milliseconds; each beat copied what the ledger has learned. Change: a pause of 20 times the newest plan, 10 ms to 500 ms; the copy is made once for each epoch. Seen failing: TestPlanPause without the pause (planDue always true). Ruled out: planning only on ticks, since an idle shard should start at once.

--- a/internal/bench/placement/run.go
+++ b/internal/bench/placement/run.go
@@ -103,6 +103,7 @@
 		{name: "no learned sizes", make: plan(false, true), control: threshold},
 		{name: "first fit", make: base(firstFit), control: threshold},
 		{name: "least allocated", make: base(leastAllocated), control: threshold},
+		{name: "least allocated, free", make: base(leastAllocated), control: none},
 		{name: "random", make: base(randomFit), control: threshold},
 	}
 }
--- a/internal/scheduler/owner/govern.go
+++ b/internal/scheduler/owner/govern.go
@@ -154,9 +154,34 @@
 	}()
 }
 
+// Planning pauses for planShare times as long as the newest plan took, within
+// bounds, so that a long queue does not take the node's processors: each change
+// of the ledger asks for a plan.
+const (
+	planShare     = 20
+	longestPause  = 500 * time.Millisecond
+	shortestPause = 10 * time.Millisecond
+)
+
+func planPause(took time.Duration) time.Duration {
+	return min(max(planShare*took, shortestPause), longestPause)
+}
+
+// planDue reports whether it is time for another plan.
+func (o *Owner) planDue(now time.Time) bool {
+	o.insight.mu.Lock()
+	defer o.insight.mu.Unlock()
+	return now.Sub(o.insight.planned) >= planPause(o.insight.planTook)
+}
+
 // plan makes a plan and logs what waits and why.
 func (o *Owner) plan(s placement.Snapshot) placement.Plan {
+	began := time.Now()
 	p := placement.Make(s)
 	o.insight.logWaiting(p)
+	o.insight.mu.Lock()
+	defer o.insight.mu.Unlock()
+	o.insight.planned = time.Now()
+	o.insight.planTook = o.insight.planned.Sub(began)
 	return p
 }
--- a/internal/scheduler/owner/insight.go
+++ b/internal/scheduler/owner/insight.go
@@ -30,7 +30,7 @@
 // epochInsight is the part that begins anew with each epoch.
 type epochInsight struct {
 	epoch       uint64
-	entered     time.Time
+	began       time.Time
 	learner     *learn.Learner
 	services    map[string]serviceView
 	underWay    map[attemptKey]placement.Assignment
@@ -40,6 +40,8 @@
 	held        map[string]string // by worker: the job it was held back for last
 	judged      time.Time
 	published   time.Time
+	planned     time.Time // when the newest plan was made
+	planTook    time.Duration
 }
 
 // serviceView is what the newest beat told of a worker's usage and its service.
@@ -71,12 +73,18 @@
 		return
 	}
 	i.epochInsight = epochInsight{
-		epoch: epoch, entered: now, learner: learn.New(known), services: map[string]serviceView{},
+		epoch: epoch, began: now, learner: learn.New(known), services: map[string]serviceView{},
 		underWay: map[attemptKey]placement.Assignment{}, centres: map[string]*centreView{},
 		quarantines: map[string]*quarantineView{}, waiting: map[string]string{},
 	}
 }
 
+func (i *insight) entered(epoch uint64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.learner != nil && i.epoch == epoch
+}
+
 // begin notes an assignment that is under way, so that the next plan counts it.
 func (i *insight) begin(key attemptKey, a placement.Assignment) {
 	i.mu.Lock()
@@ -100,7 +108,7 @@
 	defer i.mu.Unlock()
 	reading := i.learner.Observe(learn.Sample{
 		Worker: req.Worker.Worker, Service: req.Service, P99: time.Duration(req.ServiceP99Us) * time.Microsecond,
-		LoadMilli: req.ServiceLoadMilli, CapacityMilli: req.Worker.Capacity.GetCpuMilli(), Uses: uses, At: now.Sub(i.entered),
+		LoadMilli: req.ServiceLoadMilli, CapacityMilli: req.Worker.Capacity.GetCpuMilli(), Uses: uses, At: now.Sub(i.began),
 	})
 	i.services[req.Worker.Worker] = serviceView{
 		service: req.Service, loadBand: reading.Band, slowdown: reading.Slowdown,
@@ -109,6 +117,9 @@
 }
 
 func (o *Owner) enterInsight(epoch uint64, now time.Time) {
+	if o.insight.entered(epoch) {
+		return
+	}
 	var known []*pb.InterferenceLearned
 	o.state.View(func(s *shard.State) { known = s.Interference() })
 	o.insight.enter(epoch, now, known)
--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -18,7 +18,7 @@
 // schedule plans the waiting tasks and carries the plan out.
 func (o *Owner) schedule(ctx context.Context, epoch uint64) {
 	o.govern(ctx, epoch)
-	if !o.table.FreshWithin(tableFreshness) {
+	if !o.table.FreshWithin(tableFreshness) || !o.planDue(time.Now()) {
 		return
 	}
 	snapshot := o.snapshot()
--- a/internal/scheduler/owner/snapshot.go
+++ b/internal/scheduler/owner/snapshot.go
@@ -50,7 +50,7 @@
 
 func (b *snapshotBuilder) build() {
 	b.snap.NowMs = b.now.UnixMilli()
-	b.snap.Settled = b.now.Sub(b.owner.insight.entered) > b.owner.options.WorkerSilence
+	b.snap.Settled = b.now.Sub(b.owner.insight.began) > b.owner.options.WorkerSilence
 	b.snap.Effects = b.owner.insight.learner.Table()
 	b.snap.DataCentres = b.owner.insight.dataCentres(b.table, b.now)
 	b.addUnderWay()
--- a/internal/scheduler/owner/snapshot_test.go
+++ b/internal/scheduler/owner/snapshot_test.go
@@ -147,3 +147,15 @@
 		assert.DeepEqual(t, o.probes([]string{"w"}, now), []string{"w"})
 	}
 }
+
+// TestPlanPause: planning takes at most a share of the time, and starts of urgent
+// work are never held up for long.
+func TestPlanPause(t *testing.T) {
+	assert.Equal(t, planPause(0), shortestPause)
+	assert.Equal(t, planPause(5*time.Millisecond), 100*time.Millisecond)
+	assert.Equal(t, planPause(time.Minute), longestPause)
+	_, o := newBuilder(t)
+	o.insight.planned, o.insight.planTook = began, 5*time.Millisecond
+	assert.Check(t, !o.planDue(began.Add(99*time.Millisecond)))
+	assert.Check(t, o.planDue(began.Add(100*time.Millisecond)))
+}
