--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	go tool staticcheck ./...
 
 bench-placement:
-	go run ./cmd/bench-placement -seeds 3
+	go run ./cmd/bench-placement -seeds 5
 
 bench-scale:
 	go run ./cmd/bench-scale
--- a/internal/scheduler/learn/interference_test.go
+++ b/internal/scheduler/learn/interference_test.go
@@ -142,6 +142,18 @@
 	assert.Check(t, got.Slowdown > 0.95 && got.Slowdown < 1.05, "slowdown of a service alone is %f", got.Slowdown)
 }
 
+// TestLoadIsSmoothed: a single second of high load does not change the band.
+func TestLoadIsSmoothed(t *testing.T) {
+	l := New(nil)
+	s := Sample{Worker: "w", Service: "s", P99: aloneP99, LoadMilli: 200, CapacityMilli: capacity}
+	for i := range 20 {
+		s.At = time.Duration(i) * time.Second
+		l.Observe(s)
+	}
+	s.At, s.LoadMilli = s.At+time.Second, 350
+	assert.Equal(t, l.Observe(s).Band, uint32(0))
+}
+
 // TestPublish: a change is published once, and a learner that starts from what
 // was published knows it.
 func TestPublish(t *testing.T) {
