A platform that echoes the reservation teaches no size

Ruled out: a smaller margin, which only slows it. Change: replay takes no size from a use equal to the reservation. Seen failing: TestEchoTeachesNothing without the check.

--- a/internal/bench/placement/policy.go
+++ b/internal/bench/placement/policy.go
@@ -42,7 +42,7 @@
 		c = &pb.ClassLearned{JobClass: t.class.name}
 		p.known[t.class.name] = c
 	}
-	classes.Finished(c, &pb.TaskFinished{RanMs: ran.Milliseconds(), Used: t.need.Proto()})
+	classes.Finished(c, ran.Milliseconds(), t.need.Proto())
 }
 
 func (p *planned) place(w *world) {
--- a/internal/scheduler/learn/classes/classes.go
+++ b/internal/scheduler/learn/classes/classes.go
@@ -11,23 +11,24 @@
 	peakShift = 5
 )
 
-// Finished takes a finished task into what is known of its class. It is part of
-// replay and depends on nothing but its arguments.
-func Finished(c *pb.ClassLearned, f *pb.TaskFinished) {
+// Finished takes a finished task into what is known of its class: how long it ran,
+// and what it used, nil if that was not measured. It is part of replay and depends
+// on nothing but its arguments.
+func Finished(c *pb.ClassLearned, ranMs int64, used *pb.Resources) {
 	c.Finished++
-	if f.RanMs > 0 {
-		c.MeanMs = smooth(c.MeanMs, f.RanMs)
-		c.MaxMs = decayingPeak(c.MaxMs, f.RanMs)
+	if ranMs > 0 {
+		c.MeanMs = smooth(c.MeanMs, ranMs)
+		c.MaxMs = decayingPeak(c.MaxMs, ranMs)
 	}
-	if f.Used == nil {
+	if used == nil {
 		return
 	}
 	if c.Peak == nil {
 		c.Peak = &pb.Resources{}
 	}
-	c.Peak.CpuMilli = decayingPeak(c.Peak.CpuMilli, f.Used.CpuMilli)
-	c.Peak.MemoryMb = decayingPeak(c.Peak.MemoryMb, f.Used.MemoryMb)
-	c.Peak.Accelerators = max(c.Peak.Accelerators, f.Used.Accelerators)
+	c.Peak.CpuMilli = decayingPeak(c.Peak.CpuMilli, used.CpuMilli)
+	c.Peak.MemoryMb = decayingPeak(c.Peak.MemoryMb, used.MemoryMb)
+	c.Peak.Accelerators = max(c.Peak.Accelerators, used.Accelerators)
 }
 
 func smooth(mean, seen int64) int64 {
--- a/internal/shard/learned.go
+++ b/internal/shard/learned.go
@@ -65,7 +65,7 @@
 	if s.learned.classes[name] == nil {
 		s.learned.classes[name] = &pb.ClassLearned{JobClass: name}
 	}
-	classes.Finished(s.learned.classes[name], f)
+	classes.Finished(s.learned.classes[name], f.RanMs, measuredUse(f, task))
 	w := s.workers[task.Worker]
 	w.outcome(job.Id, task.Index, false)
 	if !w.Quarantined {
@@ -73,6 +73,16 @@
 	}
 }
 
+// measuredUse returns what the task used, or nil if the platform only echoes what
+// was reserved: learning from that would raise the reservation by its own margin
+// again and again.
+func measuredUse(f *pb.TaskFinished, task *pb.Task) *pb.Resources {
+	if proto.Equal(f.Used, task.Reserved) {
+		return nil
+	}
+	return f.Used
+}
+
 // learnReleased takes a failure into the history of its worker.
 func (s *State) learnReleased(job *pb.Job, task *pb.Task, reason pb.ReleaseReason) {
 	if reason == pb.ReleaseReason_RELEASE_REASON_FAILED || reason == pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT {
--- a/internal/shard/learned_test.go
+++ b/internal/shard/learned_test.go
@@ -134,3 +134,15 @@
 	assert.DeepEqual(t, jobs[0].FailedOn, []string{"w1", "w2"})
 	assert.Equal(t, jobs[0].Finished, 1)
 }
+
+// TestEchoTeachesNothing: a platform that reports what was reserved has measured
+// nothing; taking it for a size would let reservations grow without end.
+func TestEchoTeachesNothing(t *testing.T) {
+	s := withTasks(t, 1)
+	assign(t, s, 0, 1, "w1")
+	must(t, s, &pb.Record{Body: &pb.Record_TaskFinished{TaskFinished: &pb.TaskFinished{
+		JobId: "j", Index: 0, Attempt: 1, RanMs: 700, Used: &pb.Resources{CpuMilli: 1_000},
+	}}})
+	assert.Equal(t, s.Class("c").MeanMs, int64(700))
+	assert.Check(t, s.Class("c").Peak == nil)
+}
