--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 
 # Compares placement with its baselines and an oracle on a fake clock.
 bench-placement:
-	go run ./tools/bench-placement -seeds 3
+	go run ./tools/bench-placement -seeds 5
 
 # Time and memory of planning by workers and tasks.
 bench-scale:
