--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build generate test demo lint
-.PHONY: matrix fuzz
+.PHONY: build generate test demo lint mechanisms bench-capacity matrix fuzz bench-routing
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,6 +21,14 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# Switches each listed mechanism off in a scratch copy; its tests must fail.
+mechanisms:
+	go run ./tools/mechanisms
+
+# Prints the slopes that docs/CAPACITY.md works with.
+bench-capacity: build
+	go run ./tools/bench-capacity
+
 # matrix prints every fault at every step of a task's life with its verdict.
 matrix:
 	go test -count=1 -v -run 'TestMatrix$$' ./internal/matrix 2>/dev/null
@@ -32,3 +39,6 @@
 	go test -count=1 -run TestTaskLifeAgainstOracle ./internal/shard -rapid.checks=20000 -rapid.seed=0
 	go test -count=1 -run TestTaskProtocol ./internal/agent/grants -rapid.checks=20000 -rapid.seed=0
 	go test -count=1 -run TestDecisionsKeepThePolicy ./internal/agent/colocation -rapid.checks=5000 -rapid.seed=0
+
+bench-routing:
+	go run ./cmd/chervil-bench-routing -seed 1
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/fault"
@@ -44,6 +45,10 @@
 		Shard: n, Owner: name, Address: *o.GRPCAddress, Lease: *o.ShardLease,
 	}, state, committer)
 	bg.Go(lease.Run)
+	bg.Go(ledger.NewSnapshotter(ledger.SnapshotOptions{
+		Every: *o.SnapshotEvery, Entries: uint64(*o.SnapshotEntries),
+		May: func() bool { _, held := lease.Held(); return held },
+	}, state, committer).Run)
 	scheduler := owner.New(owner.Options{
 		Shard: n, Grant: *o.Grant, WorkerSilence: 4 * *o.BeatEvery, Lease: *o.ShardLease,
 	}, lease, state, rows, committer, pool)
@@ -63,6 +68,15 @@
 	return out
 }
 
+// release gives up the shards that are held, so that others take over at once.
+func (s *shardOwners) release(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range s.leases {
+		wg.Go(func() { l.Release(ctx) })
+	}
+	wg.Wait()
+}
+
 func (s *shardOwners) find(n uint32) (*owner.Owner, error) {
 	if int(n) >= len(s.owners) {
 		return nil, fault.Newf(fault.CodeBadRequest, fault.StepSubmit, "", "no shard %d", n)
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -24,11 +24,13 @@
 	"chervilridge/internal/request/admit"
 	"chervilridge/internal/request/claim"
 	"chervilridge/internal/request/classify"
+	"chervilridge/internal/request/observe"
 	"chervilridge/internal/request/pick"
 	"chervilridge/internal/request/retry"
 	"chervilridge/internal/request/send"
 	"chervilridge/internal/request/verify"
 	"chervilridge/internal/settings"
+	"chervilridge/internal/statesource"
 	"chervilridge/internal/table"
 	"chervilridge/internal/table/view"
 	"chervilridge/internal/telemetry"
@@ -39,6 +41,8 @@
 	idleTimeout       = 2 * time.Minute
 	drainPoll         = 20 * time.Millisecond
 	retryBurst        = 50 // repeats allowed at once
+	// readyLimit is the longest that an entry keeps the balancer waiting.
+	readyLimit = 3 * time.Second
 )
 
 // Module returns the parts of an entry.
@@ -49,7 +53,7 @@
 			process.NewBackground, telemetry.New, peer.NewPool,
 			newLog, newTable, newTableCommitter, newView, newRegistry, newPipeline, newJobs, newHandler,
 		),
-		fx.Invoke(serveMetrics, serveGRPC, serveHTTP),
+		fx.Invoke(serveMetrics, serveGRPC, serveHTTP, seedTable),
 	)
 }
 
@@ -65,16 +69,30 @@
 func newTableCommitter(o *Options, log platform.Log, f *ledger.Follower[*table.Table], bg *process.Background) *ledger.Committer {
 	c := ledger.NewCommitter(log, f, *o.Name, *o.AppendBudget)
 	bg.Go(c.Run)
+	bg.Go(ledger.NewSnapshotter(o.snapshots(), f, c).Run)
 	return c
 }
 
+// seedTable takes the table from other entries and from agents if the log cannot
+// be read at the start.
+func seedTable(o *Options, rows *ledger.Follower[*table.Table], reg *membership.Registry, pool *peer.Pool, bg *process.Background) {
+	peers := func() []string {
+		out := append([]string(nil), *o.Peers...)
+		for _, m := range reg.Statuses() {
+			out = append(out, m.Address)
+		}
+		return out
+	}
+	bg.Go(statesource.NewSeeder(rows, pool, peers).Run)
+}
+
 func newView(f *ledger.Follower[*table.Table]) *view.View { return view.New(f) }
 
-func newRegistry(o *Options, v *view.View, bg *process.Background) *membership.Registry {
-	r := membership.NewRegistry(*o.EndpointLease, func() membership.EntryInfo {
-		return membership.EntryInfo{Entries: []string{*o.GRPCAddress}, TableVersion: v.Version()}
-	})
+func newRegistry(o *Options, v *view.View, pool *peer.Pool, bg *process.Background) *membership.Registry {
+	entries := membership.NewEntries(*o.GRPCAddress, *o.Peers)
+	r := membership.NewRegistry(*o.EndpointLease, entries, v.Version)
 	bg.Go(r.Run)
+	bg.Go(func(ctx context.Context) { entries.Run(ctx, pool, r.Learn) })
 	return r
 }
 
@@ -85,45 +103,54 @@
 	leaving atomic.Bool // fails the balancer's check
 }
 
-// newPipeline joins the stages: classify, admit, claim, retry, pick, verify,
-// send. The claim comes before the retries, so that one request claims once.
-func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool, bg *process.Background) *pipeline {
+// newPipeline joins the stages: classify, observe, admit, release, retry, pick,
+// claim, verify, send. The claim comes behind the choice of the endpoint, so that
+// it names the one hand-over that it allows.
+func newPipeline(o *Options, log platform.Log, v *view.View, reg *membership.Registry, pool *peer.Pool,
+	t *telemetry.Server, bg *process.Background) *pipeline {
 	keys := ledger.NewFollower(log, claims.Stream, *o.TablePoll, claims.New)
 	bg.Go(keys.Run)
 	committer := ledger.NewCommitter(log, keys, *o.Name, *o.AppendBudget)
 	bg.Go(committer.Run)
+	bg.Go(ledger.NewSnapshotter(o.snapshots(), keys, committer).Run)
 
-	picked := pick.New(verify.New(send.New(pool)), reg, v, newPolicy(*o.Policy))
+	claimed := claim.New(verify.New(send.New(pool)), committer, claim.View{Follower: keys}, claim.Directory{Endpoints: reg})
+	picked := pick.New(claimed, reg, v, newPickOptions(o))
 	budget := retry.NewBudget(float64(*o.RetryShareMilli)/1000, retryBurst)
-	claimed := claim.New(retry.New(picked, budget, int(*o.MaxTries)), committer)
-	admitted := admit.New(claimed, *o.MaxInFlight)
-	return &pipeline{head: classify.New(admitted, v, reg), admit: admitted}
+	released := claim.NewReleaser(retry.New(picked, budget, int(*o.MaxTries)), committer)
+	admitted := admit.New(released, *o.MaxInFlight)
+	observed := observe.New(admitted, t.Scope())
+	return &pipeline{head: classify.New(observed, v, reg), admit: admitted}
 }
 
-func newPolicy(name string) pick.Policy {
-	switch name {
-	case "random":
-		return pick.Random{}
-	case "round-robin":
-		return &pick.RoundRobin{}
-	}
-	return pick.TwoChoices{}
+func newPickOptions(o *Options) pick.Options {
+	distance := pick.Distance{DataCentre: *o.DataCentre, Hop: *o.Hop}
+	return pick.Options{Policy: pick.NewPolicy(*o.Policy, pick.SharedRand{}, distance), Distance: distance}
 }
 
 func newJobs(o *Options, reg *membership.Registry, pool *peer.Pool) *jobs.Client {
 	return jobs.New(reg, pool, uint32(*o.Shards))
 }
 
-func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry, pool *peer.Pool,
+func newHandler(o *Options, set *settings.Set, p *pipeline, reg *membership.Registry,
 	j *jobs.Client, v *view.View, c *ledger.Committer) http.Handler {
 	return api.New(api.Parts{
-		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg, pool),
+		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg),
 		Jobs: j, Table: v, Writer: c, Entry: *o.Name,
-		Ready:    func() bool { return !p.leaving.Load() },
+		Ready:    newReady(p, reg),
 		Settings: func() any { return set.InForce() },
 	})
 }
 
+// newReady tells the balancer to send requests once an endpoint has announced
+// itself, but at the latest when it should have.
+func newReady(p *pipeline, reg *membership.Registry) func() bool {
+	began := time.Now()
+	return func() bool {
+		return !p.leaving.Load() && (!reg.Empty() || time.Since(began) > readyLimit)
+	}
+}
+
 func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
@@ -131,9 +158,10 @@
 	})
 }
 
-func serveGRPC(lc fx.Lifecycle, o *Options, reg *membership.Registry) {
+func serveGRPC(lc fx.Lifecycle, o *Options, reg *membership.Registry, rows *ledger.Follower[*table.Table]) {
 	server := peer.NewServer()
 	pb.RegisterRegistryServer(server, reg)
+	pb.RegisterStateSourceServer(server, statesource.NewServer(rows))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := listen(*o.GRPCAddress)
--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -75,6 +75,8 @@
 	workers  map[string]*workerView
 	attempts map[attemptKey]*attemptView
 	pace     *pace
+
+	insight insight
 }
 
 // attemptKey names an attempt in the owner's maps.
--- a/internal/scheduler/owner/pace.go
+++ b/internal/scheduler/owner/pace.go
@@ -23,17 +23,11 @@
 	// jobs, with none finished in between.
 	suspectFailures = 3
 	suspectJobs     = 2
-
-	// A task is kept from a worker that failed it, by a short pause of the worker
-	// so that planning finds another, at most that often in a row.
-	steerPause = 300 * time.Millisecond
-	maxSteers  = 4
 )
 
 // backoff doubles a pause with each failure in a row.
 type backoff struct {
 	failures int
-	steers   int // plans in a row that were turned down for the worker they chose
 	until    time.Time
 }
 
@@ -59,8 +53,7 @@
 	backoff
 	attempts int
 	jobs     map[string]bool
-	// rests is the end of the pause after an eviction or for a task to be steered
-	// elsewhere.
+	// rests is the end of the pause after an eviction.
 	rests time.Time
 }
 
@@ -164,29 +157,6 @@
 	}
 }
 
-// steer reports whether the task should rather run on another worker than the
-// planned one, which failed it before.
-func (o *Owner) steer(ref shard.TaskRef, worker string) bool {
-	failed := false
-	o.state.View(func(s *shard.State) {
-		_, task := s.Task(ref)
-		failed = shard.FailedOn(task, worker)
-	})
-	if !failed {
-		return false
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	b := o.pace.taskOf(ref)
-	if b.steers >= maxSteers {
-		b.steers = 0
-		return false
-	}
-	b.steers++
-	o.pace.faultsOf(worker).rest(time.Now().Add(steerPause))
-	return true
-}
-
 func (p *pace) taskOf(ref shard.TaskRef) *backoff {
 	b := p.tasks[ref]
 	if b == nil {
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -64,6 +64,7 @@
 	if rej != nil {
 		return rej
 	}
+	s.learnReleased(job, task, r.Reason)
 	s.freeWorker(ref, task)
 	if len(r.Checkpoint) > 0 {
 		task.Checkpoint = r.Checkpoint
@@ -89,6 +90,7 @@
 	eventCancel    = "cancel requested"
 	eventEnded     = "ended: "
 	eventFailed    = eventReleased + "failed"
+	eventFault     = eventReleased + "worker fault"
 )
 
 func reasonName(r pb.ReleaseReason) string {
@@ -138,27 +140,30 @@
 	return len(workers) >= int(job.Spec.MaxFailures)
 }
 
-// FailedOn reports whether the task's kept history has a failure on the worker.
-func FailedOn(task *pb.Task, worker string) bool {
-	for _, e := range task.GetHistory() {
-		if e.Worker == worker && e.What == eventFailed {
-			return true
-		}
+// Outcome reports whether a step of a task's history ended an attempt on its
+// worker, by success or by a failure of the task or the worker.
+func Outcome(e *pb.TaskEvent) (failed, ok bool) {
+	switch e.What {
+	case eventFinished:
+		return false, true
+	case eventFailed, eventFault:
+		return true, true
 	}
-	return false
+	return false, false
 }
 
 // finish ends a task with its result, also one whose job was cancelled while
 // it ran: work that is done is not thrown away.
 func (s *State) finish(rec *pb.Record, f *pb.TaskFinished) *ledger.Rejection {
 	ref := TaskRef{f.JobId, f.Index}
-	_, task, rej := s.current(ref, f.Attempt)
+	job, task, rej := s.current(ref, f.Attempt)
 	if rej != nil {
 		return rej
 	}
 	if len(f.Result) > MaxResultBytes {
 		return ledger.Reject(ledger.ReasonInvalid, "result has %d bytes, allowed are %d", len(f.Result), MaxResultBytes)
 	}
+	s.learnFinished(job, task, f)
 	s.freeWorker(ref, task)
 	task.State = pb.TaskState_TASK_STATE_FINISHED
 	task.Result = f.Result
--- a/internal/shard/task_test.go
+++ b/internal/shard/task_test.go
@@ -13,19 +13,19 @@
 func newCase(t *testing.T) *State {
 	t.Helper()
 	s := New()
-	must(t, s, &pb.Record{Body: &pb.Record_ShardClaim{ShardClaim: &pb.ShardClaim{Epoch: 1, Owner: "o", Address: "x"}}})
+	mustApply(t, s, &pb.Record{Body: &pb.Record_ShardClaim{ShardClaim: &pb.ShardClaim{Epoch: 1, Owner: "o", Address: "x"}}})
 	for _, name := range []string{"a", "b", "c"} {
-		must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{
+		mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{
 			Worker: name, Capacity: &pb.Resources{CpuMilli: 2},
 		}}})
 	}
-	must(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: "j", Spec: &pb.JobSpec{
+	mustApply(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: "j", Spec: &pb.JobSpec{
 		Team: "t", JobClass: "c", Tasks: 1, MaxFailures: 2, Resources: &pb.Resources{CpuMilli: 1},
 	}}}})
 	return s
 }
 
-func must(t *testing.T, s *State, rec *pb.Record) {
+func mustApply(t *testing.T, s *State, rec *pb.Record) {
 	t.Helper()
 	if rej := s.Apply(rec); rej != nil {
 		t.Fatal(rej)
@@ -34,14 +34,14 @@
 
 func assignTo(t *testing.T, s *State, worker string, attempt uint32) {
 	t.Helper()
-	must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
+	mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: "j", Attempt: attempt, Worker: worker, Reserved: &pb.Resources{CpuMilli: 1},
 	}}})
 }
 
 func releaseAs(t *testing.T, s *State, attempt uint32, reason pb.ReleaseReason) {
 	t.Helper()
-	must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{
+	mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{
 		JobId: "j", Attempt: attempt, Reason: reason, Detail: "d",
 	}}})
 }
@@ -74,7 +74,7 @@
 func TestSmallerWorkerIsTakenAndGetsNothingNew(t *testing.T) {
 	s := newCase(t)
 	assignTo(t, s, "a", 1)
-	must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{
+	mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{
 		Worker: "a", Capacity: &pb.Resources{CpuMilli: 1},
 	}}})
 	assert.Equal(t, s.Workers()["a"].Free().CpuMilli, int64(0))
@@ -87,7 +87,7 @@
 func TestRejectedJobDoesNotWaitAgain(t *testing.T) {
 	s := newCase(t)
 	assignTo(t, s, "a", 1)
-	must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_JobRejected{JobRejected: &pb.JobRejected{JobId: "j", Reason: "fits nowhere"}}})
+	mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_JobRejected{JobRejected: &pb.JobRejected{JobId: "j", Reason: "fits nowhere"}}})
 	releaseAs(t, s, 1, pb.ReleaseReason_RELEASE_REASON_LOST)
 	_, task := s.Task(TaskRef{"j", 0})
 	assert.Equal(t, task.State, pb.TaskState_TASK_STATE_FAILED)
@@ -97,11 +97,11 @@
 // TestWholeLifeIsTold reads the history as an operator does.
 func TestWholeLifeIsTold(t *testing.T) {
 	s := newCase(t)
-	must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
+	mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: "j", Attempt: 1, Worker: "a", Reserved: &pb.Resources{CpuMilli: 1}, Detail: "most room of 3",
 	}}})
-	must(t, s, &pb.Record{Body: &pb.Record_JobsCancelled{JobsCancelled: &pb.JobsCancelled{JobIds: []string{"j"}}}})
-	must(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{
+	mustApply(t, s, &pb.Record{Body: &pb.Record_JobsCancelled{JobsCancelled: &pb.JobsCancelled{JobIds: []string{"j"}}}})
+	mustApply(t, s, &pb.Record{Epoch: 1, Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{
 		JobId: "j", Attempt: 1, Reason: pb.ReleaseReason_RELEASE_REASON_CANCELLED, Detail: "job cancelled", Checkpoint: []byte("12345"),
 	}}})
 	_, task := s.Task(TaskRef{"j", 0})
@@ -125,13 +125,13 @@
 	wave := &pb.JobsCancelled{JobIds: []string{"j"}}
 	for i := range jobs {
 		id := fmt.Sprint("wave", i)
-		must(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: id, Spec: &pb.JobSpec{
+		mustApply(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: id, Spec: &pb.JobSpec{
 			Team: "t", JobClass: "c", Tasks: 1, Resources: &pb.Resources{CpuMilli: 1},
 		}}}})
 		wave.JobIds = append(wave.JobIds, id)
 	}
 	assignTo(t, s, "a", 1)
-	must(t, s, &pb.Record{Body: &pb.Record_JobsCancelled{JobsCancelled: wave}})
+	mustApply(t, s, &pb.Record{Body: &pb.Record_JobsCancelled{JobsCancelled: wave}})
 	assert.Equal(t, len(s.Pending()), 0)
 	_, running := s.Task(TaskRef{"j", 0})
 	assert.Equal(t, running.State, pb.TaskState_TASK_STATE_ASSIGNED, "ends when its worker has stopped it")
