--- a/internal/matrix/faults.go
+++ b/internal/matrix/faults.go
@@ -54,7 +54,7 @@
 	cutTime   = 2 * grant
 	slowTime  = time.Second
 	// lateTime is longer than an owner waits for a silent agent.
-	lateTime  = startAllowance + grant + grant/5 + 250*time.Millisecond
+	lateTime  = startAllowance + grant + grant/5 + 400*time.Millisecond
 	drainTime = time.Second
 )
 
--- a/internal/matrix/matrix.go
+++ b/internal/matrix/matrix.go
@@ -126,6 +126,9 @@
 
 // provoke submits work and leads it to the step; arm is called just before.
 func (c *cluster) provoke(step Step, arm func()) {
+	if early[step] {
+		arm()
+	}
 	c.submitJob(sideJob, sideTasks, sidePayload)
 	switch step {
 	case StepClaim:
@@ -148,11 +151,13 @@
 		c.sleep(drainTime)
 		c.setOut(false)
 	default:
-		arm()
 		c.submitJob(mainJob, mainTasks, mainPayload)
 	}
 }
 
+// early holds the steps whose fault meets the first task, one of the long ones.
+var early = map[Step]bool{StepAssign: true, StepStart: true, StepRenew: true, StepCheckpoint: true, StepComplete: true}
+
 func (c *cluster) until(limit time.Duration, ok func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); c.sleep(checkPeriod) {
 		if ok() {
