--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build generate test demo lint mechanisms bench-capacity matrix fuzz bench-routing
+.PHONY: build generate test demo lint mechanisms bench-capacity matrix fuzz bench-routing bench-placement bench-scale
 
 build:
 	go build -o bin/ ./cmd/...
@@ -40,5 +40,11 @@
 	go test -count=1 -run TestTaskProtocol ./internal/agent/grants -rapid.checks=20000 -rapid.seed=0
 	go test -count=1 -run TestDecisionsKeepThePolicy ./internal/agent/colocation -rapid.checks=5000 -rapid.seed=0
 
+# Compares all routing policies in one run on a fake clock.
 bench-routing:
 	go run ./cmd/chervil-bench-routing -seed 1
+bench-placement:
+	go run ./cmd/bench-placement -seeds 3
+
+bench-scale:
+	go run ./cmd/bench-scale
--- a/internal/scheduler/owner/owner_test.go
+++ b/internal/scheduler/owner/owner_test.go
@@ -220,3 +220,32 @@
 	}
 	assert.Equal(t, b.until.Sub(now), longestPause)
 }
+
+// TestPlanningKnowsWhereATaskFailed reads the history as the ledger writes it.
+func TestPlanningKnowsWhereATaskFailed(t *testing.T) {
+	s := shard.New()
+	write := func(rec *pb.Record) {
+		t.Helper()
+		rec.Epoch = 1
+		if rej := s.Apply(rec); rej != nil {
+			t.Fatal(rej)
+		}
+	}
+	write(&pb.Record{Body: &pb.Record_ShardClaim{ShardClaim: &pb.ShardClaim{Epoch: 1, Owner: "o"}}})
+	write(&pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: "j", Spec: &pb.JobSpec{
+		Team: "t", JobClass: "c", Tasks: 1, MaxFailures: 9, Resources: &pb.Resources{CpuMilli: 1},
+	}}}})
+	ends := []pb.ReleaseReason{
+		pb.ReleaseReason_RELEASE_REASON_FAILED, pb.ReleaseReason_RELEASE_REASON_EVICTED, pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT,
+	}
+	for i, reason := range ends {
+		name, attempt := fmt.Sprint("w", i), uint32(i+1)
+		write(&pb.Record{Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{Worker: name, Capacity: &pb.Resources{CpuMilli: 1}}}})
+		write(&pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
+			JobId: "j", Attempt: attempt, Worker: name, Reserved: &pb.Resources{CpuMilli: 1},
+		}}})
+		write(&pb.Record{Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{JobId: "j", Attempt: attempt, Reason: reason}}})
+	}
+	_, task := s.Task(shard.TaskRef{JobID: "j"})
+	assert.DeepEqual(t, failedOn(task), []string{"w0", "w2"})
+}
--- a/internal/shard/learned_test.go
+++ b/internal/shard/learned_test.go
@@ -8,7 +8,7 @@
 	pb "chervilridge/api/chervil/v1"
 )
 
-func must(t *testing.T, s *State, rec *pb.Record) {
+func mustOwned(t *testing.T, s *State, rec *pb.Record) {
 	t.Helper()
 	rec.Epoch = s.Epoch()
 	if rej := s.Apply(rec); rej != nil {
@@ -19,13 +19,13 @@
 func withTasks(t *testing.T, tasks uint32) *State {
 	t.Helper()
 	s := New()
-	must(t, s, &pb.Record{Body: &pb.Record_ShardClaim{ShardClaim: &pb.ShardClaim{Epoch: 1, Owner: "o"}}})
+	mustOwned(t, s, &pb.Record{Body: &pb.Record_ShardClaim{ShardClaim: &pb.ShardClaim{Epoch: 1, Owner: "o"}}})
 	for _, name := range []string{"w1", "w2"} {
-		must(t, s, &pb.Record{Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{
+		mustOwned(t, s, &pb.Record{Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{
 			Worker: name, Capacity: &pb.Resources{CpuMilli: 32_000, MemoryMb: 1_000},
 		}}})
 	}
-	must(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{
+	mustOwned(t, s, &pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{
 		JobId: "j", Spec: &pb.JobSpec{Team: "t", JobClass: "c", Tasks: tasks, Resources: &pb.Resources{CpuMilli: 1_000}, MaxFailures: 5},
 	}}})
 	return s
@@ -33,21 +33,21 @@
 
 func assign(t *testing.T, s *State, index, attempt uint32, worker string) {
 	t.Helper()
-	must(t, s, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
+	mustOwned(t, s, &pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
 		JobId: "j", Index: index, Attempt: attempt, Worker: worker, Reserved: &pb.Resources{CpuMilli: 1_000},
 	}}})
 }
 
 func fail(t *testing.T, s *State, index, attempt uint32, at int64) {
 	t.Helper()
-	must(t, s, &pb.Record{TimeMs: at, Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{
+	mustOwned(t, s, &pb.Record{TimeMs: at, Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{
 		JobId: "j", Index: index, Attempt: attempt, Reason: pb.ReleaseReason_RELEASE_REASON_FAILED,
 	}}})
 }
 
 func finish(t *testing.T, s *State, index, attempt uint32, at int64) {
 	t.Helper()
-	must(t, s, &pb.Record{TimeMs: at, Body: &pb.Record_TaskFinished{TaskFinished: &pb.TaskFinished{
+	mustOwned(t, s, &pb.Record{TimeMs: at, Body: &pb.Record_TaskFinished{TaskFinished: &pb.TaskFinished{
 		JobId: "j", Index: index, Attempt: attempt, RanMs: 700, Used: &pb.Resources{CpuMilli: 300, MemoryMb: 5},
 	}}})
 }
@@ -59,7 +59,7 @@
 	fail(t, s, 0, 1, 10)
 	assign(t, s, 1, 1, "w1")
 	finish(t, s, 1, 1, 20)
-	must(t, s, &pb.Record{Body: &pb.Record_InterferenceLearned{InterferenceLearned: &pb.InterferenceLearned{
+	mustOwned(t, s, &pb.Record{Body: &pb.Record_InterferenceLearned{InterferenceLearned: &pb.InterferenceLearned{
 		Service: "s", JobClass: "c", LoadBand: 2, SlowdownMilli: 1_500, Samples: 9,
 	}}})
 	data, err := s.Snapshot()
@@ -96,7 +96,7 @@
 	assign(t, s, 0, 1, "w1")
 	fail(t, s, 0, 1, 1)
 	quarantine := func(in bool, reason string) {
-		must(t, s, &pb.Record{Body: &pb.Record_WorkerQuarantined{WorkerQuarantined: &pb.WorkerQuarantined{Worker: "w1", Quarantined: in, Reason: reason}}})
+		mustOwned(t, s, &pb.Record{Body: &pb.Record_WorkerQuarantined{WorkerQuarantined: &pb.WorkerQuarantined{Worker: "w1", Quarantined: in, Reason: reason}}})
 	}
 	w := s.Workers()["w1"]
 	quarantine(true, "fails")
@@ -112,7 +112,7 @@
 func TestStoppedJobRunsNoMore(t *testing.T) {
 	s := withTasks(t, 1)
 	assign(t, s, 0, 1, "w1")
-	must(t, s, &pb.Record{Body: &pb.Record_JobRejected{JobRejected: &pb.JobRejected{JobId: "j", Reason: "bad"}}})
+	mustOwned(t, s, &pb.Record{Body: &pb.Record_JobRejected{JobRejected: &pb.JobRejected{JobId: "j", Reason: "bad"}}})
 	fail(t, s, 0, 1, 1)
 	_, task := s.Task(TaskRef{"j", 0})
 	assert.Equal(t, task.State, pb.TaskState_TASK_STATE_FAILED)
