--- a/internal/scheduler/owner/owner_test.go
+++ b/internal/scheduler/owner/owner_test.go
@@ -24,32 +24,32 @@
 	assert.Check(t, latest <= outLimit, "a start may happen %s after the change", latest)
 }
 
-func newOwner() *Owner {
+func newTestOwner() *Owner {
 	o := New(Options{Grant: time.Minute, Lease: 5 * time.Second}, nil, nil, nil, nil, nil)
 	o.enter(1)
 	return o
 }
 
-func key(job string, attempt uint32) attemptKey {
+func attemptOf(job string, attempt uint32) attemptKey {
 	return attemptKey{shard.TaskRef{JobID: job}, attempt}
 }
 
 func TestUnknownAttemptMayRunAsLongAsAnEarlierOwnerCouldGrant(t *testing.T) {
-	o := newOwner()
+	o := newTestOwner()
 	least := time.Now().Add(o.options.Lease + StartAllowance + o.options.Grant + o.margin())
-	assert.Check(t, !o.view(key("j", 1)).mayRunUntil.Before(least))
+	assert.Check(t, !o.view(attemptOf("j", 1)).mayRunUntil.Before(least))
 }
 
 func TestLateCallerOfAnOlderEpochChangesNothing(t *testing.T) {
-	o := newOwner()
+	o := newTestOwner()
 	o.enter(3)
-	assert.Check(t, o.occupy(key("j", 1)))
+	assert.Check(t, o.occupy(attemptOf("j", 1)))
 	o.enter(2)
 	assert.Equal(t, o.epoch, uint64(3))
-	assert.Check(t, !o.occupy(key("j", 1)), "still busy")
+	assert.Check(t, !o.occupy(attemptOf("j", 1)), "still busy")
 }
 
-func worker(cpu int64, jobs ...string) *shard.Worker {
+func workerWith(cpu int64, jobs ...string) *shard.Worker {
 	w := &shard.Worker{
 		Registered: &pb.WorkerRegistered{Worker: "w", DataCentre: "a", Address: "x", Capacity: &pb.Resources{CpuMilli: cpu}},
 		Reserved:   &pb.Resources{}, Assigned: map[shard.TaskRef]*pb.Task{},
@@ -68,7 +68,7 @@
 	}{{3, nil}, {2, []string{"c"}}, {1, []string{"b", "c"}}, {0, []string{"a", "b", "c"}}}
 	for _, c := range cases {
 		t.Run(fmt.Sprint(c.cpu), func(t *testing.T) {
-			excess := excessOn(worker(c.cpu, "a", "b", "c"))
+			excess := excessOn(workerWith(c.cpu, "a", "b", "c"))
 			assert.Equal(t, len(excess), len(c.want))
 			for _, job := range c.want {
 				assert.Check(t, excess[shard.TaskRef{JobID: job}], job)
@@ -112,9 +112,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			o := newOwner()
-			o.attempts[key("j", 1)] = &c.view
-			got := o.decide(tableWith(t, c.out), &pb.Job{Cancelled: c.cancelled}, key("j", 1), "w", worker(4, "j"), c.excess)
+			o := newTestOwner()
+			o.attempts[attemptOf("j", 1)] = &c.view
+			got := o.decide(tableWith(t, c.out), &pb.Job{Cancelled: c.cancelled}, attemptOf("j", 1), "w", workerWith(4, "j"), c.excess)
 			assert.Equal(t, got.action, c.want)
 			assert.Equal(t, got.reason, c.reason)
 		})
@@ -123,21 +123,21 @@
 
 func TestRenewalAfterTheEndIsRefused(t *testing.T) {
 	v := attemptView{mayRunUntil: time.Now().Add(-time.Second)}
-	o := newOwner()
-	o.attempts[key("j", 1)] = &v
-	assert.Equal(t, o.renew(key("j", 1), &pb.AttemptReport{}), verdictWait)
+	o := newTestOwner()
+	o.attempts[attemptOf("j", 1)] = &v
+	assert.Equal(t, o.renew(attemptOf("j", 1), &pb.AttemptReport{}), verdictWait)
 	assert.Check(t, v.confirmed.IsZero())
 	v.mayRunUntil = time.Now().Add(time.Hour)
-	assert.Equal(t, o.renew(key("j", 1), &pb.AttemptReport{Checkpoint: []byte("c")}), verdictRenew)
+	assert.Equal(t, o.renew(attemptOf("j", 1), &pb.AttemptReport{Checkpoint: []byte("c")}), verdictRenew)
 	assert.Equal(t, string(v.checkpoint), "c")
 }
 
 func TestStartsUnderWayAreBounded(t *testing.T) {
-	o := newOwner()
+	o := newTestOwner()
 	admitted, workers := 0, map[string]int{}
 	for i := range 10 * maxStarts {
 		name := fmt.Sprint("w", i%40)
-		if o.admit(key(fmt.Sprint("j", i), 1), name) != nil {
+		if o.admit(attemptOf(fmt.Sprint("j", i), 1), name) != nil {
 			admitted++
 			workers[name]++
 		}
@@ -149,11 +149,11 @@
 }
 
 func TestStartsPauseAfterAFailedAppend(t *testing.T) {
-	o := newOwner()
+	o := newTestOwner()
 	o.noteLog(errors.New("log down"))
-	assert.Check(t, o.admit(key("j", 1), "w") == nil)
+	assert.Check(t, o.admit(attemptOf("j", 1), "w") == nil)
 	o.noteLog(nil)
-	assert.Check(t, o.admit(key("j", 1), "w") != nil)
+	assert.Check(t, o.admit(attemptOf("j", 1), "w") != nil)
 }
 
 func TestHoldBack(t *testing.T) {
@@ -179,7 +179,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			o := newOwner()
+			o := newTestOwner()
 			c.faults(o)
 			snap := placement.Snapshot{Workers: []placement.Worker{{Name: "w", Ready: true}}}
 			o.holdBack(&snap)
@@ -195,7 +195,7 @@
 }
 
 func TestTaskThatWasNotStartedWaits(t *testing.T) {
-	o := newOwner()
+	o := newTestOwner()
 	ref := shard.TaskRef{JobID: "j"}
 	o.noteNotStarted(ref)
 	snap := placement.Snapshot{Tasks: []placement.Task{{Ref: ref}, {Ref: shard.TaskRef{JobID: "k"}}}}
@@ -220,3 +220,32 @@
 	}
 	assert.Equal(t, b.until.Sub(now), longestPause)
 }
+
+// TestPlanningKnowsWhereATaskFailed reads the history as the ledger writes it.
+func TestPlanningKnowsWhereATaskFailed(t *testing.T) {
+	s := shard.New()
+	write := func(rec *pb.Record) {
+		t.Helper()
+		rec.Epoch = 1
+		if rej := s.Apply(rec); rej != nil {
+			t.Fatal(rej)
+		}
+	}
+	write(&pb.Record{Body: &pb.Record_ShardClaim{ShardClaim: &pb.ShardClaim{Epoch: 1, Owner: "o"}}})
+	write(&pb.Record{Body: &pb.Record_JobSubmitted{JobSubmitted: &pb.JobSubmitted{JobId: "j", Spec: &pb.JobSpec{
+		Team: "t", JobClass: "c", Tasks: 1, MaxFailures: 9, Resources: &pb.Resources{CpuMilli: 1},
+	}}}})
+	ends := []pb.ReleaseReason{
+		pb.ReleaseReason_RELEASE_REASON_FAILED, pb.ReleaseReason_RELEASE_REASON_EVICTED, pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT,
+	}
+	for i, reason := range ends {
+		name, attempt := fmt.Sprint("w", i), uint32(i+1)
+		write(&pb.Record{Body: &pb.Record_WorkerRegistered{WorkerRegistered: &pb.WorkerRegistered{Worker: name, Capacity: &pb.Resources{CpuMilli: 1}}}})
+		write(&pb.Record{Body: &pb.Record_TaskAssigned{TaskAssigned: &pb.TaskAssigned{
+			JobId: "j", Attempt: attempt, Worker: name, Reserved: &pb.Resources{CpuMilli: 1},
+		}}})
+		write(&pb.Record{Body: &pb.Record_TaskReleased{TaskReleased: &pb.TaskReleased{JobId: "j", Attempt: attempt, Reason: reason}}})
+	}
+	_, task := s.Task(shard.TaskRef{JobID: "j"})
+	assert.DeepEqual(t, failedOn(task), []string{"w0", "w2"})
+}
--- a/internal/scheduler/owner/schedule.go
+++ b/internal/scheduler/owner/schedule.go
@@ -30,9 +30,6 @@
 	plan := o.plan(snapshot)
 	for _, a := range plan.Assignments {
 		key := attemptKey{a.Task.Ref, a.Task.Attempt + 1}
-		if o.steer(a.Task.Ref, a.Worker) {
-			continue
-		}
 		if p := o.admit(key, a.Worker); p != nil {
 			o.insight.begin(key, a)
 			go func() {
--- a/internal/scheduler/owner/snapshot.go
+++ b/internal/scheduler/owner/snapshot.go
@@ -103,9 +103,7 @@
 func failedOn(task *pb.Task) []string {
 	var out []string
 	for _, e := range task.History {
-		failed := e.What == pb.ReleaseReason_RELEASE_REASON_FAILED.String() ||
-			e.What == pb.ReleaseReason_RELEASE_REASON_WORKER_FAULT.String()
-		if failed && !slices.Contains(out, e.Worker) {
+		if failed, _ := shard.Outcome(e); failed && !slices.Contains(out, e.Worker) {
 			out = append(out, e.Worker)
 		}
 	}
--- a/internal/scheduler/owner/snapshot_test.go
+++ b/internal/scheduler/owner/snapshot_test.go
@@ -153,7 +153,7 @@
 func TestPlanPause(t *testing.T) {
 	assert.Equal(t, planPause(0), shortestPause)
 	assert.Equal(t, planPause(5*time.Millisecond), 100*time.Millisecond)
-	assert.Equal(t, planPause(time.Minute), longestPause)
+	assert.Equal(t, planPause(time.Minute), longestPlanPause)
 	_, o := newBuilder(t)
 	o.insight.planned, o.insight.planTook = began, 5*time.Millisecond
 	assert.Check(t, !o.planDue(began.Add(99*time.Millisecond)))
--- a/internal/shard/learned.go
+++ b/internal/shard/learned.go
@@ -126,7 +126,7 @@
 	for _, id := range s.Jobs() {
 		for _, task := range s.jobs[id].Tasks {
 			for _, e := range task.History {
-				if failed, ok := outcomeOf(e.What); ok {
+				if failed, ok := Outcome(e); ok {
 					all = append(all, ended{e.TimeMs, e.Worker, blame.Outcome{JobID: id, Index: task.Index, Failed: failed}})
 				}
 			}
@@ -140,16 +140,6 @@
 	}
 }
 
-func outcomeOf(what string) (failed, ok bool) {
-	switch what {
-	case eventFinished:
-		return false, true
-	case eventFailed, eventWorkerFault:
-		return true, true
-	}
-	return false, false
-}
-
 // Histories returns what judging blame needs: the workers, and the jobs that
 // failed on one of them lately.
 func (s *State) Histories() ([]blame.Worker, []blame.Job) {
--- a/internal/shard/task.go
+++ b/internal/shard/task.go
@@ -90,8 +90,7 @@
 	eventCancel    = "cancel requested"
 	eventEnded     = "ended: "
 	eventFailed    = eventReleased + "failed"
-
-	eventWorkerFault = eventReleased + "worker fault"
+	eventFault     = eventReleased + "worker fault"
 )
 
 func reasonName(r pb.ReleaseReason) string {
@@ -141,14 +140,16 @@
 	return len(workers) >= int(job.Spec.MaxFailures)
 }
 
-// FailedOn reports whether the task's kept history has a failure on the worker.
-func FailedOn(task *pb.Task, worker string) bool {
-	for _, e := range task.GetHistory() {
-		if e.Worker == worker && e.What == eventFailed {
-			return true
-		}
+// Outcome reports whether a step of a task's history ended an attempt on its
+// worker, by success or by a failure of the task or the worker.
+func Outcome(e *pb.TaskEvent) (failed, ok bool) {
+	switch e.What {
+	case eventFinished:
+		return false, true
+	case eventFailed, eventFault:
+		return true, true
 	}
-	return false
+	return false, false
 }
 
 // finish ends a task with its result, also one whose job was cancelled while
