Prove heartbeats and hand-overs at the pool itself

Cause: the way from agent to a shard's owner had no test of its own, and nothing held that a slow call keeps its connection. Event 1042 is taken out: hedges are not built. Conclusion: the same mechanism serves all callers of the pool.

--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -17,7 +17,6 @@
 // Events of the delivery of requests.
 var (
 	HandOverRefused    = define(1041, Warning, "no connection to the agent, request not handed over")
-	RequestHedged      = define(1042, Info, "request sent to a second endpoint as well")
 	KeyAnswerFetched   = define(1043, Info, "answer of the request that holds the idempotency key fetched")
 	KeyReleased        = define(1044, Info, "idempotency key released")
 	KeyReleaseFailed   = define(1045, Warning, "idempotency key not released")
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/standin/proxy"
+)
+
+// owner answers beats after a while.
+type owner struct {
+	pb.UnimplementedShardOwnerServiceServer
+	takes time.Duration
+}
+
+func (o owner) Beat(ctx context.Context, _ *pb.BeatRequest) (*pb.BeatReply, error) {
+	select {
+	case <-time.After(o.takes):
+	case <-ctx.Done():
+	}
+	return &pb.BeatReply{}, nil
+}
+
+func serve(t *testing.T, takes time.Duration) *proxy.Proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer()
+	pb.RegisterShardOwnerServiceServer(server, owner{takes: takes})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	p, err := proxy.Listen(l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// beat calls as an agent does that reports to a shard's owner.
+func beat(pool *Pool, address string, timeout time.Duration) (*HandOver, error) {
+	conn, err := pool.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	tracked, handOver := TrackHandOver(ctx)
+	_, err = pb.NewShardOwnerServiceClient(conn).Beat(tracked, &pb.BeatRequest{})
+	return handOver, err
+}
+
+// TestSilentBeats lets the connection to a shard's owner go silent: beats reach
+// it over a new one within the stated 2 s.
+func TestSilentBeats(t *testing.T) {
+	const every, timeout, noticed = 500 * time.Millisecond, time.Second, 2 * time.Second
+	p := serve(t, 0)
+	pool := NewPool()
+	defer pool.Close()
+	_, err := beat(pool, p.Address(), timeout)
+	assert.NilError(t, err)
+	p.Silence()
+	began := time.Now()
+	for {
+		if _, err = beat(pool, p.Address(), timeout); err == nil {
+			break
+		}
+		assert.Assert(t, time.Since(began) < noticed, "%v", err)
+		time.Sleep(every / 10)
+	}
+	assert.Assert(t, time.Since(began) < noticed, "took %v", time.Since(began))
+	assert.Equal(t, p.Accepted(), 2)
+}
+
+// TestSlowCallKeepsItsConnection has a call that takes longer than a silent
+// connection would be borne with.
+func TestSlowCallKeepsItsConnection(t *testing.T) {
+	p := serve(t, 2*(heartbeatEvery+heartbeatTimeout))
+	pool := NewPool()
+	defer pool.Close()
+	_, err := beat(pool, p.Address(), time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, p.Accepted(), 1)
+}
+
+// TestHandOver tells a call that no connection took from one that may have arrived.
+func TestHandOver(t *testing.T) {
+	p := serve(t, time.Minute)
+	pool := NewPool()
+	defer pool.Close()
+	reached, err := beat(pool, p.Address(), 100*time.Millisecond)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, reached.Began())
+	p.Close()
+	pool.Close()
+	refused, err := beat(pool, p.Address(), time.Minute)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !refused.Began())
+}
