--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -74,8 +74,7 @@
 	rec.lapsedAt = time.Time{}
 	rec.tableVersion = req.TableVersion
 	rec.worker = req.Worker
-	rec.member.Running.Store(int64(req.Running))
-	rec.member.Queued.Store(int64(req.Queued))
+	rec.member.NoteLoad(int64(req.Running), int64(req.Queued), 0, now)
 	if joined || before != rec.standing() {
 		sh.publish(e.Service)
 	}
--- a/internal/request/send/send.go
+++ b/internal/request/send/send.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// ownRequest is what a reply's load no longer counts but InFlight still does.
+	ownRequest  = 1
 	ejectAfter  = 3 // failed hand-overs in a row
 	ejectPause  = 2 * time.Second
 	retryAdvice = time.Second
@@ -41,6 +43,9 @@
 	reply, err := pb.NewRunnerClient(conn).Execute(tracked, s.message(r))
 	if err == nil {
 		r.Target.NoteSuccess()
+		if reply.Outcome == pb.Outcome_OUTCOME_DONE {
+			r.Target.NoteLoad(int64(reply.Running), int64(reply.Queued), ownRequest, time.Now())
+		}
 		return decide(r, reply)
 	}
 	if ctx.Err() == nil {
--- a/internal/shard/learned_test.go
+++ b/internal/shard/learned_test.go
@@ -140,7 +140,7 @@
 func TestEchoTeachesNothing(t *testing.T) {
 	s := withTasks(t, 1)
 	assign(t, s, 0, 1, "w1")
-	must(t, s, &pb.Record{Body: &pb.Record_TaskFinished{TaskFinished: &pb.TaskFinished{
+	mustOwned(t, s, &pb.Record{Body: &pb.Record_TaskFinished{TaskFinished: &pb.TaskFinished{
 		JobId: "j", Index: 0, Attempt: 1, RanMs: 700, Used: &pb.Resources{CpuMilli: 1_000},
 	}}})
 	assert.Equal(t, s.Class("c").MeanMs, int64(700))
