Ended jobs are forgotten after a retention, by a record

Ruled out: dropping by record time in replay alone, since one author whose clock was set forward would drop results for everybody at once. The key of a forgotten job means a new job: the retention is the window of repeatable submission.

--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"chervilridge/internal/scheduler/owner"
 	"chervilridge/internal/settings"
 )
 
@@ -29,6 +30,7 @@
 	BeatEvery       *time.Duration
 	ShardLease      *time.Duration
 	Grant           *time.Duration
+	JobRetention    *time.Duration
 	TablePoll       *time.Duration
 	AppendBudget    *int64
 	AnswerRetention *time.Duration
@@ -59,6 +61,7 @@
 		BeatEvery:       set.Duration("beat-every", 500*time.Millisecond, 50*time.Millisecond, 10*time.Second, "time between heartbeats to the shard's owner"),
 		ShardLease:      set.Duration("shard-lease", 5*time.Second, 500*time.Millisecond, 5*time.Minute, "length of a shard lease"),
 		Grant:           set.Duration("grant", 30*time.Second, 5*time.Second, time.Hour, "how long a task may run without renewal"),
+		JobRetention:    set.Duration("job-retention", owner.DefaultJobRetention, time.Minute, 30*24*time.Hour, "how long an ended job, its results and its idempotency key are kept"),
 		TablePoll:       set.Duration("table-poll", 500*time.Millisecond, 50*time.Millisecond, 700*time.Millisecond, "how long one read of the log waits for a record; the view is up to two polls old, and starts need one of 1.5 s or less"),
 		AppendBudget:    set.Int("append-budget", 20, 1, 1000, "appends/s", "most appends a second to one stream"),
 		AnswerRetention: set.Duration("answer-retention", 10*time.Minute, time.Minute, 24*time.Hour, "how long the outcome of a request is kept"),
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -55,6 +55,7 @@
 	}, state, committer).Run)
 	scheduler := owner.New(owner.Options{
 		Shard: n, Grant: *o.Grant, WorkerSilence: 4 * *o.BeatEvery, Lease: *o.ShardLease,
+		JobRetention: *o.JobRetention,
 	}, lease, state, rows, committer, pool)
 	bg.Go(scheduler.Run)
 	s.owners = append(s.owners, scheduler)
--- a/internal/events/task.go
+++ b/internal/events/task.go
@@ -9,6 +9,7 @@
 	ShardClaimWaits     = define(4011, Info, "shard claimed, the lease of the holder before is waited out")
 	JobAccepted         = define(5001, Info, "job accepted")
 	JobRefused          = define(5002, Info, "job refused")
+	JobsForgotten       = define(5004, Info, "ended jobs forgotten after their retention")
 	JobCancelled        = define(5003, Info, "jobs cancelled")
 	TaskPlaced          = define(5101, Info, "task placed")
 	TaskUnplaced        = define(5102, Info, "task not placed")
--- a/internal/scheduler/owner/govern.go
+++ b/internal/scheduler/owner/govern.go
@@ -14,6 +14,11 @@
 
 const (
 	judgeInterval = time.Second
+	// Ended jobs are dropped forgetAtOnce at a time.
+	forgetInterval = 10 * time.Second
+	forgetAtOnce   = 1000
+	// clockTolerance is how far wall and monotonic clock may drift apart.
+	clockTolerance = time.Minute
 	// publishInterval bounds the records spent on what was learned.
 	publishInterval = 10 * time.Second
 	publishSamples  = 8
@@ -34,11 +39,46 @@
 		o.judgeBlame(ctx, epoch, now)
 		o.watchCentres(now)
 	}
+	if o.due(&o.insight.forgot, now, forgetInterval) {
+		o.forgetJobs(ctx, epoch, now)
+	}
 	if o.due(&o.insight.published, now, publishInterval) {
 		o.publish(ctx, epoch)
 	}
 }
 
+// forgetJobs drops jobs that ended longer ago than the retention, the oldest
+// first and a bounded number in one record. It waits while the wall clock cannot
+// be trusted: a clock set forward would make results look old.
+func (o *Owner) forgetJobs(ctx context.Context, epoch uint64, now time.Time) {
+	if !steady(o.began, now) {
+		return
+	}
+	var ids []string
+	before := now.Add(-o.options.JobRetention).UnixMilli()
+	o.state.View(func(s *shard.State) { ids = s.EndedBefore(before, forgetAtOnce) })
+	if len(ids) == 0 {
+		return
+	}
+	rec := &pb.Record{Body: &pb.Record_JobsForgotten{JobsForgotten: &pb.JobsForgotten{JobIds: ids}}}
+	go func() {
+		if v, err := o.commit(ctx, epoch, rec); err == nil && v.Rejection == nil {
+			events.JobsForgotten.Log("jobs", len(ids), "shard", o.options.Shard, "retention", o.options.JobRetention)
+		}
+	}()
+}
+
+// steady reports whether the wall clock has run as fast as the monotonic clock
+// between two readings.
+func steady(began, now time.Time) bool {
+	return steadyBetween(now.UnixMilli()-began.UnixMilli(), now.Sub(began))
+}
+
+func steadyBetween(wallMs int64, monotonic time.Duration) bool {
+	step := time.Duration(wallMs)*time.Millisecond - monotonic
+	return step.Abs() <= clockTolerance
+}
+
 // watchCentres notices data centres that come back also while no task waits.
 func (o *Owner) watchCentres(now time.Time) {
 	o.insight.mu.Lock()
--- a/internal/scheduler/owner/insight.go
+++ b/internal/scheduler/owner/insight.go
@@ -40,6 +40,7 @@
 	held        map[string]string // by worker: the job it was held back for last
 	judged      time.Time
 	published   time.Time
+	forgot      time.Time
 	planned     time.Time // when the newest plan was made
 	planTook    time.Duration
 }
--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -29,6 +29,9 @@
 	// confirmAfter is how long a granted attempt may go unreported before the
 	// agent is asked about it.
 	confirmAfter = 3 * time.Second
+	// DefaultJobRetention is how long ended jobs are kept unless a setting says
+	// otherwise.
+	DefaultJobRetention = 24 * time.Hour
 	// evictPause lets the service beside a worker recover.
 	evictPause = 15 * time.Second
 	// grantMarginShare is the part of a grant added for clocks that run at
@@ -49,6 +52,8 @@
 	ConfirmAfter   time.Duration
 	// EvictPause is how long a worker gets nothing new after an eviction.
 	EvictPause time.Duration
+	// JobRetention is how long an ended job and its idempotency key are kept.
+	JobRetention time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -56,6 +61,7 @@
 	o.TableFreshness = cmp.Or(o.TableFreshness, TableFreshness)
 	o.ConfirmAfter = cmp.Or(o.ConfirmAfter, confirmAfter)
 	o.EvictPause = cmp.Or(o.EvictPause, evictPause)
+	o.JobRetention = cmp.Or(o.JobRetention, DefaultJobRetention)
 	return o
 }
 
@@ -71,6 +77,8 @@
 	committer *ledger.Committer
 	pool      *peer.Pool
 
+	began time.Time // of this process's part, by both clocks
+
 	mu         sync.Mutex
 	epoch      uint64 // epoch that the maps below belong to
 	workers    map[string]*workerView
@@ -114,7 +122,7 @@
 	return &Owner{
 		options: options.withDefaults(), lease: lease, state: state, table: rows, committer: committer, pool: pool,
 		workers: map[string]*workerView{}, attempts: map[attemptKey]*attemptView{},
-		pace: newPace(),
+		pace: newPace(), began: time.Now(),
 	}
 }
 
--- a/internal/scheduler/owner/owner_test.go
+++ b/internal/scheduler/owner/owner_test.go
@@ -249,3 +249,15 @@
 	_, task := s.Task(shard.TaskRef{JobID: "j"})
 	assert.DeepEqual(t, failedOn(task), []string{"w0", "w2"})
 }
+
+// TestSteadyClock: a wall clock that was set forward or back is not trusted.
+func TestSteadyClock(t *testing.T) {
+	began := time.Now()
+	later := began.Add(time.Hour)
+	assert.Assert(t, steady(began, later))
+	for _, step := range []time.Duration{25 * time.Hour, -25 * time.Hour, 2 * time.Minute} {
+		// Round strips the monotonic reading; the difference is then the wall's alone.
+		stepped := began.Round(0).Add(-step)
+		assert.Assert(t, !steadyBetween(later.UnixMilli()-stepped.UnixMilli(), later.Sub(began)), "step of %v", step)
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -133,6 +133,8 @@
 		return s.register(body.WorkerRegistered)
 	case *pb.Record_WorkerQuarantined:
 		return s.quarantine(body.WorkerQuarantined)
+	case *pb.Record_JobsForgotten:
+		return s.forget(body.JobsForgotten)
 	case *pb.Record_JobRejected:
 		return s.rejectJob(rec, body.JobRejected)
 	case *pb.Record_TaskAssigned:
