--- a/internal/agent/colocation/fuzz_test.go
+++ b/internal/agent/colocation/fuzz_test.go
@@ -1,28 +1,17 @@
 package colocation
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
+	"chervilridge/internal/fixedseed"
 	"pgregory.net/rapid"
 )
 
-// Each run of the tests is the same; the flags of rapid override these.
-const (
-	fixedSeed  = "6001"
-	fixedRuns  = "300"
-	fixedSteps = "300"
-)
-
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", fixedSeed)
-	_ = flag.Set("rapid.checks", fixedRuns)
-	_ = flag.Set("rapid.steps", fixedSteps)
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 6001, Checks: 300, Steps: 300}))
 }
 
 // history is what a run of decisions did, to hold against the policy.
--- a/internal/agent/grants/protocol_test.go
+++ b/internal/agent/grants/protocol_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,24 +10,14 @@
 	"pgregory.net/rapid"
 
 	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/fixedseed"
 	"chervilridge/internal/platform"
 	"chervilridge/internal/shard"
 	"chervilridge/internal/standin/worker"
 )
 
-// Each run of the tests is the same; the flags of rapid override these.
-const (
-	fixedSeed  = "5402"
-	fixedRuns  = "2000"
-	fixedSteps = "80"
-)
-
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", fixedSeed)
-	_ = flag.Set("rapid.checks", fixedRuns)
-	_ = flag.Set("rapid.steps", fixedSteps)
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 5402, Checks: 2000, Steps: 80}))
 }
 
 // world is one shard's ledger and two workers with their agents. Messages are
--- a/internal/ledger/oracle_test.go
+++ b/internal/ledger/oracle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -17,20 +16,14 @@
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/fault"
+	"chervilridge/internal/fixedseed"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/standin/logstore"
 	"chervilridge/internal/table"
 )
 
-// TestMain fixes the seed of the generated tests unless the caller names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	named := false
-	flag.Visit(func(f *flag.Flag) { named = named || f.Name == "rapid.seed" })
-	if !named {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 1}))
 }
 
 const (
--- a/internal/request/faulttest/process_test.go
+++ b/internal/request/faulttest/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +22,7 @@
 	"chervilridge/internal/agent"
 	"chervilridge/internal/entry"
 	"chervilridge/internal/fault"
+	"chervilridge/internal/fixedseed"
 	"chervilridge/internal/ident"
 	"chervilridge/internal/process"
 	"chervilridge/internal/request/parse"
@@ -35,8 +35,8 @@
 
 // Unless the command line tells otherwise, the histories are the same in each run.
 const (
-	fixedSeed   = "4"
-	fixedChecks = "5000"
+	fixedSeed   = 4
+	fixedChecks = 5000
 )
 
 var programs = map[string]func(set *settings.Set) func() fx.Option{
@@ -54,9 +54,7 @@
 	if role := os.Getenv(roleVariable); role != "" {
 		os.Exit(process.Main(process.Program{Name: role, Settings: programs[role]}))
 	}
-	_ = flag.Set("rapid.seed", fixedSeed)
-	_ = flag.Set("rapid.checks", fixedChecks)
-	os.Exit(m.Run())
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: fixedSeed, Checks: fixedChecks}))
 }
 
 // program is one running process. The log's address has nothing listening: the
--- a/internal/scheduler/placement/placement_test.go
+++ b/internal/scheduler/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"chervilridge/internal/fixedseed"
 	"chervilridge/internal/scheduler/placement/model"
 	"chervilridge/internal/shard"
 )
@@ -20,6 +22,10 @@
 	big   = model.Amount{CPUMilli: 30_000, MemoryMB: 1_000}
 )
 
+func TestMain(m *testing.M) {
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 5301}))
+}
+
 func waiting(job string, need model.Amount, since int64) model.Task {
 	return model.Task{
 		Ref: shard.TaskRef{JobID: job}, Team: "t", Class: "c", Need: need, Floor: need,
--- a/internal/shard/life_test.go
+++ b/internal/shard/life_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,21 +10,11 @@
 	"pgregory.net/rapid"
 
 	pb "chervilridge/api/chervil/v1"
-)
-
-// Each run of the tests is the same; the flags of rapid override these.
-const (
-	fixedSeed  = "5401"
-	fixedRuns  = "2000"
-	fixedSteps = "60"
+	"chervilridge/internal/fixedseed"
 )
 
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", fixedSeed)
-	_ = flag.Set("rapid.checks", fixedRuns)
-	_ = flag.Set("rapid.steps", fixedSteps)
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 5401, Checks: 2000, Steps: 60}))
 }
 
 // oracle is the life of tasks in the plainest form: who may do what when.
--- a/internal/table/oracle_test.go
+++ b/internal/table/oracle_test.go
@@ -1,7 +1,6 @@
 package table
 
 import (
-	"flag"
 	"os"
 	"testing"
 
@@ -10,18 +9,12 @@
 	"pgregory.net/rapid"
 
 	pb "chervilridge/api/chervil/v1"
+	"chervilridge/internal/fixedseed"
 	"chervilridge/internal/ledger"
 )
 
-// TestMain fixes the seed of the generated tests unless the caller names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	named := false
-	flag.Visit(func(f *flag.Flag) { named = named || f.Name == "rapid.seed" })
-	if !named {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
+	os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 1}))
 }
 
 // oracle is the table as a plain map: what a row says, and the number of the
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,10 +5,12 @@
 set -u
 cd "$(dirname "$0")/.."
 
+# First of the 1,000 ports that the demo uses.
+readonly PORTS=${DEMO_PORTS:-18000}
 readonly CENTRES=(pnw-a pnw-b pnw-c)
-readonly ENTRY_HTTP=(127.0.0.1:18080 127.0.0.1:18180)
-readonly ENTRY_GRPC=(127.0.0.1:18081 127.0.0.1:18181)
-readonly PLATFORM=127.0.0.1:17000
+readonly ENTRY_HTTP=("127.0.0.1:$((PORTS + 80))" "127.0.0.1:$((PORTS + 180))")
+readonly ENTRY_GRPC=("127.0.0.1:$((PORTS + 81))" "127.0.0.1:$((PORTS + 181))")
+readonly PLATFORM="127.0.0.1:$PORTS"
 readonly AGENTS=6
 readonly REQUESTS=30
 logs=$(mktemp -d)
@@ -47,6 +49,12 @@
   return 1
 }
 
+# A process that could not start, such as on a port that is taken, would leave
+# the demo talking to somebody else's.
+all_alive() {
+  for pid in "${pids[@]}"; do kill -0 "$pid" 2>/dev/null || return 1; done
+}
+
 members_ready() { [ "$(ctl status | grep -c 'healthy true')" = "$AGENTS" ] && ctl status | grep -q 'shard 0 owned'; }
 starts_in() { # starts_in DATA-CENTRE
   (exec 3<>"/dev/tcp/${PLATFORM%:*}/${PLATFORM#*:}" && printf 'GET /recorder HTTP/1.0\r\n\r\n' >&3 && cat <&3) |
@@ -62,17 +70,17 @@
 entries="${ENTRY_GRPC[0]},${ENTRY_GRPC[1]}"
 for i in 0 1; do
   start "entry-$i" bin/chervil-entry --name "entry-$((i + 1))" --http-address "${ENTRY_HTTP[$i]}" --grpc-address "${ENTRY_GRPC[$i]}" \
-    --metrics-address "127.0.0.1:$((18082 + i * 100))" --log-address $PLATFORM --drain-wait 200ms
+    --metrics-address "127.0.0.1:$((PORTS + 82 + i * 100))" --log-address $PLATFORM --drain-wait 200ms --data-centre "${CENTRES[$i]}"
 done
 for i in $(seq $AGENTS); do
   dc=${CENTRES[$(((i - 1) % 3))]}
-  start "endpoint-$i" bin/chervil-platform endpoint --address "127.0.0.1:$((19100 + i))" --name "endpoint-$i"
-  start "agent-$i" bin/chervil-agent --name "agent-$i" --grpc-address "127.0.0.1:$((19200 + i))" --metrics-address "127.0.0.1:$((19300 + i))" \
+  start "endpoint-$i" bin/chervil-platform endpoint --address "127.0.0.1:$((PORTS + 300 + i))" --name "endpoint-$i"
+  start "agent-$i" bin/chervil-agent --name "agent-$i" --grpc-address "127.0.0.1:$((PORTS + 400 + i))" --metrics-address "127.0.0.1:$((PORTS + 500 + i))" \
     --log-address $PLATFORM --worker-address $PLATFORM --worker "worker-$i" --entries "$entries" --service quotedesk \
-    --endpoint "127.0.0.1:$((19100 + i))" --region pnw --data-centre "$dc"
+    --endpoint "127.0.0.1:$((PORTS + 300 + i))" --region pnw --data-centre "$dc"
 done
 
-if ! until_ok 50 members_ready; then
+if ! until_ok 50 members_ready || ! all_alive; then
   echo "the processes did not come up; logs: $logs"
   exit 1
 fi
