One pause, one way to serve: logic that stood several times

Cause: waiting for a while or a context stood in seven packages, serving gRPC and metrics in both processes. Change: internal/wait, process.ServeGRPC, process.ServeMetrics, process.Listen. Behaviour is as before.

--- a/internal/agent/module.go
+++ b/internal/agent/module.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"go.uber.org/fx"
@@ -16,7 +15,6 @@
 	"chervilridge/internal/agent/grants"
 	"chervilridge/internal/agent/latency"
 	"chervilridge/internal/agent/runner"
-	"chervilridge/internal/fault"
 	"chervilridge/internal/ident"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/peer"
@@ -28,6 +26,7 @@
 	"chervilridge/internal/table"
 	"chervilridge/internal/table/view"
 	"chervilridge/internal/telemetry"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -141,30 +140,14 @@
 }
 
 func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
-		OnStop:  t.Stop,
-	})
+	process.ServeMetrics(lc, *o.MetricsAddress, t)
 }
 
 func serveGRPC(lc fx.Lifecycle, o *Options, server *grpc.Server, run *runner.Runner, owners *shardOwners, rows *ledger.Follower[*table.Table]) {
 	pb.RegisterRunnerServer(server, run)
 	pb.RegisterShardOwnerServiceServer(server, owners)
 	pb.RegisterStateSourceServer(server, statesource.NewServer(rows))
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", *o.GRPCAddress)
-			if err != nil {
-				return fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, *o.GRPCAddress, "cannot listen")
-			}
-			go func() { _ = server.Serve(l) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			peer.StopServer(ctx, server)
-			return nil
-		},
-	})
+	process.ServeGRPC(lc, *o.GRPCAddress, server)
 }
 
 // leave runs first at a planned stop: refuse new requests, announce, give up the
@@ -179,12 +162,7 @@
 		if err := run.FinishLeave(ctx); err != nil {
 			return err
 		}
-		linger := time.NewTimer(leaveLinger)
-		defer linger.Stop()
-		select {
-		case <-linger.C:
-		case <-ctx.Done():
-		}
+		wait.For(ctx, leaveLinger)
 		return nil
 	}})
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,7 +11,6 @@
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/claims"
 	"chervilridge/internal/entry/api"
-	"chervilridge/internal/fault"
 	"chervilridge/internal/jobs"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/membership"
@@ -34,6 +32,7 @@
 	"chervilridge/internal/table"
 	"chervilridge/internal/table/view"
 	"chervilridge/internal/telemetry"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -152,30 +151,14 @@
 }
 
 func serveMetrics(lc fx.Lifecycle, o *Options, t *telemetry.Server) {
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return t.Start(*o.MetricsAddress) },
-		OnStop:  t.Stop,
-	})
+	process.ServeMetrics(lc, *o.MetricsAddress, t)
 }
 
 func serveGRPC(lc fx.Lifecycle, o *Options, reg *membership.Registry, rows *ledger.Follower[*table.Table]) {
 	server := peer.NewServer()
 	pb.RegisterRegistryServer(server, reg)
 	pb.RegisterStateSourceServer(server, statesource.NewServer(rows))
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := listen(*o.GRPCAddress)
-			if err != nil {
-				return err
-			}
-			go func() { _ = server.Serve(l) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			peer.StopServer(ctx, server)
-			return nil
-		},
-	})
+	process.ServeGRPC(lc, *o.GRPCAddress, server)
 }
 
 // serveHTTP stops in the order: fail the balancer's check, wait, refuse new
@@ -184,7 +167,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			l, err := listen(*o.HTTPAddress)
+			l, err := process.Listen(*o.HTTPAddress)
 			if err != nil {
 				return err
 			}
@@ -193,7 +176,7 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			p.leaving.Store(true)
-			pause(ctx, *o.DrainWait)
+			wait.For(ctx, *o.DrainWait)
 			p.admit.Leave()
 			drain(ctx, p.admit)
 			return server.Shutdown(ctx)
@@ -212,20 +195,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, address, "cannot listen")
-	}
-	return l, nil
-}
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -6,6 +6,7 @@
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/fault"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 		if e.Code == fault.CodeLogDown && !doubted {
 			return nil, false, e
 		}
-		if !sleep(ctx, tryPause) {
+		if !wait.For(ctx, tryPause) {
 			return nil, doubted, last(e, doubted, jobID)
 		}
 	}
@@ -71,14 +72,3 @@
 	}
 	return nil, fault.New(fault.CodeOutcomeUnknown, fault.StepSubmit, owner.Agent, reply.Detail).WithOutcome(fault.Unknown)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -10,6 +10,7 @@
 	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
 	"chervilridge/internal/platform"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -140,7 +141,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.noteDown(err)
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
@@ -223,12 +224,3 @@
 	}
 	return fault.Newf(fault.CodeStaleView, fault.StepRead, f.stream, "log ends at %d, %d was read from it", next, f.next)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/ledger/snapshotter.go
+++ b/internal/ledger/snapshotter.go
@@ -12,6 +12,7 @@
 	"chervilridge/internal/fault"
 	"chervilridge/internal/ident"
 	"chervilridge/internal/suppression"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -145,7 +146,7 @@
 	}
 	if err != nil {
 		events.SnapshotFailed.LogError(err, "stream", s.source.Stream(), "covers", state.Covers)
-		pause(ctx, s.spread()/checksPerSpread)
+		wait.For(ctx, s.spread()/checksPerSpread)
 		return
 	}
 	events.SnapshotWritten.Log("stream", s.source.Stream(), "covers", state.Covers, "bytes", len(state.Data))
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -16,6 +16,7 @@
 	"chervilridge/internal/fault"
 	"chervilridge/internal/ident"
 	"chervilridge/internal/request/parse"
+	"chervilridge/internal/wait"
 )
 
 // Options describe one run. It ends after Duration and the last answer.
@@ -78,7 +79,7 @@
 	total := int(r.options.Duration / interval)
 	began := time.Now()
 	for i := range total {
-		if !sleepUntil(ctx, began.Add(time.Duration(i)*interval)) {
+		if !wait.Until(ctx, began.Add(time.Duration(i)*interval)) {
 			break
 		}
 		s := r.draw(i)
@@ -89,17 +90,6 @@
 	return r.report
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *Runner) draw(i int) shot {
 	o := r.options
 	s := shot{
--- a/internal/request/claim/follow.go
+++ b/internal/request/claim/follow.go
@@ -10,6 +10,7 @@
 	"chervilridge/internal/request"
 	"chervilridge/internal/request/send"
 	"chervilridge/internal/request/verify"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -35,7 +36,7 @@
 		}
 		reply, askErr := f.agents.Ask(ctx, winner.Agent, question(winner, time.Since(began) < orphanAfter))
 		if askErr != nil {
-			pause(ctx, followPause)
+			wait.For(ctx, followPause)
 			continue
 		}
 		switch reply.Outcome {
@@ -45,7 +46,7 @@
 		case pb.Outcome_OUTCOME_NOT_RUN:
 			f.release(ctx, winner)
 		}
-		pause(ctx, followPause)
+		wait.For(ctx, followPause)
 	}
 	return nil, false, pointer(r, f.keys.Lookup(r.Client, keyOf(r)))
 }
@@ -120,12 +121,3 @@
 	}
 	return a, err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/request/send/resolve.go
+++ b/internal/request/send/resolve.go
@@ -10,6 +10,7 @@
 	"chervilridge/internal/events"
 	"chervilridge/internal/peer"
 	"chervilridge/internal/request"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -49,7 +50,7 @@
 		if how != answered && (r.Repeatable || time.Since(absentSince) > absentLimit) {
 			break
 		}
-		sleep(ctx, resolvePause)
+		wait.For(ctx, resolvePause)
 	}
 	return nil, unknown(r, cause)
 }
@@ -86,12 +87,3 @@
 }
 
 func closeConn(c *grpc.ClientConn) { _ = c.Close() }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/statesource/seeder.go
+++ b/internal/statesource/seeder.go
@@ -9,6 +9,7 @@
 	"chervilridge/internal/events"
 	"chervilridge/internal/ledger"
 	"chervilridge/internal/peer"
+	"chervilridge/internal/wait"
 )
 
 const (
@@ -42,17 +43,7 @@
 
 // Run seeds the follower until it reads the log or the context ends.
 func (s *Seeder) Run(ctx context.Context) {
-	for wait := Grace; ; wait = repeatEvery {
-		t := time.NewTimer(wait)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return
-		}
-		if s.target.Loaded() {
-			return
-		}
+	for pause := Grace; wait.For(ctx, pause) && !s.target.Loaded(); pause = repeatEvery {
 		s.Round(ctx)
 	}
 }
