An agent follows only the shards that it may own; shards without an owner are shown

Cause: every agent followed every shard's stream; at the target that alone is 270 KB/s against 19 KB/s allowed. Today's sizes use one shard.

--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -26,6 +26,7 @@
 	Connections     *int64
 	Queue           *int64
 	Shards          *int64
+	Candidacies     *int64
 	AnnounceEvery   *time.Duration
 	BeatEvery       *time.Duration
 	ShardLease      *time.Duration
@@ -57,6 +58,7 @@
 		Connections:     set.Int("connections", 64, 1, 10_000, "connections", "most connections to the endpoint"),
 		Queue:           set.Int("queue", 64, 0, 100_000, "requests", "most requests that wait for a slot"),
 		Shards:          set.Int("shards", 1, 1, 1024, "shards", "number of shards; the same in the whole system"),
+		Candidacies:     set.Int("candidacies", 4, 1, 1024, "shards", "most shards that this agent may own; it follows the log of no others"),
 		AnnounceEvery:   set.Duration("announce-every", 500*time.Millisecond, 50*time.Millisecond, 10*time.Second, "time between heartbeats to the entries"),
 		BeatEvery:       set.Duration("beat-every", 500*time.Millisecond, 50*time.Millisecond, 10*time.Second, "time between heartbeats to the shard's owner"),
 		ShardLease:      set.Duration("shard-lease", 5*time.Second, 500*time.Millisecond, 5*time.Minute, "length of a shard lease"),
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -25,14 +25,14 @@
 type shardOwners struct {
 	pb.UnimplementedShardOwnerServiceServer
 
-	owners []*owner.Owner
-	leases []*ownership.Lease
+	owners map[uint32]*owner.Owner
+	leases map[uint32]*ownership.Lease
 }
 
 func newShardOwners(o *Options, id Identity, log platform.Log, rows *ledger.Follower[*table.Table],
 	pool *peer.Pool, bg *process.Background) *shardOwners {
-	s := &shardOwners{}
-	for n := range uint32(*o.Shards) {
+	s := &shardOwners{owners: map[uint32]*owner.Owner{}, leases: map[uint32]*ownership.Lease{}}
+	for _, n := range ownership.Candidacies(id.Name, uint32(*o.Shards), uint32(*o.Candidacies)) {
 		s.add(o, id, n, log, rows, pool, bg)
 	}
 	return s
@@ -58,8 +58,8 @@
 		JobRetention: *o.JobRetention,
 	}, lease, state, rows, committer, pool)
 	bg.Go(scheduler.Run)
-	s.owners = append(s.owners, scheduler)
-	s.leases = append(s.leases, lease)
+	s.owners[n] = scheduler
+	s.leases[n] = lease
 }
 
 // held returns the shards whose lease is held now.
@@ -67,7 +67,7 @@
 	var out []*pb.OwnedShard
 	for n, l := range s.leases {
 		if epoch, ok := l.Held(); ok {
-			out = append(out, &pb.OwnedShard{Shard: uint32(n), Epoch: epoch})
+			out = append(out, &pb.OwnedShard{Shard: n, Epoch: epoch})
 		}
 	}
 	return out
@@ -83,10 +83,11 @@
 }
 
 func (s *shardOwners) find(n uint32) (*owner.Owner, error) {
-	if int(n) >= len(s.owners) {
-		return nil, fault.Newf(fault.CodeBadRequest, fault.StepSubmit, "", "no shard %d", n)
+	held := s.owners[n]
+	if held == nil {
+		return nil, fault.Newf(fault.CodeNotOwner, fault.StepSubmit, "", "agent is no candidate for shard %d", n)
 	}
-	return s.owners[n], nil
+	return held, nil
 }
 
 // Beat implements the ShardOwnerService.
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -38,6 +38,9 @@
 			for _, o := range f.Owners {
 				fmt.Fprintf(out, "shard %d owned by %s in epoch %d\n", o.Shard, o.Agent, o.Epoch)
 			}
+			for _, n := range f.Unowned {
+				fmt.Fprintf(out, "shard %d HAS NO OWNER, its jobs wait\n", n)
+			}
 			return nil
 		},
 	}
--- a/internal/entry/api/api.go
+++ b/internal/entry/api/api.go
@@ -30,6 +30,8 @@
 	// Settings returns the settings in force.
 	Settings func() any
 	Entry    string
+	// Shards is the number of shards of the system.
+	Shards uint32
 }
 
 type api struct{ Parts }
@@ -93,6 +95,8 @@
 	TableVersion uint64              `json:"table_version"`
 	Members      []membership.Status `json:"members"`
 	Owners       []Owner             `json:"owners"`
+	// Unowned are the shards without a known owner: their jobs wait.
+	Unowned []uint32 `json:"unowned"`
 }
 
 // Owner is a shard's owner as operators see it.
@@ -107,5 +111,10 @@
 	for _, o := range a.Registry.Owners() {
 		f.Owners = append(f.Owners, Owner{Shard: o.Shard, Epoch: o.Epoch, Agent: o.Agent})
 	}
+	for n := range a.Shards {
+		if a.Registry.Owner(n) == nil {
+			f.Unowned = append(f.Unowned, n)
+		}
+	}
 	c.JSON(http.StatusOK, f)
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -135,7 +135,7 @@
 	j *jobs.Client, v *view.View, c *ledger.Committer) http.Handler {
 	return api.New(api.Parts{
 		Pipeline: p.head, Limits: o.Limits(), Registry: reg, Asker: api.NewAsker(reg),
-		Jobs: j, Table: v, Writer: c, Entry: *o.Name,
+		Jobs: j, Table: v, Writer: c, Entry: *o.Name, Shards: uint32(*o.Shards),
 		Ready:    newReady(p, reg),
 		Settings: func() any { return set.InForce() },
 	})
