Run the agent's own co-location control in bench-placement

Cause: the bench modelled the control (thresholdControl), so its figures said nothing of the product's internal/agent/colocation. Change: agentControl puts colocation.Decide with its default policy behind Controller, two rounds a second, in all rows with control. The control keeps one target in milliseconds: 1.2 times the p99 of the same run without batch work; three rows show other targets. "throttled" now counts only seconds with batch work, as its comment said. thresholdControl is gone, and with it its test TestThresholdControl; in its place TestAgentControl walks the adapter through the same phase (throttle, floor before eviction, victim by least lost work and not the young one, restore), and TestAgentControlDecidesTwiceASecond and TestServiceTargets are new. Seen failing with one round a second and with run time and unsaved work exchanged.

--- a/internal/bench/placement/control.go
+++ b/internal/bench/placement/control.go
@@ -1,10 +1,14 @@
 package placement
 
-import "slices"
+import (
+	"time"
+
+	"chervilridge/internal/agent/colocation"
+	"chervilridge/internal/platform"
+)
 
 // Controller is the co-location control beside one worker. It is given what an
-// agent sees and answers with what to do. The agent's own control is to be put
-// in here; until then thresholdControl models one.
+// agent sees and answers with what to do.
 type Controller interface {
 	Decide(view WorkerView) Decision
 }
@@ -12,29 +16,30 @@
 // WorkerView is what an agent sees of its worker at one second.
 type WorkerView struct {
 	Second int
-	// Slowdown of the service as measured in line; 0 if not known.
-	Slowdown float64
-	// Share of its processors that batch work may use now.
-	Share float64
-	Tasks []TaskView
+	// P99 of the service as measured in line, and its target.
+	P99, Target time.Duration
+	// Samples is the number of answers that P99 is from.
+	Samples   int64
+	LoadMilli uint32
+	// ShareMilli of its processors that batch work may use now, in thousandths.
+	ShareMilli uint32
+	Tasks      []TaskView
 }
 
 // TaskView is one batch task on the worker.
 type TaskView struct {
-	Index int
-	// Ran is for how long, in seconds.
-	Ran int
-	// Lost is the work in core seconds that an eviction loses.
-	Lost float64
-	// Cores that an eviction frees.
-	Cores float64
-	// Urgent tasks are evicted last.
-	Urgent bool
+	Index    int
+	JobID    string
+	JobClass string
+	// Ran is for how long, Unsaved the work since the newest checkpoint.
+	Ran, Unsaved time.Duration
+	// CPUMilli is what is reserved.
+	CPUMilli int64
 }
 
 // Decision is what the control does.
 type Decision struct {
-	Share float64
+	ShareMilli uint32
 	// Evict are the indices of the tasks to checkpoint and stop.
 	Evict []int
 }
@@ -43,66 +48,69 @@
 type noControl struct{}
 
 // Decide implements Controller.
-func (noControl) Decide(WorkerView) Decision { return Decision{Share: 1} }
-
-// thresholdControl throttles in steps with hysteresis, and evicts when the
-// lowest share does not help, within a budget.
-type thresholdControl struct {
-	quickSince int
-	slowSince  int
-	evictedAt  int
-}
+func (noControl) Decide(WorkerView) Decision { return Decision{ShareMilli: colocation.FullShare} }
 
 const (
-	throttleAbove = 1.20
-	releaseBelow  = 1.15
-	throttleStep  = 0.8
-	releaseStep   = 1.1
-	lowestShare   = 0.3
-	releaseAfter  = 3  // seconds quick before the share grows
-	evictAfter    = 5  // seconds slow at the lowest share before an eviction
-	evictEvery    = 10 // seconds between evictions on a worker
-	minRunTime    = 10 // seconds that a task runs at least
+	roundsPerSecond = 2 // as the agent decides
+	roundInterval   = time.Second / roundsPerSecond
 )
 
-// Decide implements Controller.
-func (c *thresholdControl) Decide(v WorkerView) Decision {
-	d := Decision{Share: v.Share}
-	switch {
-	case v.Slowdown > throttleAbove:
-		c.quickSince = v.Second
-		d.Share = max(lowestShare, v.Share*throttleStep)
-	case v.Slowdown < releaseBelow && v.Second-c.quickSince >= releaseAfter:
-		d.Share = min(1, v.Share*releaseStep)
-	}
-	if v.Slowdown <= throttleAbove || v.Share > lowestShare {
-		c.slowSince = v.Second
-	}
-	if v.Second-c.slowSince >= evictAfter && v.Second-c.evictedAt >= evictEvery {
-		if victim := chooseVictim(v.Tasks); victim >= 0 {
-			c.evictedAt = v.Second
-			d.Evict = []int{victim}
+// agentControl is the agent's own control with its default policy.
+type agentControl struct {
+	policy colocation.Policy
+	state  colocation.State
+}
+
+func newAgentControl() *agentControl {
+	return &agentControl{policy: colocation.DefaultPolicy(), state: colocation.NewState()}
+}
+
+// Decide implements Controller with the rounds of one second.
+func (c *agentControl) Decide(v WorkerView) Decision {
+	var d Decision
+	snap := snapshotOf(v)
+	for range roundsPerSecond {
+		var actions colocation.Actions
+		actions, c.state = colocation.Decide(c.policy, snap, c.state)
+		if actions.Evict != nil {
+			d.Evict = append(d.Evict, int(actions.Evict.Key.Index))
 		}
+		snap = afterRound(snap, actions)
 	}
+	d.ShareMilli = c.state.LevelMilli
 	return d
 }
 
-// chooseVictim returns the task that loses least work for the processors freed.
-func chooseVictim(tasks []TaskView) int {
-	old := slices.DeleteFunc(slices.Clone(tasks), func(t TaskView) bool { return t.Ran < minRunTime })
-	if len(old) == 0 {
-		return -1
+// snapshotOf puts the index of a task in its key, to find it again.
+func snapshotOf(v WorkerView) colocation.Snapshot {
+	s := colocation.Snapshot{
+		Now: time.Duration(v.Second) * time.Second,
+		P99: v.P99, Target: v.Target, Samples: v.Samples, LoadMilli: v.LoadMilli,
 	}
-	return slices.MinFunc(old, func(a, b TaskView) int {
-		if a.Urgent != b.Urgent {
-			if b.Urgent {
-				return -1
-			}
-			return 1
+	for _, t := range v.Tasks {
+		s.Attempts = append(s.Attempts, colocation.Attempt{
+			Key: platform.TaskKey{JobID: t.JobID, Index: uint32(t.Index)}, JobClass: t.JobClass,
+			CPUMilli: t.CPUMilli, Ran: t.Ran, Unsaved: t.Unsaved, ShareMilli: v.ShareMilli,
+		})
+	}
+	return s
+}
+
+// afterRound returns the snapshot of the next round, the actions carried out.
+func afterRound(s colocation.Snapshot, actions colocation.Actions) colocation.Snapshot {
+	next := s
+	next.Now += roundInterval
+	next.Attempts = nil
+	for _, a := range s.Attempts {
+		if actions.Evict != nil && actions.Evict.Key == a.Key {
+			continue
 		}
-		if d := a.Lost/a.Cores - b.Lost/b.Cores; d != 0 {
-			return int(d*1000) | 1
+		for _, share := range actions.Shares {
+			if share.Key == a.Key {
+				a.ShareMilli = share.ToMilli
+			}
 		}
-		return a.Index - b.Index
-	}).Index
+		next.Attempts = append(next.Attempts, a)
+	}
+	return next
 }
--- a/internal/bench/placement/placement_test.go
+++ b/internal/bench/placement/placement_test.go
@@ -1,9 +1,13 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"chervilridge/internal/agent/colocation"
 )
 
 func contenderNamed(t *testing.T, name string) contender {
@@ -37,27 +41,63 @@
 	assert.Check(t, got.Work >= targetThroughput*top.Work, "work %.3f of the oracle's", got.Work/top.Work)
 }
 
-// TestThresholdControl walks the modelled control through a slow phase.
-func TestThresholdControl(t *testing.T) {
-	c := &thresholdControl{}
-	view := WorkerView{Second: 100, Slowdown: 1.5, Share: 1, Tasks: []TaskView{
-		{Index: 0, Ran: 50, Lost: 100, Cores: 2}, {Index: 1, Ran: 50, Lost: 10, Cores: 2},
-		{Index: 2, Ran: 5, Cores: 2}, {Index: 3, Ran: 50, Cores: 2, Urgent: true},
+// TestAgentControl walks the agent's control through a slow phase.
+func TestAgentControl(t *testing.T) {
+	c, policy := newAgentControl(), colocation.DefaultPolicy()
+	young := policy.MinRun - 10*time.Second
+	view := WorkerView{Target: 100 * time.Millisecond, P99: 150 * time.Millisecond, Samples: 1000, LoadMilli: 500, ShareMilli: colocation.FullShare, Tasks: []TaskView{
+		{Index: 0, JobID: "a", Ran: time.Minute, Unsaved: time.Minute, CPUMilli: 2000},
+		{Index: 1, JobID: "b", Ran: time.Minute, Unsaved: 10 * time.Second, CPUMilli: 2000},
+		{Index: 2, JobID: "c", Ran: young, CPUMilli: 2000},
+		{Index: 3, JobID: "d", Ran: time.Minute, Unsaved: 10 * time.Second, CPUMilli: 1000},
 	}}
 	evicted := 0
 	for second := 100; second < 120 && evicted == 0; second++ {
 		view.Second = second
 		d := c.Decide(view)
-		assert.Check(t, d.Share <= view.Share)
-		view.Share = d.Share
+		assert.Check(t, d.ShareMilli <= view.ShareMilli)
+		view.ShareMilli = d.ShareMilli
 		evicted = len(d.Evict)
 		if evicted > 0 {
 			assert.DeepEqual(t, d.Evict, []int{1})
-			assert.Check(t, d.Share <= lowestShare)
+			assert.Equal(t, d.ShareMilli, policy.FloorMilli, "throttled before it evicts")
 		}
 	}
 	assert.Equal(t, evicted, 1)
-	view.Slowdown = 1
-	view.Second += releaseAfter + 1
-	assert.Check(t, c.Decide(view).Share > view.Share)
+	view.P99 = 50 * time.Millisecond
+	view.Second += int(policy.Settle.Seconds()) + 1
+	for range policy.LowRounds {
+		view.Second++
+		d := c.Decide(view)
+		assert.Equal(t, len(d.Evict), 0)
+		view.ShareMilli = d.ShareMilli
+	}
+	assert.Check(t, view.ShareMilli > policy.FloorMilli)
+}
+
+// TestAgentControlDecidesTwiceASecond: the agent throttles by half after two high
+// rounds, so a whole second of them is enough, and the world takes the share on.
+func TestAgentControlDecidesTwiceASecond(t *testing.T) {
+	view := WorkerView{Target: 100 * time.Millisecond, P99: 120 * time.Millisecond, Samples: 1000, ShareMilli: colocation.FullShare,
+		Tasks: []TaskView{{JobID: "a", CPUMilli: 1000}}}
+	c := newAgentControl()
+	assert.Equal(t, c.Decide(view).ShareMilli, uint32(colocation.FullShare/2))
+	view.Samples = 0
+	view.Second, view.ShareMilli = 10, colocation.FullShare/2
+	assert.Equal(t, c.Decide(view).ShareMilli, uint32(colocation.FullShare/2), "no answers: nothing changes")
+}
+
+// TestServiceTargets: all rules but one give one figure at any load, and that
+// from a whole run lies within what the loads alone give.
+func TestServiceTargets(t *testing.T) {
+	d := Deployments()[1]
+	load := newServiceLoad(rand.New(rand.NewPCG(1, 1)))
+	for _, rule := range []func(Deployment, serviceLoad) targetRule{aloneTarget, usualTarget, highestTarget} {
+		assert.Equal(t, rule(d, load)(0.1), rule(d, load)(highestLoad))
+	}
+	present, whole := presentTarget(d, load), aloneTarget(d, load)(0.1)
+	assert.Check(t, whole > present(0) && whole < present(highestLoad))
+	assert.Equal(t, usualTarget(d, load)(0.1), present(usualLoad))
+	assert.Equal(t, highestTarget(d, load)(0.1), present(highestLoad))
+	assert.Check(t, present(0.1) < present(highestLoad))
 }
--- a/internal/bench/placement/run.go
+++ b/internal/bench/placement/run.go
@@ -84,10 +84,12 @@
 	make    func(seed uint64) policy
 	control func() Controller
 	exact   bool
+	// target of the service that the control keeps; nil without control.
+	target func(Deployment, serviceLoad) targetRule
 }
 
 func contenders() []contender {
-	threshold := func() Controller { return &thresholdControl{} }
+	agent := func() Controller { return newAgentControl() }
 	none := func() Controller { return noControl{} }
 	base := func(c choice) func(uint64) policy {
 		return func(seed uint64) policy { return &baseline{choose: c, rng: rand.New(rand.NewPCG(seed, 7))} }
@@ -97,14 +99,17 @@
 	}
 	return []contender{
 		{name: best, make: func(uint64) policy { return oracle{} }, control: none, exact: true},
-		{name: own, make: plan(true, true), control: threshold},
+		{name: own, make: plan(true, true), control: agent, target: aloneTarget},
 		{name: "no co-location control", make: plan(true, true), control: none},
-		{name: "no learned interference", make: plan(true, false), control: threshold},
-		{name: "no learned sizes", make: plan(false, true), control: threshold},
-		{name: "first fit", make: base(firstFit), control: threshold},
-		{name: "least allocated", make: base(leastAllocated), control: threshold},
+		{name: "target for usual load", make: plan(true, true), control: agent, target: usualTarget},
+		{name: "target for highest load", make: plan(true, true), control: agent, target: highestTarget},
+		{name: "target by load", make: plan(true, true), control: agent, target: presentTarget},
+		{name: "no learned interference", make: plan(true, false), control: agent, target: aloneTarget},
+		{name: "no learned sizes", make: plan(false, true), control: agent, target: aloneTarget},
+		{name: "first fit", make: base(firstFit), control: agent, target: aloneTarget},
+		{name: "least allocated", make: base(leastAllocated), control: agent, target: aloneTarget},
 		{name: "least allocated, free", make: base(leastAllocated), control: none},
-		{name: "random", make: base(randomFit), control: threshold},
+		{name: "random", make: base(randomFit), control: agent, target: aloneTarget},
 	}
 }
 
@@ -136,6 +141,9 @@
 	cores := float64(d.Capacity.CPUMilli) / milliPerCore * workers
 	w := newWorld(d, load, newArrivals(rng, cores, taskClasses()), seed, c.control)
 	w.exact = c.exact
+	if c.target != nil {
+		w.target = c.target(d, load)
+	}
 	p := c.make(seed)
 	w.onFinish = p.finished
 	for second := range horizon {
--- a/internal/bench/placement/world.go
+++ b/internal/bench/placement/world.go
@@ -1,10 +1,12 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"chervilridge/internal/agent/colocation"
 	"chervilridge/internal/scheduler/placement/model"
 	"chervilridge/internal/standin/interference"
 )
@@ -15,6 +17,13 @@
 	inlineSmooth = 0.4  // weight of the newest second in what the control sees
 	reportSmooth = 0.22 // the same in what the beats report: a window of 10 s
 	tailFactor   = 3.0  // p99 over median of a service alone
+	// The load for whose latency alone the service's target is meant: the top of
+	// the daily swing, the most that a worker carries while a data centre is out,
+	// or whatever the load is.
+	swingLoad       = 0.6
+	highestLoad     = 0.95
+	presentLoad     = 0.0
+	answersInWindow = 1000
 )
 
 // task is a batch task of the run.
@@ -84,6 +93,7 @@
 	backAt     int // second at which the data centre came back; 0 before
 	result     *Result
 	onFinish   func(*task, time.Duration)
+	target     targetRule
 	exact      bool // throttle exactly to the target, as only an oracle can
 }
 
@@ -152,7 +162,7 @@
 	case w.out(k):
 		k.load = 0
 	case w.centreOut:
-		k.load = min(0.95, k.load*float64(w.deployment.Centres)/float64(w.deployment.Centres-1))
+		k.load = min(highestLoad, k.load*float64(w.deployment.Centres)/float64(w.deployment.Centres-1))
 	}
 }
 
@@ -239,18 +249,19 @@
 }
 
 func (w *world) controlWorker(k *worker) {
-	if w.exact {
+	if w.exact || w.target == nil {
 		return
 	}
-	v := WorkerView{Second: w.second, Share: k.share}
-	// The agent knows what its service's latency is alone at this load.
-	v.Slowdown = k.measured / (w.deployment.Service.MedianMs * tailFactor * interference.Alone(k.load))
+	v := WorkerView{
+		Second: w.second, ShareMilli: uint32(math.Round(k.share * colocation.FullShare)), LoadMilli: uint32(k.load * colocation.FullShare),
+		P99: milliseconds(k.measured), Target: w.target(k.load), Samples: w.answers(k),
+	}
 	for i, t := range k.running {
-		v.Tasks = append(v.Tasks, TaskView{Index: i, Ran: w.second - t.started, Lost: t.lost(), Cores: t.cores(), Urgent: t.class.urgent})
+		v.Tasks = append(v.Tasks, w.view(i, t))
 	}
 	d := k.control.Decide(v)
-	k.share = d.Share
-	if w.second >= warmUp && d.Share < 1 {
+	k.share = float64(d.ShareMilli) / colocation.FullShare
+	if w.second >= warmUp && k.share < 1 && len(k.running) > 0 {
 		w.result.Throttled++
 	}
 	running := slices.Clone(k.running)
@@ -259,6 +270,26 @@
 	}
 }
 
+// answers in the control's window; a service without clients gives none.
+func (w *world) answers(k *worker) int64 {
+	if w.out(k) {
+		return 0
+	}
+	return answersInWindow
+}
+
+// view is a task as the agent sees it: without a checkpoint nothing is saved.
+func (w *world) view(i int, t *task) TaskView {
+	ran := time.Duration(w.second-t.started) * time.Second
+	v := TaskView{Index: i, JobID: t.ref.JobID, JobClass: t.class.name, Ran: ran, Unsaved: ran, CPUMilli: t.reserved.CPUMilli}
+	if t.class.checkpoints {
+		v.Unsaved = 0
+	}
+	return v
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // throttleExactly sets the highest share at which the service keeps its target.
 func (w *world) throttleExactly(k *worker) {
 	if !w.exact {
