--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -35,11 +35,9 @@
 	CodeLogDown         Code = "log_down"
 	CodeOutcomeUnknown  Code = "outcome_unknown"
 	CodeConflict        Code = "conflict"
-	CodeInfeasible      Code = "infeasible"
 	CodeStaleView       Code = "stale_view"
 	CodeNotOwner        Code = "not_owner"
 	CodeFenced          Code = "fenced"
-	CodeWorkerFault     Code = "worker_fault"
 	CodeBadSetting      Code = "bad_setting"
 	CodeInternal        Code = "internal"
 	CodePeerUnreachable Code = "peer_unreachable"
@@ -182,9 +180,9 @@
 	CodeLogDown:         http.StatusServiceUnavailable,
 	CodeOutcomeUnknown:  http.StatusGatewayTimeout,
 	CodeConflict:        http.StatusConflict,
-	CodeInfeasible:      http.StatusUnprocessableEntity,
 	CodeStaleView:       http.StatusServiceUnavailable,
 	CodeNotOwner:        http.StatusServiceUnavailable,
+	CodeFenced:          http.StatusServiceUnavailable,
 	CodePeerUnreachable: http.StatusBadGateway,
 	CodeAnswerGone:      http.StatusBadGateway,
 }
