Co-location: batch work answers for its own part of a slowdown only

The control took what load alone does to a service for interference, evicted in vain, and could not restore at a load whose latency alone is above three quarters of the target. Change: the owner returns the latency alone that it has learned with each reply to a beat; the control throttles above the target or 1.2 times that, restores below three quarters of the allowed part, waits while the load moves, and tries a share again after 20 s.

--- a/internal/agent/colocation/controller.go
+++ b/internal/agent/colocation/controller.go
@@ -15,6 +15,9 @@
 	Recent() (p99, target time.Duration, samples int64)
 	LoadMilli() uint32
 	Name() string
+	// Alone returns the latency that the service would have without batch work; 0
+	// if that is not known.
+	Alone() time.Duration
 }
 
 // Batch is the batch work on the worker.
@@ -63,7 +66,7 @@
 	}
 	p99, target, samples := c.service.Recent()
 	snap := Snapshot{
-		Now: c.batch.Clock(), P99: p99, Target: target, Samples: samples,
+		Now: c.batch.Clock(), P99: p99, Target: target, Alone: c.service.Alone(), Samples: samples,
 		LoadMilli: c.service.LoadMilli(), Attempts: attempts,
 	}
 	var actions Actions
@@ -90,7 +93,7 @@
 		event = events.BatchRestored
 	}
 	event.Log("job", s.Key.JobID, "index", s.Key.Index, "attempt", s.Key.Attempt, "fromMilli", s.FromMilli, "toMilli", s.ToMilli,
-		"service", c.service.Name(), "p99", snap.P99, "target", snap.Target, "samples", snap.Samples, "loadMilli", snap.LoadMilli)
+		"service", c.service.Name(), "p99", snap.P99, "target", snap.Target, "alone", snap.Alone, "samples", snap.Samples, "loadMilli", snap.LoadMilli)
 }
 
 func (c *Controller) evict(ctx context.Context, snap Snapshot, a *Attempt) {
--- a/internal/agent/colocation/decide.go
+++ b/internal/agent/colocation/decide.go
@@ -15,6 +15,11 @@
 // in thousandths.
 const FullShare = 1000
 
+const (
+	loadScale  = 1000 // fine steps of the smoothed load
+	loadRounds = 8    // rounds that the load is smoothed over
+)
+
 // Policy bounds the control. Ratios are latency over target in thousandths.
 type Policy struct {
 	// MinSamples is the least number of answers in the window to act on.
@@ -24,6 +29,16 @@
 	HighMilli, LowMilli int64
 	// SevereMilli is the ratio at which attempts go to the floor at once.
 	SevereMilli int64
+	// AllowedMilli is how much batch work may slow the service at any load, in
+	// thousandths of its latency alone: to stop batch work does not bring back a
+	// service that load alone keeps from its target.
+	AllowedMilli int64
+	// UnusedMilli is the part of the allowed slowdown below which attempts are
+	// restored.
+	UnusedMilli int64
+	// LoadStepMilli is a change of the service's load that the latency alone, which
+	// follows it by some seconds, does not show yet.
+	LoadStepMilli int64
 	// HighRounds and LowRounds are how many rounds in a row must agree.
 	HighRounds, LowRounds int
 	// EvictRounds is how many rounds in a row must be high at the floor share.
@@ -56,10 +71,10 @@
 // DefaultPolicy is the policy of an agent.
 func DefaultPolicy() Policy {
 	return Policy{
-		MinSamples: 30, HighMilli: 950, LowMilli: 750, SevereMilli: 1500,
+		MinSamples: 30, HighMilli: 950, LowMilli: 750, SevereMilli: 1500, AllowedMilli: 1200, UnusedMilli: 750, LoadStepMilli: 50,
 		HighRounds: 2, LowRounds: 4, EvictRounds: 4, IdleRounds: 20, IdleLoadMilli: 100,
 		FloorMilli: 125, RestoreMilli: 125, BusyLoadMilli: 850,
-		CeilingHold: time.Minute, LeastStepMilli: 25,
+		CeilingHold: 20 * time.Second, LeastStepMilli: 25,
 		Settle: 2 * time.Second, MinRun: 30 * time.Second,
 		MaxEvictions: 2, EvictionWindow: 5 * time.Minute, RestartCost: 5 * time.Second,
 	}
@@ -85,9 +100,39 @@
 	// Now is the time on the agent's clock.
 	Now         time.Duration
 	P99, Target time.Duration
-	Samples     int64
-	LoadMilli   uint32
-	Attempts    []Attempt
+	// Alone is the latency that the service would have without batch work at its
+	// present load; 0 if that is not known.
+	Alone     time.Duration
+	Samples   int64
+	LoadMilli uint32
+	Attempts  []Attempt
+}
+
+// limits are the latencies above which attempts are throttled, taken to the floor
+// at once, and below which they are restored.
+type limits struct {
+	high, severe, low time.Duration
+}
+
+func milli(d time.Duration, thousandths int64) time.Duration {
+	return d * time.Duration(thousandths) / FullShare
+}
+
+// limits follow the target, and the latency alone where that is known: batch work
+// may always slow the service by the allowed part, so that it does not answer for
+// what load alone does, and what was throttled comes back while most of the
+// allowed part is unused.
+func (s Snapshot) limits(p Policy) limits {
+	l := limits{
+		high: milli(s.Target, p.HighMilli), severe: milli(s.Target, p.SevereMilli), low: milli(s.Target, p.LowMilli),
+	}
+	if s.Alone <= 0 {
+		return l
+	}
+	l.high = max(s.Target, milli(s.Alone, p.AllowedMilli))
+	l.severe = max(l.severe, milli(s.Alone, p.SevereMilli))
+	l.low = max(l.low, s.Alone+milli(l.high-s.Alone, p.UnusedMilli))
+	return l
 }
 
 // State is what the control remembers between rounds.
@@ -95,6 +140,8 @@
 	// LevelMilli is the share for every attempt.
 	LevelMilli uint32
 	high, low  int
+	load       int64 // smoothed, in thousandths of loadScale
+	seen       bool  // whether load has a value
 	idle       int
 	ceiling    uint32        // share that proved too high
 	ceilingEnd time.Duration // until when it counts
@@ -143,16 +190,19 @@
 	if s.Samples >= p.MinSamples || s.LoadMilli >= p.IdleLoadMilli {
 		st.idle = 0
 	}
-	ratio := s.P99.Microseconds() * FullShare / max(s.Target.Microseconds(), 1)
+	st = st.follow(s)
+	limit := s.limits(p)
 	switch {
 	case s.Samples < p.MinSamples:
 		st.high, st.low = 0, 0
-	case ratio > p.HighMilli:
+	case s.P99 > limit.high && s.P99 <= limit.severe && st.loadMoves(p, s):
+		st.high, st.low = 0, 0
+	case s.P99 > limit.high:
 		st.high, st.low = st.high+1, 0
-		if ratio > p.SevereMilli {
+		if s.P99 > limit.severe {
 			st.high = max(st.high, p.HighRounds)
 		}
-	case ratio < p.LowMilli && s.LoadMilli < p.BusyLoadMilli:
+	case s.P99 < limit.low && s.LoadMilli < p.BusyLoadMilli:
 		st.high, st.low = 0, st.low+1
 	default:
 		st.high, st.low = 0, 0
@@ -160,6 +210,23 @@
 	return st
 }
 
+// follow smooths the load over about as long as the latency alone lags behind it.
+func (st State) follow(s Snapshot) State {
+	now := int64(s.LoadMilli) * loadScale
+	if !st.seen {
+		st.load, st.seen = now, true
+		return st
+	}
+	st.load += (now - st.load) / loadRounds
+	return st
+}
+
+// loadMoves reports whether the latency alone is of another load than now.
+func (st State) loadMoves(p Policy, s Snapshot) bool {
+	step := int64(s.LoadMilli) - st.load/loadScale
+	return s.Alone > 0 && max(step, -step) > p.LoadStepMilli
+}
+
 // settling reports whether the newest action cannot show in the latency yet.
 func (st State) settling(p Policy, now time.Duration) bool {
 	return st.acted && now-st.changed < p.Settle
@@ -196,7 +263,7 @@
 func (st State) throttle(p Policy, s Snapshot) State {
 	st.ceiling, st.ceilingEnd = st.LevelMilli, s.Now+p.CeilingHold
 	level := max(st.LevelMilli/2, p.FloorMilli)
-	if s.P99.Microseconds()*FullShare > p.SevereMilli*s.Target.Microseconds() {
+	if s.P99 > s.limits(p).severe {
 		level = p.FloorMilli
 	}
 	return st.changedTo(level, s.Now)
--- a/internal/agent/colocation/decide_test.go
+++ b/internal/agent/colocation/decide_test.go
@@ -239,3 +239,37 @@
 		})
 	}
 }
+
+// TestLatencyAlone: batch work does not answer for what load alone does, but for
+// all of its own part.
+func TestLatencyAlone(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name       string
+		p99, alone time.Duration
+		load       uint32 // after a first round at 500
+		level      uint32
+		rounds     int
+		want       uint32
+	}{
+		{"above its target by load alone: no throttle", 125 * ms, 110 * ms, 500, 1000, 50, 1000},
+		{"above what is allowed over alone: throttle", 135 * ms, 110 * ms, 500, 1000, 2, 500},
+		{"alone far below the target: the target counts", 99 * ms, 50 * ms, 500, 1000, 50, 1000},
+		{"alone far below the target, over it: throttle", 101 * ms, 50 * ms, 500, 1000, 2, 500},
+		{"most of the allowed part unused: restore", 115 * ms, 110 * ms, 500, 500, 5, 625},
+		{"allowed part in use: no restore", 130 * ms, 110 * ms, 500, 500, 50, 500},
+		{"load has just risen: wait", 135 * ms, 110 * ms, 700, 1000, 3, 1000},
+		{"load rose a while ago: throttle", 135 * ms, 110 * ms, 700, 1000, 14, 500},
+		{"load has just risen, severe: the floor at once", 170 * ms, 110 * ms, 700, 1000, 1, 125},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := Snapshot{P99: 50 * ms, Alone: 50 * ms, Target: target, Samples: 1000, LoadMilli: 500,
+				Attempts: []Attempt{attempt("a", 1000, 0, 0, c.level)}}
+			_, st := Decide(DefaultPolicy(), s, State{LevelMilli: c.level})
+			s.P99, s.Alone, s.LoadMilli = c.p99, c.alone, c.load
+			_, st = rounds(c.rounds, &s, st)
+			assert.Equal(t, st.LevelMilli, c.want)
+		})
+	}
+}
--- a/internal/agent/grants/beat.go
+++ b/internal/agent/grants/beat.go
@@ -25,6 +25,8 @@
 	LoadMilli() uint32
 	Name() string
 	Leaving() bool
+	// NoteAlone takes the latency that the service would have without batch work.
+	NoteAlone(alone time.Duration)
 }
 
 // Beater reports the worker's attempts to the shard's owner and renews their
@@ -83,6 +85,7 @@
 	if !b.grants.raise(reply.Epoch) {
 		return
 	}
+	b.service.NoteAlone(time.Duration(reply.ServiceAloneUs) * time.Microsecond)
 	b.carryOut(ctx, reply, sent)
 }
 
--- a/internal/agent/grants/grants_test.go
+++ b/internal/agent/grants/grants_test.go
@@ -263,8 +263,9 @@
 func (troubled) Recent() (p99, target time.Duration, samples int64) {
 	return time.Second, 100 * time.Millisecond, 1000
 }
-func (troubled) LoadMilli() uint32 { return 500 }
-func (troubled) Name() string      { return "s" }
+func (troubled) LoadMilli() uint32    { return 500 }
+func (troubled) Name() string         { return "s" }
+func (troubled) Alone() time.Duration { return 0 }
 
 // TestControlThrottlesThenEvicts runs the control over the real grants: the
 // eviction is reported with its reason and checkpoint.
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -13,7 +13,11 @@
 	"chervilridge/internal/table/view"
 )
 
-const milli = 1000
+const (
+	milli = 1000
+	// aloneLife outlasts some beats; the load may have changed after it.
+	aloneLife = 5 * time.Second
+)
 
 // health probes the endpoint and keeps the newest answer.
 type health struct {
@@ -44,6 +48,7 @@
 
 // serviceView is what the worker's side needs to know of the service.
 type serviceView struct {
+	alone   atomic.Pointer[aloneNote]
 	service string
 	slots   int
 	window  *latency.Window
@@ -81,5 +86,26 @@
 	return uint32(running * milli / s.slots)
 }
 
+// NoteAlone takes the latency that the service would have without batch work, as
+// the shard's owner learned it; 0 if it has not.
+func (s *serviceView) NoteAlone(alone time.Duration) {
+	s.alone.Store(&aloneNote{latency: alone, at: time.Now()})
+}
+
+// Alone returns that latency, or 0 if it is not known or too old.
+func (s *serviceView) Alone() time.Duration {
+	note := s.alone.Load()
+	if note == nil || time.Since(note.at) > aloneLife {
+		return 0
+	}
+	return note.latency
+}
+
+// aloneNote is what the owner told last.
+type aloneNote struct {
+	latency time.Duration
+	at      time.Time
+}
+
 // Leaving reports whether the agent is in a planned stop.
 func (s *serviceView) Leaving() bool { return s.run.Leaving() }
--- a/internal/bench/capacity/beat.go
+++ b/internal/bench/capacity/beat.go
@@ -38,6 +38,7 @@
 func (idleService) LoadMilli() uint32                    { return 0 }
 func (idleService) Name() string                         { return "quotedesk" }
 func (idleService) Leaving() bool                        { return false }
+func (idleService) NoteAlone(time.Duration)              {}
 
 // fixedOwner names the one owner.
 type fixedOwner struct{ address string }
--- a/internal/bench/placement/control.go
+++ b/internal/bench/placement/control.go
@@ -18,6 +18,8 @@
 	Second int
 	// P99 of the service as measured in line, and its target.
 	P99, Target time.Duration
+	// Alone is what the owner expects of the service without batch work.
+	Alone time.Duration
 	// Samples is the number of answers that P99 is from.
 	Samples   int64
 	LoadMilli uint32
@@ -85,7 +87,7 @@
 func snapshotOf(v WorkerView) colocation.Snapshot {
 	s := colocation.Snapshot{
 		Now: time.Duration(v.Second) * time.Second,
-		P99: v.P99, Target: v.Target, Samples: v.Samples, LoadMilli: v.LoadMilli,
+		P99: v.P99, Target: v.Target, Alone: v.Alone, Samples: v.Samples, LoadMilli: v.LoadMilli,
 	}
 	for _, t := range v.Tasks {
 		s.Attempts = append(s.Attempts, colocation.Attempt{
--- a/internal/bench/placement/policy.go
+++ b/internal/bench/placement/policy.go
@@ -134,6 +134,9 @@
 		LoadMilli: uint32(k.load * 1000), CapacityMilli: k.capacity.CPUMilli, Uses: held, At: time.Duration(w.second) * time.Second,
 	})
 	out.Slowdown, out.LoadBand = reading.Slowdown, reading.Band
+	if reading.Slowdown > 0 {
+		k.alone = k.reported / reading.Slowdown
+	}
 	return out
 }
 
--- a/internal/bench/placement/world.go
+++ b/internal/bench/placement/world.go
@@ -60,6 +60,7 @@
 	slowdown float64 // true
 	measured float64 // p99 of the service in milliseconds as the control sees it
 	reported float64 // the same as the beats report it
+	alone    float64 // what the owner expects without batch work; 0 if it has not learned
 	usage    []model.Amount
 }
 
@@ -254,7 +255,7 @@
 	}
 	v := WorkerView{
 		Second: w.second, ShareMilli: uint32(math.Round(k.share * colocation.FullShare)), LoadMilli: uint32(k.load * colocation.FullShare),
-		P99: milliseconds(k.measured), Target: w.target(k.load), Samples: w.answers(k),
+		P99: milliseconds(k.measured), Target: w.target(k.load), Alone: milliseconds(k.alone), Samples: w.answers(k),
 	}
 	for i, t := range k.running {
 		v.Tasks = append(v.Tasks, w.view(i, t))
--- a/internal/matrix/cluster.go
+++ b/internal/matrix/cluster.go
@@ -327,3 +327,4 @@
 func (idleService) LoadMilli() uint32                    { return 0 }
 func (idleService) Name() string                         { return "idle" }
 func (idleService) Leaving() bool                        { return false }
+func (idleService) NoteAlone(time.Duration)              {}
--- a/internal/scheduler/owner/beat.go
+++ b/internal/scheduler/owner/beat.go
@@ -31,8 +31,8 @@
 	}
 	o.enter(epoch)
 	o.seeWorker(epoch, req)
-	o.observe(epoch, req)
-	reply := &pb.BeatReply{Epoch: epoch, GrantMs: o.options.Grant.Milliseconds()}
+	alone := o.observe(epoch, req)
+	reply := &pb.BeatReply{Epoch: epoch, GrantMs: o.options.Grant.Milliseconds(), ServiceAloneUs: alone.Microseconds()}
 	for _, r := range req.Attempts {
 		o.answer(epoch, req, r, reply)
 	}
--- a/internal/scheduler/owner/insight.go
+++ b/internal/scheduler/owner/insight.go
@@ -100,7 +100,8 @@
 }
 
 // observe takes a beat's measurements in.
-func (o *Owner) observe(epoch uint64, req *pb.BeatRequest) {
+// It returns the latency expected of the service alone, 0 if that is not learned.
+func (o *Owner) observe(epoch uint64, req *pb.BeatRequest) time.Duration {
 	now := time.Now()
 	uses := o.uses(req)
 	i := &o.insight
@@ -115,6 +116,10 @@
 		service: req.Service, loadBand: reading.Band, slowdown: reading.Slowdown,
 		throttled: slices.ContainsFunc(req.Attempts, throttled), used: model.FromProto(req.Used), measured: now.Add(-time.Duration(req.UsedAgeMs) * time.Millisecond),
 	}
+	if reading.Slowdown <= 0 {
+		return 0
+	}
+	return time.Duration(float64(req.ServiceP99Us)/reading.Slowdown) * time.Microsecond
 }
 
 func (o *Owner) enterInsight(epoch uint64, now time.Time) {
