--- a/internal/scheduler/owner/owner.go
+++ b/internal/scheduler/owner/owner.go
@@ -19,6 +19,7 @@
 
 const (
 	reconcileInterval = 500 * time.Millisecond
+	candidateTick     = 500 * time.Millisecond
 	tickInterval      = 100 * time.Millisecond
 	commitTimeout     = 5 * time.Second
 	callTimeout       = 2 * time.Second
@@ -128,11 +129,12 @@
 
 // Run acts in rounds until the context ends.
 func (o *Owner) Run(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		changed := o.state.Changed()
 		o.round(ctx)
+		t.Reset(o.tick())
 		select {
 		case <-t.C:
 		case <-changed:
@@ -142,6 +144,15 @@
 	}
 }
 
+// tick is the time to the next round if nothing changes before; a candidate
+// without the lease has nothing to do.
+func (o *Owner) tick() time.Duration {
+	if _, held := o.lease.Held(); !held {
+		return candidateTick
+	}
+	return tickInterval
+}
+
 // round does what the lease allows now. The lease is checked again after each
 // wait, since a paused process wakes up late.
 func (o *Owner) round(ctx context.Context) {
--- a/internal/scheduler/ownership/ownership.go
+++ b/internal/scheduler/ownership/ownership.go
@@ -16,10 +16,12 @@
 
 const (
 	checkInterval = 100 * time.Millisecond
-	renewals      = 3  // renewals in the length of one lease
-	marginShare   = 5  // the holder stops this part of a lease before its end
-	deafShare     = 2  // a view older than this part of a lease tells no silence
-	retryShare    = 20 // pause after a failed append, as part of a lease
+	// checksPerLease bounds the checks of a long lease.
+	checksPerLease = 20
+	renewals       = 3  // renewals in the length of one lease
+	marginShare    = 5  // the holder stops this part of a lease before its end
+	deafShare      = 2  // a view older than this part of a lease tells no silence
+	retryShare     = 20 // pause after a failed append, as part of a lease
 )
 
 // Options describe the candidate.
@@ -103,7 +105,7 @@
 	if l.follower.WaitLoaded(ctx) != nil {
 		return
 	}
-	t := time.NewTicker(checkInterval)
+	t := time.NewTicker(max(checkInterval, l.options.Lease/checksPerLease))
 	defer t.Stop()
 	for ctx.Err() == nil {
 		l.step(ctx)
