Standard names: reservation, tombstone, stale view

Cause: hold, bury and deaf were words of our own. Change: package placement/reservation, addTombstone, stale; no behaviour.

--- a/internal/agent/grants/beat.go
+++ b/internal/agent/grants/beat.go
@@ -142,9 +142,9 @@
 	}
 }
 
-// forget buries the attempt first: a doubled start that arrives after the
+// forget leaves a tombstone first: a doubled start that arrives after the
 // worker has forgotten the attempt must not run it again.
 func (b *Beater) forget(ctx context.Context, key platform.TaskKey) {
-	b.grants.bury(key)
+	b.grants.addTombstone(key)
 	_ = b.grants.worker.Forget(ctx, key)
 }
--- a/internal/agent/grants/grants.go
+++ b/internal/agent/grants/grants.go
@@ -87,7 +87,7 @@
 	return true
 }
 
-func (g *Grants) bury(key platform.TaskKey) {
+func (g *Grants) addTombstone(key platform.TaskKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -100,7 +100,7 @@
 	delete(g.held, key)
 }
 
-func (g *Grants) buried(key platform.TaskKey) bool {
+func (g *Grants) hasTombstone(key platform.TaskKey) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, ok := g.tombstones[key]
@@ -139,7 +139,7 @@
 			return &pb.StartTaskReply{Started: true}, nil
 		}
 	}
-	g.bury(key)
+	g.addTombstone(key)
 	events.TaskStartRefused.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", req.Epoch, "reason", reason)
 	return &pb.StartTaskReply{Reason: reason}, nil
 }
@@ -175,7 +175,7 @@
 	})
 	switch {
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrNoCapacity):
-		g.bury(key)
+		g.addTombstone(key)
 		return &pb.StartTaskReply{Reason: err.Error(), WorkerFault: true}, nil
 	case err != nil && !errors.Is(err, platform.ErrExists):
 		events.TaskStartDoubtful.LogError(err, "job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", req.Epoch)
@@ -218,7 +218,7 @@
 		return "start is of an older epoch"
 	case g.Clock().Milliseconds() > req.NotAfterMs:
 		return "start came too late"
-	case g.buried(key):
+	case g.hasTombstone(key):
 		return "attempt is fenced"
 	case g.young():
 		return "agent started just now"
@@ -303,7 +303,7 @@
 	if g.young() || g.doubtful(key) {
 		return nil, fault.New(fault.CodeOutcomeUnknown, fault.StepFence, key.JobID, "a start may still take effect").WithOutcome(fault.Unknown)
 	}
-	g.bury(key)
+	g.addTombstone(key)
 	events.TaskFenced.Log("job", key.JobID, "index", key.Index, "attempt", key.Attempt, "epoch", epoch)
 	return &pb.AttemptReport{Attempt: a, State: pb.AttemptState_ATTEMPT_STATE_NEVER_STARTED, Epoch: g.Epoch()}, nil
 }
--- a/internal/scheduler/ownership/ownership.go
+++ b/internal/scheduler/ownership/ownership.go
@@ -20,7 +20,7 @@
 	checksPerLease = 20
 	renewals       = 3  // renewals in the length of one lease
 	marginShare    = 5  // the holder stops this part of a lease before its end
-	deafShare      = 2  // a view older than this part of a lease tells no silence
+	staleShare     = 2  // a view older than this part of a lease tells no silence
 	retryShare     = 20 // pause after a failed append, as part of a lease
 )
 
--- a/internal/scheduler/ownership/sighting.go
+++ b/internal/scheduler/ownership/sighting.go
@@ -26,9 +26,9 @@
 }
 
 // look returns the newest sighting. Its time is when this process read the
-// record, which is later than when the owner sent it. While the view is old no
-// silence can be told from deafness, so it does not count: after a log outage
-// the owner of before has the time to come back.
+// record, which is later than when the owner sent it. While the view is stale no
+// owner counts as silent: after a log outage the owner of before has the time to
+// come back.
 func (l *Lease) look(old sighting) sighting {
 	now := old
 	now.restores = l.follower.Restores()
@@ -37,13 +37,13 @@
 	l.mu.Unlock()
 	now.epoch, now.owner = l.owner()
 	changed := now.epoch != old.epoch || now.signs != old.signs || now.restores != old.restores
-	if changed || old.at.IsZero() || l.deaf() {
+	if changed || old.at.IsZero() || l.stale() {
 		now.at, now.wait = l.options.Now(), l.draw()
 	}
 	return now
 }
 
-func (l *Lease) deaf() bool { return !l.follower.FreshWithin(l.options.Lease / deafShare) }
+func (l *Lease) stale() bool { return !l.follower.FreshWithin(l.options.Lease / staleShare) }
 
 // draw spreads the candidates' claims.
 func (l *Lease) draw() time.Duration { return suppression.Delay(2*l.margin(), l.options.Random()) }
@@ -52,7 +52,7 @@
 // itself need not wait for its own lease; nobody waits for an owner that gave
 // the shard up.
 func (l *Lease) mayClaim(seen sighting, now time.Time) bool {
-	if l.deaf() {
+	if l.stale() {
 		return false
 	}
 	silence := now.Sub(seen.at)
--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -7,8 +7,8 @@
 import (
 	"chervilridge/internal/scheduler/placement/fairness"
 	"chervilridge/internal/scheduler/placement/filter"
-	"chervilridge/internal/scheduler/placement/hold"
 	"chervilridge/internal/scheduler/placement/model"
+	"chervilridge/internal/scheduler/placement/reservation"
 	"chervilridge/internal/scheduler/placement/score"
 )
 
@@ -27,7 +27,7 @@
 func Make(s Snapshot) Plan {
 	c := model.Compile(s)
 	p := planner{
-		cluster: c, keeper: hold.New(c), settled: s.Settled && len(c.Nodes) > 0,
+		cluster: c, reserver: reservation.New(c), settled: s.Settled && len(c.Nodes) > 0,
 		failed: map[shape]string{}, refused: map[string]bool{}, possible: map[shape]bool{},
 	}
 	queue := fairness.New(c)
@@ -48,12 +48,12 @@
 }
 
 type planner struct {
-	cluster *model.Cluster
-	keeper  *hold.Keeper
-	settled bool
-	plan    Plan
-	failed  map[shape]string // why a shape found no worker
-	refused map[string]bool  // jobs found impossible
+	cluster  *model.Cluster
+	reserver *reservation.Reserver
+	settled  bool
+	plan     Plan
+	failed   map[shape]string // why a shape found no worker
+	refused  map[string]bool  // jobs found impossible
 	// possible tells of a shape beyond its limits whether a worker could take it.
 	possible map[shape]bool
 }
@@ -122,7 +122,7 @@
 	}
 	why := tally.Explain()
 	if tally[filter.NoRoom]+tally[filter.ServiceSlow] > 0 {
-		if n := p.keeper.Keep(t); n != nil {
+		if n := p.reserver.Reserve(t); n != nil {
 			p.plan.Reservations = append(p.plan.Reservations, Reservation{Task: t.Task, Worker: n.Name})
 			why += "; worker " + n.Name + " is held back for it"
 		}
--- a/internal/scheduler/placement/hold/hold.go
+++ b/internal/scheduler/placement/reservation/reservation.go
@@ -1,7 +1,7 @@
-// Package hold keeps a worker back for a task that has waited long and finds no
-// room, so that a stream of small tasks cannot starve it. Others still go there
+// Package reservation keeps a worker back for a task that has waited long and
+// finds no room, so that a stream of small tasks cannot starve it. Others still go there
 // if they end before the room is expected, or fit beside it.
-package hold
+package reservation
 
 import (
 	"slices"
@@ -11,71 +11,71 @@
 	"chervilridge/internal/scheduler/placement/model"
 )
 
-// workersPerHold bounds how many workers are held back: one of so many, and at
+// workersPerReservation bounds how many workers are held back: one of so many, and at
 // least one.
-const workersPerHold = 8
+const workersPerReservation = 8
 
-// Keeper holds workers back during one plan.
-type Keeper struct {
+// Reserver holds workers back during one plan.
+type Reserver struct {
 	cluster *model.Cluster
 	left    int
 }
 
-// New returns a keeper of the cluster.
-func New(c *model.Cluster) *Keeper {
-	return &Keeper{cluster: c, left: max(1, len(c.Nodes)/workersPerHold)}
+// New returns a reserver for the cluster.
+func New(c *model.Cluster) *Reserver {
+	return &Reserver{cluster: c, left: max(1, len(c.Nodes)/workersPerReservation)}
 }
 
-// Keep holds back the worker that is expected to have room for the task first,
+// Reserve holds back the worker that is expected to have room for the task first,
 // and returns it; nil if the task has not waited long, or no worker may be held.
-func (k *Keeper) Keep(t *model.Item) *model.Node {
-	if !t.Aged || k.left == 0 {
+func (r *Reserver) Reserve(t *model.Item) *model.Node {
+	if !t.Aged || r.left == 0 {
 		return nil
 	}
 	var best *model.Node
 	var soonest time.Duration
-	for _, n := range k.cluster.Nodes {
-		if !k.eligible(t, n) {
+	for _, n := range r.cluster.Nodes {
+		if !r.eligible(t, n) {
 			continue
 		}
-		if wait := k.wait(t, n); best == nil || wait < soonest {
+		if wait := r.wait(t, n); best == nil || wait < soonest {
 			best, soonest = n, wait
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	k.left--
-	k.hold(t, best, soonest)
+	r.left--
+	r.hold(t, best, soonest)
 	return best
 }
 
-func (k *Keeper) eligible(t *model.Item, n *model.Node) bool {
-	need := k.cluster.Reserve(t, n)
+func (r *Reserver) eligible(t *model.Item, n *model.Node) bool {
+	need := r.cluster.Reserve(t, n)
 	return n.Ready && !n.Quarantined && !n.Out && !n.Probation && n.HeldFor == nil &&
-		need.Within(n.Capacity) && (!need.Within(n.Free) || k.crowdedOut(t, n)) &&
-		filter.Allowed(k.cluster, t, n) && !slices.Contains(t.Avoid, n.Name)
+		need.Within(n.Capacity) && (!need.Within(n.Free) || r.crowdedOut(t, n)) &&
+		filter.Allowed(r.cluster, t, n) && !slices.Contains(t.Avoid, n.Name)
 }
 
 // crowdedOut reports whether only other batch work on the node keeps the task
 // away from the service, while none of its class runs anywhere.
-func (k *Keeper) crowdedOut(t *model.Item, n *model.Node) bool {
-	return n.Service != "" && n.Tasks > 0 && k.cluster.Classes[t.ClassIndex].Running == 0 &&
-		k.cluster.TooSlow(k.cluster.Growth(n, t, k.cluster.Reserve(t, n)))
+func (r *Reserver) crowdedOut(t *model.Item, n *model.Node) bool {
+	return n.Service != "" && n.Tasks > 0 && r.cluster.Classes[t.ClassIndex].Running == 0 &&
+		r.cluster.TooSlow(r.cluster.Growth(n, t, r.cluster.Reserve(t, n)))
 }
 
 // wait returns when the node is expected to be able to take the task.
-func (k *Keeper) wait(t *model.Item, n *model.Node) time.Duration {
-	if k.crowdedOut(t, n) {
+func (r *Reserver) wait(t *model.Item, n *model.Node) time.Duration {
+	if r.crowdedOut(t, n) {
 		return lastEnd(n)
 	}
-	return untilRoom(n, k.cluster.Reserve(t, n))
+	return untilRoom(n, r.cluster.Reserve(t, n))
 }
 
-func (k *Keeper) hold(t *model.Item, n *model.Node, wait time.Duration) {
-	need := k.cluster.Reserve(t, n)
+func (r *Reserver) hold(t *model.Item, n *model.Node, wait time.Duration) {
+	need := r.cluster.Reserve(t, n)
 	n.HeldFor, n.HeldUntil = t, wait
-	if k.crowdedOut(t, n) {
+	if r.crowdedOut(t, n) {
 		return // nothing fits beside it
 	}
 	free := n.Free
--- a/internal/scheduler/placement/hold/hold_test.go
+++ b/internal/scheduler/placement/reservation/reservation_test.go
@@ -1,4 +1,4 @@
-package hold
+package reservation
 
 import (
 	"testing"
@@ -35,8 +35,8 @@
 	return model.Snapshot{NowMs: 100_000, Workers: workers, Tasks: tasks}
 }
 
-// TestKeep checks which worker is held back, if any.
-func TestKeep(t *testing.T) {
+// TestReserveWorker checks which worker is held back, if any.
+func TestReserveWorker(t *testing.T) {
 	late, soon := held(10, 60*time.Second), held(10, 20*time.Second)
 	crowded := worker("crowded", held(2, time.Minute))
 	crowded.Service, crowded.Slowdown = "s", 1.1
@@ -65,7 +65,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := model.Compile(tc.snap)
 			got := ""
-			if n := New(c).Keep(c.Items[0]); n != nil {
+			if n := New(c).Reserve(c.Items[0]); n != nil {
 				got = n.Name
 			}
 			assert.Equal(t, got, tc.want)
@@ -91,7 +91,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := model.Compile(aged([]model.Worker{worker("a", held(20, 20*time.Second))}, task(28, time.Minute), tc.other))
-			n := New(c).Keep(c.Items[0])
+			n := New(c).Reserve(c.Items[0])
 			assert.Equal(t, n.Name, "a")
 			assert.Equal(t, filter.Check(c, c.Items[1], n, c.Items[1].Need).String(), tc.want.String())
 		})
@@ -103,7 +103,7 @@
 func TestFewAreHeld(t *testing.T) {
 	var workers []model.Worker
 	var tasks []model.Task
-	for i := range 2 * workersPerHold {
+	for i := range 2 * workersPerReservation {
 		workers = append(workers, worker(string(rune('a'+i)), held(10, time.Minute)))
 		tasks = append(tasks, task(30, time.Minute))
 	}
@@ -111,7 +111,7 @@
 	k := New(c)
 	kept := 0
 	for _, item := range c.Items {
-		if k.Keep(item) != nil {
+		if k.Reserve(item) != nil {
 			kept++
 		}
 	}
