--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -59,8 +59,7 @@
 func newLog(o *Options) platform.Log { return platformhttp.NewLog(*o.LogAddress) }
 
 func newTable(o *Options, log platform.Log, bg *process.Background) *ledger.Follower[*table.Table] {
-	f := ledger.NewFollower(log, table.Stream, *o.TablePoll, table.New)
-	f.OnApply(table.LogChange)
+	f := view.Follow(log, *o.TablePoll)
 	bg.Go(f.Run)
 	return f
 }
--- a/internal/table/view/view.go
+++ b/internal/table/view/view.go
@@ -6,9 +6,18 @@
 
 	pb "chervilridge/api/chervil/v1"
 	"chervilridge/internal/ledger"
+	"chervilridge/internal/platform"
 	"chervilridge/internal/table"
 )
 
+// Follow returns a follower of the table that logs each change; the caller runs
+// it. poll is how long one read waits for a change.
+func Follow(log platform.Log, poll time.Duration) *ledger.Follower[*table.Table] {
+	f := ledger.NewFollower(log, table.Stream, poll, table.New)
+	f.OnApply(table.LogChange)
+	return f
+}
+
 // View is safe for concurrent use.
 type View struct {
 	follower *ledger.Follower[*table.Table]
