--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 generate:
 	mkdir -p bin/gen
 	GOBIN=$(CURDIR)/bin/gen go install google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH=$(CURDIR)/bin/gen:$$PATH protoc --go_out=. --go_opt=module=chervilridge --go-grpc_out=. --go-grpc_opt=module=chervilridge api/chervil/v1/*.proto
+	PATH=$(CURDIR)/bin/gen:$$PATH protoc --go_out=. --go_opt=module=chervilridge --go-grpc_out=. --go-grpc_opt=module=chervilridge api/chervil/v1/*.proto api/chervil/v2/*.proto
 
 # Prints every fault at every step of a task's life with its verdict.
 matrix:
--- a/cmd/chervil-agent/main.go
+++ b/cmd/chervil-agent/main.go
@@ -11,9 +11,14 @@
 	"chervilridge/internal/agent"
 	"chervilridge/internal/process"
 	"chervilridge/internal/settings"
+	"chervilridge/internal/sidecar"
+	"chervilridge/platform"
 )
 
 func main() {
+	if platform.SettingsPath() != "" {
+		os.Exit(process.Main(onPlatform()))
+	}
 	var options *agent.Options
 	os.Exit(process.Main(process.Program{
 		Name:  "chervil-agent",
@@ -25,3 +30,15 @@
 		StopTimeout: func() time.Duration { return *options.StopTimeout },
 	}))
 }
+
+// onPlatform is the program where the platform provides a settings file.
+func onPlatform() process.Program {
+	return process.Program{
+		Name:  "chervil-agent",
+		Short: "Runs the worker's tasks",
+		Settings: func(set *settings.Set) func() fx.Option {
+			options := sidecar.NewOptions(set)
+			return func() fx.Option { return sidecar.Module(set, options) }
+		},
+	}
+}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// timer records durations once a scope is set.
+type timer struct {
+	t atomic.Pointer[tally.Histogram]
+}
+
+func (t *timer) observe(d time.Duration) {
+	if h := t.t.Load(); h != nil {
+		(*h).RecordDuration(d)
+	}
+}
+
+var planTime, startDelay timer
+
+const (
+	firstBucket  = time.Millisecond
+	bucketFactor = 2
+	bucketCount  = 14
+)
+
+// Measure lets the engine record into a scope.
+func Measure(scope tally.Scope) {
+	buckets := tally.MustMakeExponentialDurationBuckets(firstBucket, bucketFactor, bucketCount)
+	for name, t := range map[string]*timer{"plan_time": &planTime, "start_delay": &startDelay} {
+		h := scope.Histogram(name, buckets)
+		t.t.Store(&h)
+	}
+}
--- /dev/null
+++ b/internal/entrynode/service.go
@@ -0,0 +1,97 @@
+package entrynode
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/election"
+	"chervilridge/internal/operator"
+)
+
+// Service answers other processes of the system.
+type Service struct {
+	chervilv2.UnimplementedSchedulerServer
+	elector  *election.Elector
+	router   *Router
+	operator *operator.Follower
+	peers    *Peers
+}
+
+// NewService returns the service of an entry.
+func NewService(elector *election.Elector, router *Router, operator *operator.Follower, peers *Peers) *Service {
+	return &Service{elector: elector, router: router, operator: operator, peers: peers}
+}
+
+// Submit passes a job to the owner, unless it was passed on once already.
+func (s *Service) Submit(ctx context.Context, r *chervilv2.SubmitRequest) (*chervilv2.JobReply, error) {
+	if engine := s.elector.Engine(); engine != nil {
+		return engine.Submit(ctx, r.Spec), nil
+	}
+	if r.Relayed {
+		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	return s.router.atOwner(ctx, submitCall(r.Spec), true)
+}
+
+// Cancel passes a cancel to the owner, unless it was passed on once already.
+func (s *Service) Cancel(ctx context.Context, r *chervilv2.JobRequest) (*chervilv2.JobReply, error) {
+	if engine := s.elector.Engine(); engine != nil {
+		return engine.Cancel(ctx, r.Id), nil
+	}
+	if r.Relayed {
+		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	return s.router.atOwner(ctx, cancelCall(r.Id), true)
+}
+
+// Lookup passes a question for a job to the owner, unless it was passed on once already.
+func (s *Service) Lookup(ctx context.Context, r *chervilv2.JobRequest) (*chervilv2.JobReply, error) {
+	if engine := s.elector.Engine(); engine != nil {
+		return engine.Lookup(r.Id), nil
+	}
+	if r.Relayed {
+		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	return s.router.atOwner(ctx, lookupCall(r.Id), true)
+}
+
+// CountPending counts the waiting jobs of a queue.
+func (s *Service) CountPending(ctx context.Context, r *chervilv2.CountRequest) (*chervilv2.CountReply, error) {
+	if engine := s.elector.Engine(); engine != nil {
+		return engine.Pending(r.Queue), nil
+	}
+	if r.Relayed {
+		return &chervilv2.CountReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	return s.router.countAtOwner(ctx, r.Queue, true)
+}
+
+// Ping tells who owns the schedule.
+func (s *Service) Ping(_ context.Context, r *chervilv2.PingRequest) (*chervilv2.PingReply, error) {
+	s.peers.Heard(r.EntryAddress)
+	reply := &chervilv2.PingReply{
+		Owner: s.elector.Owner(), Entries: s.peers.Live(), OperatorOffset: s.operator.Offset(), OwnerSeenMs: s.elector.OwnerSeen().Milliseconds(),
+	}
+	if engine := s.elector.Engine(); engine != nil {
+		reply.Leads = true
+		reply.StoreSilentMs = engine.StoreSilent().Milliseconds()
+	}
+	return reply, nil
+}
+
+// Operator returns the operator's records that the caller lacks.
+func (s *Service) Operator(_ context.Context, r *chervilv2.OperatorRequest) (*chervilv2.OperatorReply, error) {
+	return s.operator.Since(r.KnownOffset), nil
+}
+
+// Attach serves an agent while this entry owns the schedule.
+func (s *Service) Attach(stream chervilv2.Scheduler_AttachServer) error {
+	engine := s.elector.Engine()
+	if engine == nil {
+		return status.Error(codes.FailedPrecondition, "this entry does not own the schedule")
+	}
+	return engine.Attach(stream, s.peers.Live)
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,189 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+// Plan is the outcome of a round.
+type Plan struct {
+	Grants   []Grant
+	Unplaced []Unplaced
+}
+
+// Make places waiting tasks in the order of priority and deadline. It changes the
+// workers' use as it goes, so that no worker is granted beyond its capacity.
+func Make(workers []Worker, requests []Request) Plan {
+	Sort(requests)
+	var out Plan
+
+	for i := range requests {
+		r := &requests[i]
+		if r.Step.Gang {
+			placeGang(workers, r, &out)
+			continue
+		}
+		placeTasks(workers, r, &out)
+	}
+	return out
+}
+
+// Sort orders requests as they are placed.
+func Sort(requests []Request) {
+	slices.SortStableFunc(requests, func(a, b Request) int {
+		return cmp.Or(
+			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Deadline, b.Deadline),
+			strings.Compare(a.Key.Job, b.Key.Job), cmp.Compare(a.Key.Occurrence, b.Key.Occurrence), cmp.Compare(a.Key.Step, b.Key.Step),
+		)
+	})
+}
+
+func placeTasks(workers []Worker, r *Request, out *Plan) {
+	for n, index := range r.Indexes {
+		best := choose(workers, r)
+		if best < 0 {
+			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes) - n, Reason: NoRoom})
+			return
+		}
+		workers[best].take(r)
+		out.Grants = append(out.Grants, Grant{Key: r.Key, Index: index, Worker: best})
+	}
+}
+
+// placeGang places all tasks of a step or none, on one rack if the step asks for that
+// and a rack has room.
+func placeGang(workers []Worker, r *Request, out *Plan) {
+	if r.Step.SameRack {
+		for _, rack := range racks(workers, r) {
+			if tryGang(workers, r, rack, out) {
+				return
+			}
+		}
+	}
+	if !tryGang(workers, r, "", out) {
+		out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes), Reason: NoRoom})
+	}
+}
+
+func tryGang(workers []Worker, r *Request, rack string, out *Plan) bool {
+	trial := slices.Clone(workers)
+	for i := range trial {
+		trial[i].PerStep = clonePerStep(trial[i].PerStep)
+	}
+	grants := make([]Grant, 0, len(r.Indexes))
+	for _, index := range r.Indexes {
+		best := -1
+		for i := range trial {
+			if (rack == "" || trial[i].Rack == rack) && trial[i].admits(r) && (best < 0 || trial[i].better(&trial[best], r.Step)) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return false
+		}
+		trial[best].take(r)
+		grants = append(grants, Grant{Key: r.Key, Index: index, Worker: best})
+	}
+	copy(workers, trial)
+	out.Grants = append(out.Grants, grants...)
+	return true
+}
+
+func clonePerStep(m map[StepKey]int) map[StepKey]int {
+	out := make(map[StepKey]int, len(m))
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// racks returns the racks by falling room.
+func racks(workers []Worker, r *Request) []string {
+	free := map[string]int64{}
+	for i := range workers {
+		if workers[i].Service == r.Service {
+			free[workers[i].Rack] += workers[i].Capacity.CPUMilli - workers[i].Used.CPUMilli
+		}
+	}
+	out := make([]string, 0, len(free))
+	for rack := range free {
+		out = append(out, rack)
+	}
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(free[b], free[a]), strings.Compare(a, b)) })
+	return out
+}
+
+func choose(workers []Worker, r *Request) int {
+	best := -1
+	for i := range workers {
+		if workers[i].admits(r) && (best < 0 || workers[i].better(&workers[best], r.Step)) {
+			best = i
+		}
+	}
+	if best >= 0 || len(r.Avoid) == 0 {
+		return best
+	}
+	// Nothing else has room: a worker on which the task failed before is better than
+	// none.
+	r.Avoid = nil
+	return choose(workers, r)
+}
+
+// admits reports whether the worker may and can take a task of the request.
+func (w *Worker) admits(r *Request) bool {
+	switch {
+	case w.Service != r.Service,
+		r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel),
+		r.Allowed != nil && !r.Allowed[w.Key.ID],
+		r.Avoid[w.Key.ID],
+		r.Step.MaxPerWorker > 0 && w.PerStep[r.Key] >= int(r.Step.MaxPerWorker),
+		!Needs(r.Step).Fits(w.Capacity.Sub(w.Used)):
+		return false
+	case r.Step.Fills:
+		return w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli
+	}
+	return true
+}
+
+func (w *Worker) take(r *Request) {
+	w.Used = w.Used.Add(Needs(r.Step))
+	if r.Step.Fills {
+		w.FillMilli += int64(r.Step.CpuMilli)
+	}
+	if r.Step.TargetLatencyMs > 0 {
+		w.ServingMilli += int64(r.Step.CpuMilli)
+		w.Serving++
+	}
+	if r.Step.MaxPerWorker > 0 {
+		if w.PerStep == nil {
+			w.PerStep = map[StepKey]int{}
+		}
+		w.PerStep[r.Key]++
+	}
+}
+
+// better reports whether w is preferred to o for a task of the step: sound workers
+// first, then the data's rack, then the most room of the kind that the task uses.
+func (w *Worker) better(o *Worker, s *chervilv2.Step) bool {
+	if w.Doubt != o.Doubt {
+		return w.Doubt < o.Doubt
+	}
+	if s.DataRack != "" && (w.Rack == s.DataRack) != (o.Rack == s.DataRack) {
+		return w.Rack == s.DataRack
+	}
+	if a, b := w.room(s), o.room(s); a != b {
+		return a > b
+	}
+	return w.Key.Node < o.Key.Node
+}
+
+// room is what the worker has left for tasks like those of the step.
+func (w *Worker) room(s *chervilv2.Step) int64 {
+	if s.Fills {
+		return w.FillLimitMilli - w.FillMilli
+	}
+	return w.Capacity.CPUMilli - w.Used.CPUMilli - w.FillMilli/2
+}
--- /dev/null
+++ b/internal/sidecar/module.go
@@ -0,0 +1,128 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/entrynode"
+	"chervilridge/internal/events"
+	"chervilridge/internal/fault"
+	"chervilridge/internal/logsink"
+	"chervilridge/internal/peer"
+	"chervilridge/internal/settings"
+	"chervilridge/internal/telemetry"
+	"chervilridge/platform"
+)
+
+const (
+	memoryShare       = 0.7
+	defaultMetrics    = 9465
+	readHeaderTimeout = 2 * time.Second
+	// stopTime bounds a planned stop: orders under way are answered within it, and the
+	// worker's leases last longer.
+	stopTime = 800 * time.Millisecond
+)
+
+// Options are the process's own settings.
+type Options struct {
+	MetricsPort *int64
+}
+
+// NewOptions adds the settings to the set.
+func NewOptions(set *settings.Set) *Options {
+	return &Options{MetricsPort: set.Int("metrics-port", defaultMetrics, 1, 65535, "port", "port of the metrics address")}
+}
+
+// Module wires the process.
+func Module(set *settings.Set, options *Options) fx.Option {
+	gin.SetMode(gin.ReleaseMode)
+	return fx.Options(
+		fx.Provide(
+			func() (*platform.Node, error) { return platform.LoadNode(platform.SettingsPath()) },
+			func() *telemetry.Server { return telemetry.New(set) },
+			peer.NewPool,
+			func(n *platform.Node) *Agent {
+				return NewAgent(n, platform.NewWorkerClient(n.WorkerAddress), boottime.Now)
+			},
+			func(a *Agent, n *platform.Node, pool *peer.Pool) *Link {
+				return NewLink(a, platform.NewStore(n.StoreAddress), pool, n)
+			},
+		),
+		fx.Invoke(func(lc fx.Lifecycle, a *Agent, k *Link, t *telemetry.Server, n *platform.Node) {
+			run(lc, a, k, t, n, net.JoinHostPort(n.IP, strconv.FormatInt(*options.MetricsPort, 10)))
+		}),
+	)
+}
+
+func run(lc fx.Lifecycle, a *Agent, k *Link, t *telemetry.Server, n *platform.Node, metrics string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{Handler: registration(a), ReadHeaderTimeout: readHeaderTimeout}
+	sink := logsink.Install(os.Stdout)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if n.ControlAddress == "" || n.WorkerAddress == "" {
+				return fault.New(fault.CodeBadSetting, fault.StepSettings, n.Name, "listen.control and app must be set beside a worker")
+			}
+			debug.SetMemoryLimit(int64(float64(n.MemoryMB) * memoryShare * (1 << 20)))
+			if err := t.Start(metrics); err != nil {
+				return err
+			}
+			l, err := net.Listen("tcp", n.ControlAddress)
+			if err != nil {
+				return fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, n.ControlAddress, "cannot listen for the worker")
+			}
+			go func() { _ = server.Serve(l) }()
+			go a.Hold(ctx)
+			go k.Run(ctx)
+			go entrynode.WatchSettings(ctx, n)
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			stopCtx, stop := context.WithTimeout(stopCtx, stopTime)
+			defer stop()
+			err := server.Shutdown(stopCtx)
+			cancel()
+			sink.Flush()
+			if stopCtx.Err() != nil {
+				return nil // a connection of the worker that stays open delays nobody
+			}
+			return err
+		},
+	})
+}
+
+// registration serves the worker's heartbeats.
+func registration(a *Agent) http.Handler {
+	engine := gin.New()
+	path := platform.PathWorkerPrefix + ":id"
+	engine.PUT(path, func(g *gin.Context) {
+		body, err := io.ReadAll(io.LimitReader(g.Request.Body, platform.MaxHeartbeatBytes))
+		if err != nil {
+			g.JSON(http.StatusBadRequest, platform.ErrorBody{Error: err.Error()})
+			return
+		}
+		h, err := platform.DecodeHeartbeat(g.Param("id"), body)
+		if err != nil {
+			events.HeartbeatRejected.LogError(err, "worker", g.Param("id"))
+			g.JSON(http.StatusBadRequest, platform.ErrorBody{Error: err.Error()})
+			return
+		}
+		a.Heartbeat(h)
+		g.JSON(http.StatusOK, struct{}{})
+	})
+	engine.DELETE(path, func(g *gin.Context) {
+		a.Left(g.Param("id"))
+		g.JSON(http.StatusOK, struct{}{})
+	})
+	return engine
+}
--- /dev/null
+++ b/internal/work/job.go
@@ -0,0 +1,385 @@
+// Package work is the life of jobs: which tasks may run, what an ended run means, and
+// when a job is complete. It decides nothing about workers and uses no clock of its own.
+package work
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+// TaskRef names a task.
+type TaskRef struct {
+	Job        string
+	Occurrence uint32
+	Step       uint32
+	Index      uint32
+}
+
+const taskNameParts = 4
+
+// String returns the name that workers know the task by.
+func (r TaskRef) String() string {
+	b := make([]byte, 0, len(r.Job)+12)
+	b = append(b, r.Job...)
+	for _, n := range [...]uint32{r.Occurrence, r.Step, r.Index} {
+		b = append(b, '.')
+		b = strconv.AppendUint(b, uint64(n), 10)
+	}
+	return string(b)
+}
+
+// ParseTaskRef reads a task's name.
+func ParseTaskRef(name string) (TaskRef, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != taskNameParts || parts[0] == "" {
+		return TaskRef{}, fmt.Errorf("%q is not a task name", name)
+	}
+	ref := TaskRef{Job: parts[0]}
+	for i, target := range []*uint32{&ref.Occurrence, &ref.Step, &ref.Index} {
+		n, err := strconv.ParseUint(parts[i+1], 10, 32)
+		if err != nil {
+			return TaskRef{}, fmt.Errorf("%q is not a task name: %w", name, err)
+		}
+		*target = uint32(n)
+	}
+	return ref, nil
+}
+
+// WorkerKey names one life of a worker.
+type WorkerKey struct {
+	Node       string
+	ID         string
+	BornUnixMs int64
+}
+
+// Run is a granted run of a task; it exists from its grant until its end is known.
+type Run struct {
+	Ref     TaskRef
+	Attempt uint32
+	Worker  WorkerKey
+	Started bool
+	// Stopping is set once a stop is ordered. It is not stored: a new owner orders it
+	// again.
+	Stopping bool
+}
+
+// Task is one task of a step.
+type Task struct {
+	Done       bool
+	Attempt    uint32 // highest number granted
+	Failures   uint32 // runs that ended failed
+	Checkpoint string
+	Runs       []*Run
+}
+
+// Waiting reports whether the task needs a run.
+func (t *Task) Waiting() bool { return !t.Done && len(t.Runs) == 0 }
+
+// Step is the progress of a step.
+type Step struct {
+	Spec  *chervilv2.Step
+	Tasks []Task
+	Done  bool
+	left  int // tasks that are not done
+}
+
+// Occurrence is one run through all steps of a job.
+type Occurrence struct {
+	Number uint32
+	Steps  []Step
+	Done   bool
+}
+
+// Job is a job with its progress. Its owner guards it.
+type Job struct {
+	Spec        *chervilv2.JobSpec
+	Phase       chervilv2.JobPhase
+	Started     bool
+	EndedUnixMs int64
+	// Occurrences are those that have begun and, once done, are only flagged so.
+	Occurrences map[uint32]*Occurrence
+}
+
+// NewJob returns an accepted job that has not begun.
+func NewJob(spec *chervilv2.JobSpec) *Job {
+	return &Job{Spec: spec, Occurrences: map[uint32]*Occurrence{}}
+}
+
+// Ended reports whether nothing of the job may start any more.
+func (j *Job) Ended() bool { return j.Phase > chervilv2.JobPhase_JOB_PHASE_RUNNING }
+
+// OccurrenceCount returns how often the steps run.
+func (j *Job) OccurrenceCount() uint32 { return max(j.Spec.Occurrences, 1) }
+
+// Scheduled reports whether the job has start times.
+func (j *Job) Scheduled() bool { return j.Spec.Occurrences > 0 }
+
+// DueUnixMs returns when an occurrence may start; 0 for a job without a schedule.
+func (j *Job) DueUnixMs(occurrence uint32) int64 {
+	if !j.Scheduled() {
+		return 0
+	}
+	return j.Spec.FirstStartUnixMs + int64(occurrence)*j.Spec.IntervalMs
+}
+
+// Open begins each occurrence that is due at the time and returns when the next one is;
+// 0 if there is none.
+func (j *Job) Open(nowUnixMs int64) (nextUnixMs int64) {
+	for k := uint32(0); k < j.OccurrenceCount(); k++ {
+		if _, ok := j.Occurrences[k]; ok {
+			continue
+		}
+		if due := j.DueUnixMs(k); due > nowUnixMs {
+			return due
+		}
+		j.occurrence(k)
+	}
+	return 0
+}
+
+func (j *Job) occurrence(k uint32) *Occurrence {
+	o, ok := j.Occurrences[k]
+	if !ok {
+		o = &Occurrence{Number: k, Steps: make([]Step, len(j.Spec.Steps))}
+		for i, s := range j.Spec.Steps {
+			o.Steps[i] = Step{Spec: s, Tasks: make([]Task, s.Tasks), left: int(s.Tasks)}
+		}
+		j.Occurrences[k] = o
+	}
+	return o
+}
+
+// Ready reports whether the step's predecessors are done.
+func (o *Occurrence) Ready(step int) bool {
+	for _, a := range o.Steps[step].Spec.After {
+		if !o.Steps[a].Done {
+			return false
+		}
+	}
+	return true
+}
+
+// WaitingTasks calls visit for each task that needs a run and may start.
+func (j *Job) WaitingTasks(visit func(ref TaskRef, step *Step, task *Task)) {
+	if j.Ended() {
+		return
+	}
+	for _, o := range j.Occurrences {
+		if o.Done {
+			continue
+		}
+		for s := range o.Steps {
+			step := &o.Steps[s]
+			if step.Done || !o.Ready(s) {
+				continue
+			}
+			for i := range step.Tasks {
+				if step.Tasks[i].Waiting() {
+					visit(TaskRef{Job: j.Spec.Id, Occurrence: o.Number, Step: uint32(s), Index: uint32(i)}, step, &step.Tasks[i])
+				}
+			}
+		}
+	}
+}
+
+// Runs calls visit for each run that has not ended.
+func (j *Job) Runs(visit func(*Run)) {
+	for _, o := range j.Occurrences {
+		for s := range o.Steps {
+			for i := range o.Steps[s].Tasks {
+				for _, r := range o.Steps[s].Tasks[i].Runs {
+					visit(r)
+				}
+			}
+		}
+	}
+}
+
+// Task returns a task and its step, or nil if the job has no such task in work.
+func (j *Job) Task(ref TaskRef) (*Step, *Task) {
+	o, ok := j.Occurrences[ref.Occurrence]
+	if !ok || int(ref.Step) >= len(o.Steps) || int(ref.Index) >= len(o.Steps[ref.Step].Tasks) {
+		return nil, nil
+	}
+	step := &o.Steps[ref.Step]
+	return step, &step.Tasks[ref.Index]
+}
+
+// FindRun returns the run of a task under an attempt, or nil.
+func (j *Job) FindRun(ref TaskRef, attempt uint32) *Run {
+	_, task := j.Task(ref)
+	if task == nil {
+		return nil
+	}
+	for _, r := range task.Runs {
+		if r.Attempt == attempt {
+			return r
+		}
+	}
+	return nil
+}
+
+// Grant records a run of a waiting task on a worker under a new attempt number.
+func (j *Job) Grant(ref TaskRef, worker WorkerKey) *Run {
+	_, task := j.Task(ref)
+	task.Attempt++
+	return j.grant(task, ref, worker)
+}
+
+// GrantGang records runs of all tasks of a step under one attempt number.
+func (j *Job) GrantGang(occurrence, step uint32, workers []WorkerKey) []*Run {
+	s := &j.Occurrences[occurrence].Steps[step]
+	attempt := uint32(0)
+	for i := range s.Tasks {
+		attempt = max(attempt, s.Tasks[i].Attempt)
+	}
+	runs := make([]*Run, len(workers))
+	for i := range s.Tasks {
+		s.Tasks[i].Attempt = attempt + 1
+		runs[i] = j.grant(&s.Tasks[i], TaskRef{Job: j.Spec.Id, Occurrence: occurrence, Step: step, Index: uint32(i)}, workers[i])
+	}
+	return runs
+}
+
+func (j *Job) grant(task *Task, ref TaskRef, worker WorkerKey) *Run {
+	r := &Run{Ref: ref, Attempt: task.Attempt, Worker: worker}
+	task.Runs = append(task.Runs, r)
+	if j.Phase == chervilv2.JobPhase_JOB_PHASE_QUEUED {
+		j.Phase = chervilv2.JobPhase_JOB_PHASE_RUNNING
+	}
+	j.Started = true
+	return r
+}
+
+// End is how a run ended.
+type End struct {
+	Ref        TaskRef
+	Attempt    uint32
+	Kind       chervilv2.EndKind
+	Checkpoint string
+}
+
+// Effect is what an ended run changed.
+type Effect struct {
+	// Changed is false if the end was known already.
+	Changed bool
+	// JobEnded is set if the job is complete or failed with this end.
+	JobEnded bool
+	// Surplus are other runs that have to be stopped.
+	Surplus []*Run
+}
+
+// Finish takes in how a run ended. maxAttempts 0 means no limit of failures.
+func (j *Job) Finish(e End, maxAttempts int, nowUnixMs int64) Effect {
+	step, task := j.Task(e.Ref)
+	if task == nil || j.FindRun(e.Ref, e.Attempt) == nil && (task.Done || e.Kind != chervilv2.EndKind_END_KIND_DONE) {
+		return Effect{}
+	}
+	task.Runs = removeRun(task.Runs, e.Attempt)
+	out := Effect{Changed: true}
+	if e.Checkpoint != "" {
+		task.Checkpoint = e.Checkpoint
+	}
+	switch {
+	case j.Ended():
+	case step.Spec.LongRunning:
+		task.Checkpoint = e.Checkpoint
+	case e.Kind == chervilv2.EndKind_END_KIND_DONE:
+		j.done(e.Ref, step, task, &out, nowUnixMs)
+	case e.Kind == chervilv2.EndKind_END_KIND_FAILED:
+		task.Failures++
+		if maxAttempts > 0 && failures(step, task) >= maxAttempts {
+			j.endWith(chervilv2.JobPhase_JOB_PHASE_FAILED, &out, nowUnixMs)
+		}
+	}
+	return out
+}
+
+// failures of a gang are those of all its members.
+func failures(step *Step, task *Task) int {
+	if !step.Spec.Gang {
+		return int(task.Failures)
+	}
+	n := 0
+	for i := range step.Tasks {
+		n += int(step.Tasks[i].Failures)
+	}
+	return n
+}
+
+func (j *Job) done(ref TaskRef, step *Step, task *Task, out *Effect, nowUnixMs int64) {
+	if step.Spec.Gang {
+		for i := range step.Tasks {
+			step.markDone(&step.Tasks[i])
+		}
+	} else {
+		step.markDone(task)
+		out.Surplus = append(out.Surplus, task.Runs...)
+	}
+	if step.left > 0 {
+		return
+	}
+	step.Done = true
+	o := j.Occurrences[ref.Occurrence]
+	for i := range o.Steps {
+		if !o.Steps[i].Done {
+			return
+		}
+	}
+	o.Done = true
+	for k := uint32(0); k < j.OccurrenceCount(); k++ {
+		if other, ok := j.Occurrences[k]; !ok || !other.Done {
+			return
+		}
+	}
+	j.Phase, j.EndedUnixMs = chervilv2.JobPhase_JOB_PHASE_COMPLETED, nowUnixMs
+	out.JobEnded = true
+}
+
+func (s *Step) markDone(t *Task) {
+	if !t.Done {
+		t.Done = true
+		s.left--
+	}
+}
+
+// endWith ends the job early; all its runs are surplus.
+func (j *Job) endWith(phase chervilv2.JobPhase, out *Effect, nowUnixMs int64) {
+	j.Phase, j.EndedUnixMs = phase, nowUnixMs
+	out.JobEnded = true
+	j.Runs(func(r *Run) { out.Surplus = append(out.Surplus, r) })
+}
+
+// Cancel ends the job unless it has ended.
+func (j *Job) Cancel(nowUnixMs int64) Effect {
+	if j.Ended() {
+		return Effect{}
+	}
+	out := Effect{Changed: true}
+	j.endWith(chervilv2.JobPhase_JOB_PHASE_CANCELLED, &out, nowUnixMs)
+	return out
+}
+
+// Drop forgets a run that is certain not to run any more and reports whether it was
+// known.
+func (j *Job) Drop(ref TaskRef, attempt uint32) bool {
+	_, task := j.Task(ref)
+	if task == nil {
+		return false
+	}
+	before := len(task.Runs)
+	task.Runs = removeRun(task.Runs, attempt)
+	return len(task.Runs) < before
+}
+
+func removeRun(runs []*Run, attempt uint32) []*Run {
+	for i, r := range runs {
+		if r.Attempt == attempt {
+			return append(runs[:i:i], runs[i+1:]...)
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/work/record.go
@@ -0,0 +1,111 @@
+package work
+
+import (
+	"fmt"
+	"slices"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+// Record returns the job's progress as it is stored. Steps that nothing has touched are
+// left out.
+func (j *Job) Record() *chervilv2.JobProgress {
+	out := &chervilv2.JobProgress{Phase: j.Phase, Started: j.Started, EndedUnixMs: j.EndedUnixMs}
+	workers := map[WorkerKey]uint32{}
+	numbers := make([]uint32, 0, len(j.Occurrences))
+	for k := range j.Occurrences {
+		numbers = append(numbers, k)
+	}
+	slices.Sort(numbers)
+	for _, k := range numbers {
+		for s := range j.Occurrences[k].Steps {
+			if r := j.stepRecord(k, uint32(s), out, workers); r != nil {
+				out.Steps = append(out.Steps, r)
+			}
+		}
+	}
+	return out
+}
+
+func (j *Job) stepRecord(k, s uint32, out *chervilv2.JobProgress, workers map[WorkerKey]uint32) *chervilv2.StepRecord {
+	step := &j.Occurrences[k].Steps[s]
+	record := &chervilv2.StepRecord{Occurrence: k, Step: s, Done: step.Done}
+	for i := range step.Tasks {
+		t := &step.Tasks[i]
+		for _, r := range t.Runs {
+			n, ok := workers[r.Worker]
+			if !ok {
+				n = uint32(len(out.Workers))
+				workers[r.Worker] = n
+				out.Workers = append(out.Workers, &chervilv2.WorkerRef{Node: r.Worker.Node, WorkerId: r.Worker.ID, BornUnixMs: r.Worker.BornUnixMs})
+			}
+			record.Placements = append(record.Placements, &chervilv2.Placement{Task: uint32(i), Attempt: r.Attempt, Worker: n, Started: r.Started})
+		}
+		if j.Ended() {
+			continue // only runs that have to be stopped matter
+		}
+		if (t.Done && !step.Done) || t.Failures > 0 || t.Checkpoint != "" || (t.Attempt > 0 && !t.Done) {
+			record.Tasks = append(record.Tasks, &chervilv2.TaskRecord{
+				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: t.Checkpoint,
+			})
+		}
+	}
+	if !record.Done && len(record.Tasks) == 0 && len(record.Placements) == 0 {
+		return nil
+	}
+	return record
+}
+
+// Restore returns a job from its stored parts; progress may be nil.
+func Restore(spec *chervilv2.JobSpec, progress *chervilv2.JobProgress) (*Job, error) {
+	j := NewJob(spec)
+	if progress == nil {
+		return j, nil
+	}
+	j.Phase, j.Started, j.EndedUnixMs = progress.Phase, progress.Started, progress.EndedUnixMs
+	for _, r := range progress.Steps {
+		if int(r.Step) >= len(spec.Steps) || r.Occurrence >= j.OccurrenceCount() {
+			return nil, fmt.Errorf("job %s has no step %d of occurrence %d", spec.Id, r.Step, r.Occurrence)
+		}
+		if err := j.restoreStep(r, progress.Workers); err != nil {
+			return nil, err
+		}
+	}
+	for _, o := range j.Occurrences {
+		o.Done = !slices.ContainsFunc(o.Steps, func(s Step) bool { return !s.Done })
+	}
+	return j, nil
+}
+
+func (j *Job) restoreStep(r *chervilv2.StepRecord, workers []*chervilv2.WorkerRef) error {
+	step := &j.occurrence(r.Occurrence).Steps[r.Step]
+	step.Done = r.Done
+	if r.Done {
+		for i := range step.Tasks {
+			step.markDone(&step.Tasks[i])
+		}
+	}
+	for _, t := range r.Tasks {
+		if int(t.Task) >= len(step.Tasks) {
+			return fmt.Errorf("job %s has no task %d in step %d", j.Spec.Id, t.Task, r.Step)
+		}
+		task := &step.Tasks[t.Task]
+		if t.Done {
+			step.markDone(task)
+		}
+		task.Attempt, task.Failures, task.Checkpoint = t.Attempt, t.Failures, t.Checkpoint
+	}
+	for _, p := range r.Placements {
+		if int(p.Task) >= len(step.Tasks) || int(p.Worker) >= len(workers) {
+			return fmt.Errorf("job %s has a run of an unknown task or worker in step %d", j.Spec.Id, r.Step)
+		}
+		task, w := &step.Tasks[p.Task], workers[p.Worker]
+		task.Attempt = max(task.Attempt, p.Attempt)
+		task.Runs = append(task.Runs, &Run{
+			Ref:     TaskRef{Job: j.Spec.Id, Occurrence: r.Occurrence, Step: r.Step, Index: p.Task},
+			Attempt: p.Attempt, Started: p.Started,
+			Worker: WorkerKey{Node: w.Node, ID: w.WorkerId, BornUnixMs: w.BornUnixMs},
+		})
+	}
+	return nil
+}
