Serving tasks are packed on few workers; log lines reach the pipe whole

Cause: filling tasks of heavy images raise the tail of serving tasks beside them up to ten times; with serving tasks spread over all workers every filling task was paced down. Next: learn which images disturb which.

--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -168,6 +168,7 @@
 	for key, h := range n.runs {
 		out = append(out, &chervilv2.RunInfo{
 			Task: key.ref.String(), Attempt: key.attempt, Fills: h.step.Fills, TargetLatencyMs: h.step.TargetLatencyMs,
+			Image: h.step.Image, CpuMilli: h.step.CpuMilli,
 		})
 	}
 	return out
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -180,6 +180,7 @@
 	return &chervilv2.StartOrder{
 		Task: h.run.Ref.String(), Attempt: h.run.Attempt, Payload: en.job.Spec.Payload, Checkpoint: gangCheckpoint(en, h, task),
 		WorkerId: h.run.Worker.ID, Fills: h.step.Fills, TargetLatencyMs: h.step.TargetLatencyMs,
+		Image: h.step.Image, CpuMilli: h.step.CpuMilli,
 	}
 }
 
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"bytes"
 	"flag"
 	"io"
 	"sync"
@@ -16,6 +17,8 @@
 const (
 	// bufferLimit bounds the lines that wait to be written, in bytes.
 	bufferLimit = 1 << 20
+	// writeLimit is what a pipe takes in one piece, in bytes.
+	writeLimit = 4096
 	// flushInterval bounds how long a line waits; fewer writes cost less.
 	flushInterval = 100 * time.Millisecond
 )
@@ -50,14 +53,31 @@
 	lines, dropped := s.buffer, s.dropped
 	s.buffer, s.dropped = nil, 0
 	s.mu.Unlock()
-	if len(lines) > 0 {
-		_, _ = s.out.Write(lines) // nowhere is left to tell of a failure
+	for len(lines) > 0 {
+		n := wholeLines(lines)
+		_, _ = s.out.Write(lines[:n]) // nowhere is left to tell of a failure
+		lines = lines[n:]
 	}
 	if dropped > 0 {
 		events.LogLinesDropped.Log("lines", dropped)
 	}
 }
 
+// wholeLines returns how much of the lines goes into one write: whole lines, as readers
+// of a pipe may see each write by itself.
+func wholeLines(lines []byte) int {
+	if len(lines) <= writeLimit {
+		return len(lines)
+	}
+	if n := bytes.LastIndexByte(lines[:writeLimit], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(lines, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(lines)
+}
+
 // Install sends all logs of the process through a sink to out.
 func Install(out io.Writer) *Sink {
 	s := New(out)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -166,7 +166,7 @@
 }
 
 // better reports whether w is preferred to o for a task of the step: sound workers
-// first, then the data's rack, then the most room of the kind that the task uses.
+// first, then the data's rack, then by what runs there, then by room.
 func (w *Worker) better(o *Worker, s *chervilv2.Step) bool {
 	if w.Doubt != o.Doubt {
 		return w.Doubt < o.Doubt
@@ -174,12 +174,34 @@
 	if s.DataRack != "" && (w.Rack == s.DataRack) != (o.Rack == s.DataRack) {
 		return w.Rack == s.DataRack
 	}
+	if a, b := w.company(s), o.company(s); a != b {
+		return a > b
+	}
 	if a, b := w.room(s), o.room(s); a != b {
 		return a > b
 	}
 	return w.Key.Node < o.Key.Node
 }
 
+// company ranks a worker by its neighbours. It answers for many filling tasks beside
+// serving ones: filling tasks disturb serving ones, so serving tasks are packed on few
+// workers, tasks with processors of their own go beside them, and filling tasks get the
+// workers that are left.
+func (w *Worker) company(s *chervilv2.Step) int64 {
+	switch {
+	case s.Fills:
+		return -int64(min(w.Serving, 1))
+	case s.TargetLatencyMs > 0:
+		return int64(w.Serving) - w.FillMilli/fillPenaltyMilli
+	default:
+		return int64(min(w.Serving, 1))
+	}
+}
+
+// fillPenaltyMilli is how much filling work on a worker outweighs one serving task when
+// a place for another serving task is sought.
+const fillPenaltyMilli = 8000
+
 // room is what the worker has left for tasks like those of the step.
 func (w *Worker) room(s *chervilv2.Step) int64 {
 	if s.Fills {
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -53,11 +53,11 @@
 		signal(a.holdNow)
 	}
 	for _, r := range o.Runs {
-		a.info[runKey{r.Task, r.Attempt}] = runInfo{fills: r.Fills, target: r.TargetLatencyMs, since: a.clock()}
+		a.info[runKey{r.Task, r.Attempt}] = runInfo{fills: r.Fills, target: r.TargetLatencyMs, image: r.Image, cpu: r.CpuMilli, since: a.clock()}
 	}
 	for _, s := range o.Starts {
 		key := runKey{s.Task, s.Attempt}
-		a.info[key] = runInfo{fills: s.Fills, target: s.TargetLatencyMs, since: a.clock()}
+		a.info[key] = runInfo{fills: s.Fills, target: s.TargetLatencyMs, image: s.Image, cpu: s.CpuMilli, since: a.clock()}
 		if a.tasks[key] == nil {
 			t := &task{start: s, began: a.clock()}
 			a.tasks[key] = t
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -37,6 +37,8 @@
 type runInfo struct {
 	fills  bool
 	target uint32 // ms; 0 if it serves nobody
+	image  string
+	cpu    uint32 // processors asked for, in thousandths
 	since  boottime.Instant
 }
 
