--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -12,6 +12,7 @@
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/catalog"
 	"chervilridge/internal/events"
+	"chervilridge/internal/interference"
 	"chervilridge/internal/statelog"
 	"chervilridge/internal/work"
 	"chervilridge/platform"
@@ -61,6 +62,11 @@
 	closed   bool
 	inFlight boottime.Instant // when the append under way began; 0 if there is none
 
+	model *interference.Model
+	// modelSent is the revision of the model that agents have, modelAt when it was sent.
+	modelSent uint64
+	modelAt   boottime.Instant
+
 	kick chan struct{}
 	gone chan struct{} // closed when the epoch has ended
 	stop chan struct{} // closed to end the epoch
@@ -87,7 +93,7 @@
 	e := &Engine{
 		settings: settings, writer: writer, operator: operator, clock: clock, wall: time.Now, took: clock(),
 		jobs: map[string]*entry{}, open: map[string]*entry{}, nodes: map[string]*node{},
-		batch: newBatch(), planDue: true, kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
+		batch: newBatch(), planDue: true, model: interference.New(), kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
 	}
 	for id, job := range jobs {
 		en := &entry{job: job, phase: job.Phase, started: job.Started}
@@ -274,6 +280,7 @@
 		}
 	}
 	e.forgetOld(wall)
+	e.shareModel(now)
 	e.replan()
 }
 
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -42,6 +42,9 @@
 	servingMilli,
 	fillMilli int64
 	perStep map[plan.StepKey]int
+	// images counts serving tasks, fillCores what filling tasks ask for, by image.
+	images    map[string]int
+	fillCores map[string]float64
 	// lastEnd is the newest end taken in, storedEnd the newest one stored.
 	lastEnd, storedEnd int64
 	health             health
@@ -61,7 +64,7 @@
 func (e *Engine) node(name string) *node {
 	n, ok := e.nodes[name]
 	if !ok {
-		n = &node{name: name, runs: map[runKey]*held{}, perStep: map[plan.StepKey]int{}}
+		n = &node{name: name, runs: map[runKey]*held{}, perStep: map[plan.StepKey]int{}, images: map[string]int{}, fillCores: map[string]float64{}}
 		e.nodes[name] = n
 	}
 	return n
@@ -102,9 +105,13 @@
 	n.used = n.used.Add(plan.Resources{CPUMilli: sign * needs.CPUMilli, MemoryMB: sign * needs.MemoryMB, GPUs: sign * needs.GPUs})
 	if h.step.Fills {
 		n.fillMilli += sign * int64(h.step.CpuMilli)
+		n.fillCores[h.step.Image] += float64(sign) * cores(h.step.CpuMilli)
 	}
 	if h.step.TargetLatencyMs > 0 {
 		n.serving += int(sign)
+		if n.images[h.step.Image] += int(sign); n.images[h.step.Image] == 0 {
+			delete(n.images, h.step.Image)
+		}
 		n.servingMilli += sign * int64(h.step.CpuMilli)
 	}
 	if h.step.MaxPerWorker > 0 {
@@ -173,3 +180,5 @@
 	}
 	return out
 }
+
+func cores(milli uint32) float64 { return float64(milli) / 1000 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,7 +15,11 @@
 
 // servingUse is the part of its processors that a serving task is counted with when
 // filling tasks are placed beside it, in percent.
-const servingUse = 60
+const servingUse = 30
+
+// pressAfter is how old a job must be for its filling tasks to go beside serving tasks
+// that they disturb.
+const pressAfter = 4 * time.Second
 
 // maxAsidePercent bounds how many of a service's workers are set aside at once.
 const maxAsidePercent = 34
@@ -30,7 +35,7 @@
 		return
 	}
 	workers := e.workers(view)
-	made := plan.Make(workers, requests)
+	made := plan.Make(workers, requests, e.model)
 	for _, g := range groupGangs(made.Grants, requests) {
 		e.grant(g, workers)
 	}
@@ -65,10 +70,7 @@
 	w := plan.Worker{
 		Key: n.key, Service: n.worker.Service, Rack: n.rack(), Labels: n.worker.Labels,
 		Capacity: n.capacity(), Used: n.used, Serving: n.serving, ServingMilli: n.servingMilli, FillMilli: n.fillMilli,
-		PerStep: map[plan.StepKey]int{},
-	}
-	for k, v := range n.perStep {
-		w.PerStep[k] = v
+		PerStep: maps.Clone(n.perStep), ServingImages: maps.Clone(n.images), FillCores: maps.Clone(n.fillCores),
 	}
 	if n.health.doubt >= doubtLimit {
 		w.Doubt = n.health.doubt
@@ -80,6 +82,7 @@
 // requests returns the waiting tasks by step.
 func (e *Engine) requests(view *catalog.View) []plan.Request {
 	var out []plan.Request
+	now := e.wall().UnixMilli()
 	for id, en := range e.open {
 		queue := view.Config.Queue(en.job.Spec.Queue)
 		if queue == nil || en.job.Ended() {
@@ -97,7 +100,7 @@
 			out = append(out, plan.Request{
 				Key: key, Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
 				Deadline: time.Duration(en.job.Spec.AcceptedUnixMs) * time.Millisecond,
-				Indexes:  []uint32{ref.Index}, Avoid: en.failedOn[ref],
+				Indexes:  []uint32{ref.Index}, Avoid: en.failedOn[ref], Pressed: now-en.job.Spec.AcceptedUnixMs > pressAfter.Milliseconds(),
 			})
 		})
 		out = append(out[:first], slices.DeleteFunc(out[first:], func(r plan.Request) bool {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -124,7 +124,9 @@
 			n.session.close()
 		}
 		n.session = s
-		s.edit(func(next *chervilv2.OwnerOrders) { next.Runs = n.runInfos() })
+		s.edit(func(next *chervilv2.OwnerOrders) {
+			next.Runs, next.Interference = n.runInfos(), e.interference()
+		})
 		e.replan()
 	}
 	n.heard = e.clock()
@@ -285,6 +287,7 @@
 			e.repeat(n, h, now)
 		}
 	}
+	e.learn(n)
 	for _, end := range r.Ends {
 		if ref, err := work.ParseTaskRef(end.Task); err == nil {
 			listed[runKey{ref, end.Attempt}] = true
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -65,10 +65,23 @@
 	Serving int
 	// FillLimitMilli is how many processors filling tasks may ask for in all.
 	FillLimitMilli int64
+	// ServingImages counts the serving tasks by image, FillCores the processors that
+	// filling tasks ask for.
+	ServingImages map[string]int
+	FillCores     map[string]float64
 	// Doubt is 0 for a sound worker; the higher, the later it is chosen.
 	Doubt float64
 	// PerStep counts the runs of steps that bound them.
 	PerStep map[StepKey]int
+
+	known Interference
+}
+
+// Interference tells how filling tasks disturb serving ones.
+type Interference interface {
+	// Predict returns the tail latency of a serving task, in parts of its target,
+	// beside filling tasks that use the given cores by image.
+	Predict(serving string, use map[string]float64) float64
 }
 
 // Request is a step's tasks that wait.
@@ -82,6 +95,9 @@
 	Indexes  []uint32
 	// Allowed are the workers that a placement policy permits; nil means all.
 	Allowed map[string]bool
+	// Pressed requests have waited long: they go beside serving tasks too that they
+	// are predicted to disturb, at the pace that the agent allows.
+	Pressed bool
 	// Avoid are workers where a run of the task failed before.
 	Avoid map[string]bool
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -16,9 +17,12 @@
 
 // Make places waiting tasks in the order of priority and deadline. It changes the
 // workers' use as it goes, so that no worker is granted beyond its capacity.
-func Make(workers []Worker, requests []Request) Plan {
+func Make(workers []Worker, requests []Request, known Interference) Plan {
 	Sort(requests)
 	var out Plan
+	for i := range workers {
+		workers[i].known = known
+	}
 
 	for i := range requests {
 		r := &requests[i]
@@ -71,7 +75,9 @@
 func tryGang(workers []Worker, r *Request, rack string, out *Plan) bool {
 	trial := slices.Clone(workers)
 	for i := range trial {
-		trial[i].PerStep = clonePerStep(trial[i].PerStep)
+		trial[i].PerStep = maps.Clone(trial[i].PerStep)
+		trial[i].ServingImages = maps.Clone(trial[i].ServingImages)
+		trial[i].FillCores = maps.Clone(trial[i].FillCores)
 	}
 	grants := make([]Grant, 0, len(r.Indexes))
 	for _, index := range r.Indexes {
@@ -92,14 +98,6 @@
 	return true
 }
 
-func clonePerStep(m map[StepKey]int) map[StepKey]int {
-	out := make(map[StepKey]int, len(m))
-	for k, v := range m {
-		out[k] = v
-	}
-	return out
-}
-
 // racks returns the racks by falling room.
 func racks(workers []Worker, r *Request) []string {
 	free := map[string]int64{}
@@ -143,7 +141,7 @@
 		!Needs(r.Step).Fits(w.Capacity.Sub(w.Used)):
 		return false
 	case r.Step.Fills:
-		return w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli
+		return w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli && (r.Pressed || w.tail(r.Step) <= tailLimit)
 	}
 	return true
 }
@@ -152,10 +150,12 @@
 	w.Used = w.Used.Add(Needs(r.Step))
 	if r.Step.Fills {
 		w.FillMilli += int64(r.Step.CpuMilli)
+		w.FillCores = addTo(w.FillCores, r.Step.Image, float64(r.Step.CpuMilli)/milliPerCore)
 	}
 	if r.Step.TargetLatencyMs > 0 {
 		w.ServingMilli += int64(r.Step.CpuMilli)
 		w.Serving++
+		w.ServingImages = addTo(w.ServingImages, r.Step.Image, 1)
 	}
 	if r.Step.MaxPerWorker > 0 {
 		if w.PerStep == nil {
@@ -184,23 +184,61 @@
 }
 
 // company ranks a worker by its neighbours. It answers for many filling tasks beside
-// serving ones: filling tasks disturb serving ones, so serving tasks are packed on few
-// workers, tasks with processors of their own go beside them, and filling tasks get the
-// workers that are left.
+// serving ones: filling tasks of some images disturb serving ones of some others, so
+// serving tasks are packed on few workers, tasks with processors of their own go beside
+// them, and filling tasks go where they disturb least.
 func (w *Worker) company(s *chervilv2.Step) int64 {
 	switch {
 	case s.Fills:
-		return -int64(min(w.Serving, 1))
+		return -int64(w.tail(s) * tailSteps)
 	case s.TargetLatencyMs > 0:
-		return int64(w.Serving) - w.FillMilli/fillPenaltyMilli
+		return int64(w.Serving)*tailSteps - int64(w.tailOf(s.Image)*servingTailWeight*tailSteps)
 	default:
 		return int64(min(w.Serving, 1))
 	}
 }
 
-// fillPenaltyMilli is how much filling work on a worker outweighs one serving task when
-// a place for another serving task is sought.
-const fillPenaltyMilli = 8000
+const (
+	milliPerCore = 1000
+	// tailLimit is the predicted tail, in parts of the target, up to which a filling
+	// task is placed beside a serving one; load raises a tail by another half.
+	tailLimit = 0.75
+	// tailSteps is in how many steps tails are told apart.
+	tailSteps = 10
+	// servingTailWeight is how many serving neighbours a tail of the target outweighs.
+	servingTailWeight = 4
+)
+
+// tail is the highest tail predicted for a serving task here if a filling task of the
+// step joins; 0 if nothing serves here.
+func (w *Worker) tail(s *chervilv2.Step) float64 {
+	if len(w.ServingImages) == 0 || w.known == nil {
+		return 0
+	}
+	w.FillCores = addTo(w.FillCores, s.Image, float64(s.CpuMilli)/milliPerCore)
+	worst := 0.0
+	for serving := range w.ServingImages {
+		worst = max(worst, w.known.Predict(serving, w.FillCores))
+	}
+	w.FillCores[s.Image] -= float64(s.CpuMilli) / milliPerCore
+	return worst
+}
+
+// tailOf is the tail predicted for a serving task of the image.
+func (w *Worker) tailOf(serving string) float64 {
+	if w.known == nil {
+		return 0
+	}
+	return w.known.Predict(serving, w.FillCores)
+}
+
+func addTo[V int | float64](m map[string]V, key string, by V) map[string]V {
+	if m == nil {
+		m = map[string]V{}
+	}
+	m[key] += by
+	return m
+}
 
 // room is what the worker has left for tasks like those of the step.
 func (w *Worker) room(s *chervilv2.Step) int64 {
--- a/internal/sidecar/agent.go
+++ b/internal/sidecar/agent.go
@@ -11,6 +11,7 @@
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
+	"chervilridge/internal/interference"
 	"chervilridge/platform"
 )
 
@@ -87,8 +88,10 @@
 	settled []*chervilv2.StartResult
 	info    map[runKey]runInfo
 	paced   map[runKey]uint32
-	pacer   pacer
-	full    bool // the next report lists all runs
+	pacers  map[string]*pacer // by filling image
+	model   *interference.Model
+	over    boottime.Instant // since when a serving run misses its target; 0 if none does
+	full    bool             // the next report lists all runs
 	changed chan struct{}
 	holdNow chan struct{}
 	slots   chan struct{}
@@ -98,6 +101,7 @@
 func NewAgent(node *platform.Node, worker Worker, clock boottime.Clock) *Agent {
 	a := &Agent{
 		node: node, worker: worker, clock: clock, tasks: map[runKey]*task{}, paced: map[runKey]uint32{}, info: map[runKey]runInfo{},
+		pacers: map[string]*pacer{}, model: interference.New(),
 		changed: make(chan struct{}, 1), holdNow: make(chan struct{}, 1), slots: make(chan struct{}, orderConcurrency),
 	}
 	return a
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -7,6 +7,7 @@
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
+	"chervilridge/internal/interference"
 	"chervilridge/platform"
 )
 
@@ -52,6 +53,9 @@
 		}
 		signal(a.holdNow)
 	}
+	for _, i := range o.Interference {
+		a.model.Set(interference.Pair{Serving: i.Serving, Filling: i.Filling}, float64(i.SlopeMilli)/1000)
+	}
 	for _, r := range o.Runs {
 		a.info[runKey{r.Task, r.Attempt}] = runInfo{fills: r.Fills, target: r.TargetLatencyMs, image: r.Image, cpu: r.CpuMilli, since: a.clock()}
 	}
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -19,6 +19,10 @@
 	// step up in points.
 	slowDown, speedUp = 60, 10
 	leastPace         = 10
+	// severePercent is the tail at which the pace falls in proportion.
+	severePercent = 150
+	// notableShare is the share in a raised tail from which an image is slowed.
+	notableShare = 0.2
 	// stopAfter is how long a target may be missed before filling runs are halted;
 	// the platform counts harm after about four seconds.
 	stopAfter = 1600 * time.Millisecond
@@ -42,38 +46,33 @@
 	since  boottime.Instant
 }
 
-// pacer decides at which pace filling runs work beside serving ones. It answers for
-// serving tasks staying under their target while the filling tasks disturb them by
-// amounts that change with load.
+// pacer decides at which pace filling runs of one image work beside serving ones. It
+// answers for serving tasks staying under their target while the filling tasks disturb
+// them by amounts that change with load.
 type pacer struct {
 	level      uint32
-	set        bool
-	over       boottime.Instant // since when the target is missed; 0 if it is not
 	changed    boottime.Instant
 	ceiling    uint32
 	ceilingEnd boottime.Instant
 }
 
-// decide returns the pace for all filling runs. worst is the highest tail latency of
-// the serving runs, in percent of its target; 0 if nothing serves.
-func (p *pacer) decide(now boottime.Instant, worst uint32) uint32 {
-	if !p.set {
-		p.level, p.set = fullPace, true
-	}
-	if worst <= fullPace {
-		p.over = 0
-	} else if p.over == 0 {
-		p.over = now
-	}
+// decide returns the pace. worst is the highest tail latency of the serving runs that
+// the image is to blame for, in percent of its target; 0 if there is none. halt is set
+// once a target was missed for too long.
+func (p *pacer) decide(now boottime.Instant, worst uint32, halt bool) uint32 {
 	switch {
+	case halt:
+		p.ceiling, p.ceilingEnd = max(p.level, leastPace), now.Add(ceilingHold)
+		p.change(now, 0)
 	case worst == 0:
 		p.level = fullPace
-	case p.over != 0 && now.Sub(p.over) >= stopAfter:
-		p.change(now, 0)
 	case now.Sub(p.changed) < settleTime:
 	case worst > overPercent && p.level > 0:
 		p.ceiling, p.ceilingEnd = p.level, now.Add(ceilingHold)
 		next := p.level * slowDown / fullPace
+		if worst > severePercent {
+			next = p.level * fullPace / worst / 2
+		}
 		if next < leastPace {
 			next = 0
 		}
@@ -98,32 +97,74 @@
 	}
 }
 
-// share paces the filling runs of the worker by the tail latency of the serving ones.
-func (a *Agent) share(ctx context.Context, l *life) {
-	worst, serving := uint32(0), ""
-	var fills []runKey
+// neighbours is what serves and fills on the worker.
+type neighbours struct {
+	fills map[string][]runKey // by image
+	use   map[string]float64  // cores that filling runs use, by image
+	tails map[string]uint32   // highest tail of the serving runs, in percent of the target, by image
+	worst uint32
+}
+
+func (a *Agent) neighbours(l *life) neighbours {
+	n := neighbours{fills: map[string][]runKey{}, use: map[string]float64{}, tails: map[string]uint32{}}
 	for key, run := range l.runs {
 		info := a.info[key]
 		if info.fills {
-			fills = append(fills, key)
+			n.fills[info.image] = append(n.fills[info.image], key)
+			n.use[info.image] += float64(max(run.Gauge, info.cpu/fullPace)) / 1000
 		}
 		if info.target > 0 && run.Gauge > 0 {
-			if percent := run.Gauge * fullPace / info.target; percent >= worst {
-				worst, serving = percent, key.task
-			}
+			n.tails[info.image] = max(n.tails[info.image], run.Gauge*fullPace/info.target)
+			n.worst = max(n.worst, n.tails[info.image])
 		}
 	}
-	before := a.pacer.level
-	level := a.pacer.decide(a.clock(), worst)
-	if level != before && len(fills) > 0 {
-		events.RunPaced.Log("worker", l.id, "fromPercent", before, "toPercent", level, "serving", serving, "tailPercentOfTarget", worst, "fills", len(fills))
+	return n
+}
+
+// blamed returns the highest tail that the filling image has a notable part in.
+func (a *Agent) blamed(n neighbours, filling string) uint32 {
+	worst := uint32(0)
+	for serving, tail := range n.tails {
+		shares := a.model.Blame(serving, n.use)
+		if shares == nil || shares[filling] >= notableShare {
+			worst = max(worst, tail)
+		} else {
+			worst = max(worst, min(tail, underPercent-1)) // not its doing
+		}
+	}
+	return worst
+}
+
+// share paces the filling runs of the worker by the tail latency of the serving ones.
+func (a *Agent) share(ctx context.Context, l *life) {
+	n := a.neighbours(l)
+	now := a.clock()
+	if n.worst <= fullPace {
+		a.over = 0
+	} else if a.over == 0 {
+		a.over = now
 	}
-	for _, key := range fills {
-		if current, ok := a.paced[key]; current == level || !ok && level == fullPace {
-			continue
+	halt := a.over != 0 && now.Sub(a.over) >= stopAfter
+	for image, keys := range n.fills {
+		p := a.pacers[image]
+		if p == nil {
+			p = &pacer{level: fullPace}
+			a.pacers[image] = p
+		}
+		before := p.level
+		worst := a.blamed(n, image)
+		level := p.decide(now, worst, halt)
+		if level != before {
+			events.RunPaced.Log("worker", l.id, "image", image, "fromPercent", before, "toPercent", level,
+				"tailPercentOfTarget", worst, "worst", n.worst, "halt", halt, "fills", len(keys))
+		}
+		for _, key := range keys {
+			if current, ok := a.paced[key]; current == level || !ok && level == fullPace {
+				continue
+			}
+			a.paced[key] = level
+			go a.setPace(ctx, l, key, level)
 		}
-		a.paced[key] = level
-		go a.setPace(ctx, l, key, level)
 	}
 }
 
