--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -86,13 +86,14 @@
 }
 
 // resolved ends an order whose outcome is known.
-func (a *Agent) resolved(key runKey, answer chervilv2.StartAnswer) {
+func (a *Agent) resolved(ctx context.Context, key runKey, answer chervilv2.StartAnswer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := &chervilv2.StartResult{Task: key.task, Attempt: key.attempt, Answer: answer}
 	if answer == chervilv2.StartAnswer_START_ANSWER_STARTED {
 		delete(a.tasks, key)
 		a.results = append(a.results, r)
+		a.paceNew(ctx, key)
 		signal(a.changed)
 		return
 	}
@@ -110,7 +111,7 @@
 		if reason != "" {
 			if try == 1 { // the worker never heard of the run
 				events.StartAnswered.Log("task", key.task, "attempt", key.attempt, "answer", "not tried", "reason", reason)
-				a.resolved(key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
+				a.resolved(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 				return
 			}
 			break
@@ -123,7 +124,7 @@
 			if answer == chervilv2.StartAnswer_START_ANSWER_STARTED && a.stopAsked(t) {
 				break
 			}
-			a.resolved(key, answer)
+			a.resolved(ctx, key, answer)
 			return
 		}
 		events.StartUnanswered.LogError(err, "task", key.task, "attempt", key.attempt, "worker", id, "try", try)
@@ -201,7 +202,7 @@
 		l, epoch := a.life, a.epoch
 		a.mu.Unlock()
 		if l == nil || l.id == "" || l.gone || l.lapsed {
-			a.resolved(key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
+			a.resolved(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
@@ -212,7 +213,7 @@
 			kind = platform.KindOf(err)
 		}
 		if err == nil || kind == platform.Superseded {
-			a.resolved(key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
+			a.resolved(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 			return
 		}
 		events.StopUnanswered.LogError(err, "task", key.task, "attempt", key.attempt, "worker", l.id)
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -159,7 +159,7 @@
 				"tailPercentOfTarget", worst, "worst", n.worst, "halt", halt, "fills", len(keys))
 		}
 		for _, key := range keys {
-			if current, ok := a.paced[key]; current == level || !ok && level == fullPace {
+			if current, ok := a.paced[key]; ok && current == level || !ok && level == fullPace {
 				continue
 			}
 			a.paced[key] = level
@@ -168,6 +168,17 @@
 	}
 }
 
+// paceNew sets the pace of a filling run that has just started.
+func (a *Agent) paceNew(ctx context.Context, key runKey) {
+	info := a.info[key]
+	p := a.pacers[info.image]
+	if !info.fills || p == nil || p.level == fullPace || a.life == nil {
+		return
+	}
+	a.paced[key] = p.level
+	go a.setPace(ctx, a.life, key, p.level)
+}
+
 // setPace tells the worker; a pace that it did not take is set again with a later list.
 func (a *Agent) setPace(ctx context.Context, l *life, key runKey, level uint32) {
 	ctx, cancel := context.WithTimeout(ctx, paceTimeout)
