Interference is learned as headroom taken; pace computed from it

Learned in the inverse of the tail, what neighbours take adds up and load and neighbours can be told apart by tasks of the same job on other workers. Slowed runs are moved.

--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -5,7 +5,10 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
+	"chervilridge/internal/events"
 	"chervilridge/internal/interference"
+	"chervilridge/internal/plan"
+	"chervilridge/internal/work"
 )
 
 // modelInterval is the least time between two sendings of what was learned.
@@ -22,9 +25,13 @@
 			use[h.step.Image] += cores(h.gauge)
 		}
 	}
-	for _, h := range n.runs {
+	now := e.clock()
+	for key, h := range n.runs {
 		if h.step.TargetLatencyMs > 0 && h.gauge > 0 && h.percent >= atWork {
-			e.model.Observe(h.step.Image, float64(h.gauge)/float64(h.step.TargetLatencyMs), use)
+			e.model.Observe(interference.Sample{
+				At: now, Service: key.ref.Job, Task: key.ref.String(), Image: h.step.Image, Use: use,
+				Headroom: float64(h.step.TargetLatencyMs) / float64(h.gauge),
+			})
 		}
 	}
 }
@@ -51,3 +58,53 @@
 	}
 	return out
 }
+
+const (
+	// slowPace is the pace, in percent, at which a filling run is better off elsewhere.
+	slowPace = 30
+	// slowLimit is for how long a run is slowed before it is moved: longer than a new
+	// pace needs to show and to be taken back.
+	slowLimit = 900 * time.Millisecond
+	// moveInterval is the pause between two rounds of moves.
+	moveInterval = 300 * time.Millisecond
+)
+
+// moveSlowed stops filling runs that are kept slow beside serving ones, if another
+// worker could run them at full pace. Their checkpoints are taken along.
+func (e *Engine) moveSlowed(now boottime.Instant) {
+	view := e.operator()
+	if now.Sub(e.movedAt) < moveInterval || view == nil || view.Config == nil {
+		return
+	}
+	e.movedAt = now
+	var workers []plan.Worker
+	for _, n := range e.nodes {
+		for _, h := range n.runs {
+			if h.slow == 0 || now.Sub(h.slow) < slowLimit || h.run.Stopping || !h.step.Fills {
+				continue
+			}
+			en := e.jobs[h.run.Ref.Job]
+			queue := view.Config.Queue(en.job.Spec.Queue)
+			if queue == nil || h.percent >= nearlyDone {
+				continue
+			}
+			if workers == nil {
+				workers = e.workers(view)
+			}
+			request := plan.Request{
+				Key: stepKey(h.run.Ref), Step: h.step, Service: queue.Service, Indexes: []uint32{h.run.Ref.Index},
+				Avoid: map[string]bool{n.key.ID: true}, Strict: true,
+			}
+			made := plan.Make(workers, []plan.Request{request}, e.model)
+			if len(made.Grants) == 0 {
+				continue
+			}
+			events.RunMoved.Log("task", h.run.Ref.String(), "attempt", h.run.Attempt, "node", n.name, "image", h.step.Image, "pace", h.pace,
+				"slowFor", now.Sub(h.slow), "to", workers[made.Grants[0].Worker].Key.Node)
+			e.stopAll([]*work.Run{h.run}, "slowed beside serving tasks")
+		}
+	}
+}
+
+// nearlyDone is the progress, in percent, from which a run is not moved any more.
+const nearlyDone = 85
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -66,6 +66,10 @@
 	// modelSent is the revision of the model that agents have, modelAt when it was sent.
 	modelSent uint64
 	modelAt   boottime.Instant
+	// movedAt is when slowed runs were last looked at.
+	movedAt boottime.Instant
+	// stateLogged is when the state was last logged.
+	stateLogged boottime.Instant
 
 	kick chan struct{}
 	gone chan struct{} // closed when the epoch has ended
@@ -281,6 +285,7 @@
 	}
 	e.forgetOld(wall)
 	e.shareModel(now)
+	e.moveSlowed(now)
 	e.replan()
 }
 
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -11,6 +11,9 @@
 	"chervilridge/internal/work"
 )
 
+// fullPace is the pace of a run that is not slowed, in percent.
+const fullPace = 100
+
 const (
 	// suspectAfter is how long a worker may be silent before it gets no new tasks; it
 	// answers at least every half second when it is sound.
@@ -42,9 +45,6 @@
 	servingMilli,
 	fillMilli int64
 	perStep map[plan.StepKey]int
-	// images counts serving tasks, fillCores what filling tasks ask for, by image.
-	images    map[string]int
-	fillCores map[string]float64
 	// lastEnd is the newest end taken in, storedEnd the newest one stored.
 	lastEnd, storedEnd int64
 	health             health
@@ -58,13 +58,18 @@
 	percent uint32
 	gauge   uint32
 	moved   boottime.Instant // when percent last rose
+	// pace is the percentage at which the agent lets the run work, slow since when it is
+	// below slowPace.
+	paced bool
+	pace  uint32
+	slow  boottime.Instant
 }
 
 // node returns the node of the name.
 func (e *Engine) node(name string) *node {
 	n, ok := e.nodes[name]
 	if !ok {
-		n = &node{name: name, runs: map[runKey]*held{}, perStep: map[plan.StepKey]int{}, images: map[string]int{}, fillCores: map[string]float64{}}
+		n = &node{name: name, runs: map[runKey]*held{}, perStep: map[plan.StepKey]int{}}
 		e.nodes[name] = n
 	}
 	return n
@@ -105,13 +110,9 @@
 	n.used = n.used.Add(plan.Resources{CPUMilli: sign * needs.CPUMilli, MemoryMB: sign * needs.MemoryMB, GPUs: sign * needs.GPUs})
 	if h.step.Fills {
 		n.fillMilli += sign * int64(h.step.CpuMilli)
-		n.fillCores[h.step.Image] += float64(sign) * cores(h.step.CpuMilli)
 	}
 	if h.step.TargetLatencyMs > 0 {
 		n.serving += int(sign)
-		if n.images[h.step.Image] += int(sign); n.images[h.step.Image] == 0 {
-			delete(n.images, h.step.Image)
-		}
 		n.servingMilli += sign * int64(h.step.CpuMilli)
 	}
 	if h.step.MaxPerWorker > 0 {
@@ -182,3 +183,11 @@
 }
 
 func cores(milli uint32) float64 { return float64(milli) / 1000 }
+
+// paceMilli returns the processors that a filling run uses at its pace, in thousandths.
+func (h *held) paceMilli() int64 {
+	if !h.paced {
+		return int64(h.step.CpuMilli)
+	}
+	return int64(h.step.CpuMilli) * int64(min(h.pace, fullPace)) / fullPace
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -7,15 +7,17 @@
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
 	"chervilridge/internal/catalog"
 	"chervilridge/internal/events"
+	"chervilridge/internal/interference"
 	"chervilridge/internal/plan"
 	"chervilridge/internal/work"
 )
 
 // servingUse is the part of its processors that a serving task is counted with when
 // filling tasks are placed beside it, in percent.
-const servingUse = 30
+const servingUse = 55
 
 // pressAfter is how old a job must be for its filling tasks to go beside serving tasks
 // that they disturb.
@@ -36,11 +38,47 @@
 	}
 	workers := e.workers(view)
 	made := plan.Make(workers, requests, e.model)
+	e.logState(requests, made, workers)
 	for _, g := range groupGangs(made.Grants, requests) {
 		e.grant(g, workers)
 	}
 }
 
+// logState tells now and then how much waits and runs.
+func (e *Engine) logState(requests []plan.Request, made plan.Plan, workers []plan.Worker) {
+	now := e.clock()
+	if now.Sub(e.stateLogged) < stateLogInterval {
+		return
+	}
+	e.stateLogged = now
+	fills := map[plan.StepKey]bool{}
+	for _, r := range requests {
+		fills[r.Key] = r.Step.Fills
+	}
+	waiting := map[bool]int{}
+	for _, u := range made.Unplaced {
+		waiting[fills[u.Key]] += u.Count
+	}
+	var used, capacity, fillMilli, slowed int64
+	for i := range workers {
+		capacity += workers[i].Capacity.CPUMilli
+		used += workers[i].Used.CPUMilli
+		fillMilli += workers[i].FillMilli
+	}
+	for _, n := range e.nodes {
+		for _, h := range n.runs {
+			if h.step.Fills && h.paced && h.pace < fullPace {
+				slowed += int64(h.step.CpuMilli)
+			}
+		}
+	}
+	events.ScheduleState.Log("openJobs", len(e.open), "workers", len(workers), "waiting", waiting[false], "waitingFills", waiting[true],
+		"usedMilli", used, "capacityMilli", capacity, "fillMilli", fillMilli, "slowedFillMilli", slowed)
+}
+
+// stateLogInterval bounds how often the state is logged.
+const stateLogInterval = time.Second
+
 // workers returns the workers that may get tasks.
 func (e *Engine) workers(view *catalog.View) []plan.Worker {
 	names := make([]string, 0, len(e.nodes))
@@ -60,17 +98,32 @@
 			aside++
 			continue
 		}
-		out = append(out, n.planned())
+		out = append(out, n.planned(e.model, now))
 	}
 	return out
 }
 
 // planned returns the worker as the planner sees it.
-func (n *node) planned() plan.Worker {
+func (n *node) planned(model *interference.Model, now boottime.Instant) plan.Worker {
 	w := plan.Worker{
 		Key: n.key, Service: n.worker.Service, Rack: n.rack(), Labels: n.worker.Labels,
-		Capacity: n.capacity(), Used: n.used, Serving: n.serving, ServingMilli: n.servingMilli, FillMilli: n.fillMilli,
-		PerStep: maps.Clone(n.perStep), ServingImages: maps.Clone(n.images), FillCores: maps.Clone(n.fillCores),
+		Capacity: n.capacity(), Used: n.used, Serving: n.serving, ServingMilli: n.servingMilli, PerStep: maps.Clone(n.perStep), Serves: map[string]plan.Served{}, FillCores: map[string]float64{},
+	}
+	for _, h := range n.runs {
+		if h.step.TargetLatencyMs > 0 {
+			served := w.Serves[h.step.Image]
+			alone, _ := model.Alone(h.run.Ref.Job, now)
+			if served.Tasks == 0 || alone < served.Headroom {
+				served.Headroom = alone
+			}
+			served.Tasks++
+			w.Serves[h.step.Image] = served
+		}
+		if h.step.Fills {
+			milli := h.paceMilli()
+			w.FillMilli += milli
+			w.FillCores[h.step.Image] += cores(uint32(milli))
+		}
 	}
 	if n.health.doubt >= doubtLimit {
 		w.Doubt = n.health.doubt
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -305,6 +305,12 @@
 		h.moved = now
 	}
 	h.percent, h.gauge = run.Percent, run.Gauge
+	h.paced, h.pace = run.Paced, run.Pace
+	if !run.Paced || run.Pace > slowPace {
+		h.slow = 0
+	} else if h.slow == 0 {
+		h.slow = now
+	}
 	if !run.Starting {
 		h.run.Started = true
 	}
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -38,6 +38,8 @@
 	RunLost         = define(7209, Warning, "run lost with its worker")
 	RunStopOrdered  = define(7210, Info, "stop of a run ordered")
 	RunUnknown      = define(7211, Warning, "worker lists a run that was not granted")
+	ScheduleState   = define(7213, Info, "state of the schedule")
+	RunMoved        = define(7214, Info, "slowed run stopped to go on elsewhere")
 	RunOrderedAgain = define(7212, Warning, "order repeated for a run that the worker does not list")
 )
 
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -1,26 +1,34 @@
-// Package interference learns how much filling tasks of one image raise the tail
-// latency of serving tasks of another. Tail latencies are in parts of their target, use
-// of processors in cores.
+// Package interference learns how much filling tasks of one image take of the headroom
+// of serving tasks of another. Headroom is a serving task's target over its tail
+// latency: 1 is at the target, and what neighbours take of it adds up, since the tail
+// grows with the inverse of what is left. Use of processors is in cores.
 package interference
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilridge/internal/boottime"
+)
 
 const (
-	// unknownBase is the tail of a serving task alone that was not seen alone yet.
-	unknownBase = 0.45
 	// unknownSlope is assumed of a pair that was not seen together yet: little, so that
 	// it is tried.
 	unknownSlope = 0.02
-	// baseRate and slopeRate are how much of a deviation one sample corrects.
-	baseRate, slopeRate = 0.05, 0.35
-	// maxTail caps a sample, so that one outlier does not undo what was learned.
-	maxTail = 3.0
-	// leastUse is the use of processors below which a sample says nothing of a slope.
+	maxSlope     = 2.0
+	// slopeRate is how much of a deviation one sample corrects.
+	slopeRate = 0.3
+	// deadZone is a deviation that noise explains.
+	deadZone = 0.15
+	// leastUse is the use below which a sample says nothing of a slope, in cores.
 	leastUse = 0.3
-	// deadZone is the deviation from the prediction that the load of the serving task
-	// explains; only what is beyond it is learned.
-	deadZone = 0.12
-	maxSlope = 3.0
+	// leastHeadroom and mostHeadroom bound what load alone leaves until it is seen.
+	leastHeadroom, mostHeadroom = 1.5, 3.5
+	// boundRate is how fast these bounds follow what is seen alone.
+	boundRate = 0.2
+	// siblingAge is how old a sibling's sample may be: load changes within seconds.
+	siblingAge = 700 * time.Millisecond
 )
 
 // Pair names the images of a serving and a filling task.
@@ -29,29 +37,42 @@
 	Filling string
 }
 
+// Sample is what was seen of a serving task.
+type Sample struct {
+	At boottime.Instant
+	// Service names the tasks that share the load: those of one job.
+	Service  string
+	Task     string
+	Image    string
+	Headroom float64
+	// Use are the cores that filling tasks beside it use, by image.
+	Use map[string]float64
+}
+
+// sighting is the newest sample of a task.
+type sighting struct {
+	at       boottime.Instant
+	headroom float64
+	taken    float64 // what neighbours are thought to take
+}
+
 // Model holds what was learned. Its owner guards it.
 type Model struct {
-	base  map[string]float64
-	slope map[Pair]float64
-	// revision rises with each notable change.
+	slope    map[Pair]float64
+	services map[string]map[string]sighting
+	lo, hi   float64
 	revision uint64
 }
 
 // New returns a model that knows nothing.
-func New() *Model { return &Model{base: map[string]float64{}, slope: map[Pair]float64{}} }
+func New() *Model {
+	return &Model{slope: map[Pair]float64{}, services: map[string]map[string]sighting{}, lo: leastHeadroom, hi: mostHeadroom}
+}
 
 // Revision rises with each notable change of what is known.
 func (m *Model) Revision() uint64 { return m.revision }
 
-// Base returns the tail of a serving task alone.
-func (m *Model) Base(serving string) float64 {
-	if b, ok := m.base[serving]; ok {
-		return b
-	}
-	return unknownBase
-}
-
-// Slope returns by how much a core in use by a filling task raises the tail.
+// Slope returns how much headroom a core in use by a filling task takes.
 func (m *Model) Slope(p Pair) float64 {
 	if s, ok := m.slope[p]; ok {
 		return s
@@ -59,71 +80,85 @@
 	return unknownSlope
 }
 
-// Known returns what was learned of all pairs.
-func (m *Model) Known() map[Pair]float64 { return m.slope }
-
 // Set replaces what is known of a pair.
 func (m *Model) Set(p Pair, slope float64) { m.slope[p] = slope }
 
-// Predict returns the tail beside filling tasks that use the given cores, by image.
-func (m *Model) Predict(serving string, use map[string]float64) float64 {
-	tail := m.Base(serving)
+// Taken returns the headroom that filling tasks take of a serving one.
+func (m *Model) Taken(serving string, use map[string]float64) float64 {
+	sum := 0.0
 	for filling, cores := range use {
-		tail += m.Slope(Pair{serving, filling}) * cores
+		sum += m.Slope(Pair{serving, filling}) * cores
 	}
-	return tail
+	return sum
 }
 
-// Observe takes in one sample of a serving task beside filling tasks.
-func (m *Model) Observe(serving string, tail float64, use map[string]float64) {
-	tail = min(tail, maxTail)
-	total, squares := 0.0, 0.0
-	for _, cores := range use {
-		total += cores
+// Alone returns the headroom that the service's load leaves at the time, judged by the
+// tasks that are disturbed least; ok is false if none was seen lately.
+func (m *Model) Alone(service string, now boottime.Instant) (headroom float64, ok bool) {
+	best := sighting{}
+	for task, s := range m.services[service] {
+		if now.Sub(s.at) > siblingAge {
+			if now.Sub(s.at) > 10*siblingAge {
+				delete(m.services[service], task)
+			}
+			continue
+		}
+		if !ok || s.taken < best.taken {
+			best, ok = s, true
+		}
+	}
+	if !ok {
+		delete(m.services, service)
+		return m.lo, false
+	}
+	return min(max(best.headroom+best.taken, m.lo), m.hi), true
+}
+
+// Observe takes in one sample.
+func (m *Model) Observe(s Sample) {
+	used, squares := 0.0, 0.0
+	for _, cores := range s.Use {
+		used += cores
 		squares += cores * cores
 	}
-	if total < leastUse {
-		m.base[serving] = m.Base(serving) + baseRate*(tail-m.Base(serving))
+	if m.services[s.Service] == nil {
+		m.services[s.Service] = map[string]sighting{}
+	}
+	taken := m.Taken(s.Image, s.Use)
+	m.services[s.Service][s.Task] = sighting{at: s.At, headroom: s.Headroom, taken: taken}
+	if used < leastUse {
+		m.bound(s.Headroom)
 		return
 	}
-	deviation := tail - m.Predict(serving, use)
+	alone, _ := m.Alone(s.Service, s.At)
+	deviation := alone - taken - s.Headroom // positive: neighbours take more than known
 	switch {
 	case deviation > deadZone:
 		deviation -= deadZone
 	case deviation < -deadZone:
 		deviation += deadZone
 	default:
-		deviation = 0
+		return
 	}
-	for filling, cores := range use {
-		p := Pair{serving, filling}
+	for filling, cores := range s.Use {
+		p := Pair{s.Image, filling}
 		before := m.Slope(p)
 		after := min(max(before+slopeRate*deviation*cores/squares, 0), maxSlope)
 		m.slope[p] = after
-		if abs(after-before) > 0.1*max(before, unknownSlope) {
+		if max(after-before, before-after) > max(before, unknownSlope)/8 {
 			m.revision++
 		}
 	}
 }
 
-func abs(f float64) float64 { return max(f, -f) }
-
-// Blame returns the share that each image has in the raise of a serving task's tail; nil
-// if none of them is known to raise it.
-func (m *Model) Blame(serving string, use map[string]float64) map[string]float64 {
-	total := 0.0
-	shares := map[string]float64{}
-	for filling, cores := range use {
-		shares[filling] = m.Slope(Pair{serving, filling}) * cores
-		total += shares[filling]
-	}
-	if total <= 0 {
-		return nil
+// bound follows what load alone leaves.
+func (m *Model) bound(headroom float64) {
+	if headroom < m.lo {
+		m.lo = max(m.lo+boundRate*(headroom-m.lo), 1)
 	}
-	for filling := range shares {
-		shares[filling] /= total
+	if headroom > m.hi {
+		m.hi += boundRate * (headroom - m.hi)
 	}
-	return shares
 }
 
 // Pairs returns the known pairs in order.
@@ -133,16 +168,7 @@
 		out = append(out, p)
 	}
 	slices.SortFunc(out, func(a, b Pair) int {
-		if a.Serving != b.Serving {
-			if a.Serving < b.Serving {
-				return -1
-			}
-			return 1
-		}
-		if a.Filling < b.Filling {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
 	})
 	return out
 }
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -65,10 +65,10 @@
 	Serving int
 	// FillLimitMilli is how many processors filling tasks may ask for in all.
 	FillLimitMilli int64
-	// ServingImages counts the serving tasks by image, FillCores the processors that
-	// filling tasks ask for.
-	ServingImages map[string]int
-	FillCores     map[string]float64
+	// Serves are the serving tasks here by image, FillCores the processors that filling
+	// tasks use.
+	Serves    map[string]Served
+	FillCores map[string]float64
 	// Doubt is 0 for a sound worker; the higher, the later it is chosen.
 	Doubt float64
 	// PerStep counts the runs of steps that bound them.
@@ -77,11 +77,19 @@
 	known Interference
 }
 
+// Served are the serving tasks of one image on a worker.
+type Served struct {
+	Tasks int
+	// Headroom is the least headroom that their load alone leaves: the target over the
+	// tail latency.
+	Headroom float64
+}
+
 // Interference tells how filling tasks disturb serving ones.
 type Interference interface {
-	// Predict returns the tail latency of a serving task, in parts of its target,
-	// beside filling tasks that use the given cores by image.
-	Predict(serving string, use map[string]float64) float64
+	// Taken returns the headroom that filling tasks, with the cores that they use by
+	// image, take of a serving task.
+	Taken(serving string, use map[string]float64) float64
 }
 
 // Request is a step's tasks that wait.
@@ -100,6 +108,8 @@
 	Pressed bool
 	// Avoid are workers where a run of the task failed before.
 	Avoid map[string]bool
+	// Strict requests never go to avoided workers.
+	Strict bool
 }
 
 // Grant places a task on a worker.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -76,7 +77,7 @@
 	trial := slices.Clone(workers)
 	for i := range trial {
 		trial[i].PerStep = maps.Clone(trial[i].PerStep)
-		trial[i].ServingImages = maps.Clone(trial[i].ServingImages)
+		trial[i].Serves = maps.Clone(trial[i].Serves)
 		trial[i].FillCores = maps.Clone(trial[i].FillCores)
 	}
 	grants := make([]Grant, 0, len(r.Indexes))
@@ -121,7 +122,7 @@
 			best = i
 		}
 	}
-	if best >= 0 || len(r.Avoid) == 0 {
+	if best >= 0 || len(r.Avoid) == 0 || r.Strict {
 		return best
 	}
 	// Nothing else has room: a worker on which the task failed before is better than
@@ -141,7 +142,7 @@
 		!Needs(r.Step).Fits(w.Capacity.Sub(w.Used)):
 		return false
 	case r.Step.Fills:
-		return w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli && (r.Pressed || w.tail(r.Step) <= tailLimit)
+		return w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli && w.headroom(r.Step, r.paceShare()) >= leastHeadroom
 	}
 	return true
 }
@@ -155,7 +156,7 @@
 	if r.Step.TargetLatencyMs > 0 {
 		w.ServingMilli += int64(r.Step.CpuMilli)
 		w.Serving++
-		w.ServingImages = addTo(w.ServingImages, r.Step.Image, 1)
+		w.serve(r.Step.Image)
 	}
 	if r.Step.MaxPerWorker > 0 {
 		if w.PerStep == nil {
@@ -190,9 +191,9 @@
 func (w *Worker) company(s *chervilv2.Step) int64 {
 	switch {
 	case s.Fills:
-		return -int64(w.tail(s) * tailSteps)
+		return -int64(w.takes(s) * takenSteps)
 	case s.TargetLatencyMs > 0:
-		return int64(w.Serving)*tailSteps - int64(w.tailOf(s.Image)*servingTailWeight*tailSteps)
+		return w.servingCompany(s.Image)
 	default:
 		return int64(min(w.Serving, 1))
 	}
@@ -200,36 +201,86 @@
 
 const (
 	milliPerCore = 1000
-	// tailLimit is the predicted tail, in parts of the target, up to which a filling
-	// task is placed beside a serving one; load raises a tail by another half.
-	tailLimit = 0.75
-	// tailSteps is in how many steps tails are told apart.
-	tailSteps = 10
-	// servingTailWeight is how many serving neighbours a tail of the target outweighs.
-	servingTailWeight = 4
+	// leastHeadroom is the headroom that serving tasks must keep when a filling task
+	// joins; the load may take some of it while the task runs.
+	leastHeadroom = 1.2
+	// unknownHeadroom is assumed of a serving task that has just been placed.
+	unknownHeadroom = 2.0
+	// takenSteps is in how many steps a headroom of 1 is told apart.
+	takenSteps = 10
+	// sameImageWeight is how many strange serving images a worker may have and still be
+	// preferred for an image that it serves already.
+	sameImageWeight = 3
+	// pressedShare is the pace at which a filling task that has waited long may run.
+	pressedShare = 0.3
 )
 
-// tail is the highest tail predicted for a serving task here if a filling task of the
-// step joins; 0 if nothing serves here.
-func (w *Worker) tail(s *chervilv2.Step) float64 {
-	if len(w.ServingImages) == 0 || w.known == nil {
-		return 0
+// servingCompany prefers workers that serve the same image already, and few others: the
+// fewer images serve on a worker, the more filling images are harmless there.
+func (w *Worker) servingCompany(image string) int64 {
+	others := int64(len(w.Serves))
+	same := int64(0)
+	if w.Serves[image].Tasks > 0 {
+		others--
+		same = sameImageWeight
+	}
+	taken := 0.0
+	if w.known != nil {
+		taken = w.known.Taken(image, w.FillCores)
+	}
+	return (same-others)*takenSteps - int64(taken*takenSteps)
+}
+
+func (w *Worker) serve(image string) {
+	if w.Serves == nil {
+		w.Serves = map[string]Served{}
 	}
-	w.FillCores = addTo(w.FillCores, s.Image, float64(s.CpuMilli)/milliPerCore)
-	worst := 0.0
-	for serving := range w.ServingImages {
-		worst = max(worst, w.known.Predict(serving, w.FillCores))
+	served, ok := w.Serves[image]
+	if !ok {
+		served.Headroom = unknownHeadroom
 	}
-	w.FillCores[s.Image] -= float64(s.CpuMilli) / milliPerCore
-	return worst
+	served.Tasks++
+	w.Serves[image] = served
 }
 
-// tailOf is the tail predicted for a serving task of the image.
-func (w *Worker) tailOf(serving string) float64 {
+// paceShare is the pace that a filling task of the request needs to be placed.
+func (r *Request) paceShare() float64 {
+	if r.Pressed {
+		return pressedShare
+	}
+	return 1
+}
+
+// headroom is the least headroom that a serving task here keeps if a filling task of the
+// step joins at a share of its processors; without serving tasks it has no bound.
+func (w *Worker) headroom(s *chervilv2.Step, share float64) float64 {
+	least := math.Inf(1)
+	if w.known == nil {
+		return least
+	}
+	for serving, served := range w.Serves {
+		joining := w.known.Taken(serving, map[string]float64{s.Image: share * float64(s.CpuMilli) / milliPerCore})
+		if joining < harmless {
+			continue
+		}
+		least = min(least, served.Headroom-w.known.Taken(serving, w.FillCores)-joining)
+	}
+	return least
+}
+
+// harmless is the headroom that a task may take without being told apart from noise.
+const harmless = 0.1
+
+// takes is the most headroom that a filling task of the step takes of a serving task.
+func (w *Worker) takes(s *chervilv2.Step) float64 {
+	most := 0.0
 	if w.known == nil {
 		return 0
 	}
-	return w.known.Predict(serving, w.FillCores)
+	for serving := range w.Serves {
+		most = max(most, w.known.Taken(serving, map[string]float64{s.Image: float64(s.CpuMilli) / milliPerCore}))
+	}
+	return most
 }
 
 func addTo[V int | float64](m map[string]V, key string, by V) map[string]V {
--- a/internal/sidecar/owner.go
+++ b/internal/sidecar/owner.go
@@ -269,8 +269,9 @@
 	}
 	a.full, r.Full = false, true
 	for key, run := range l.runs {
+		pace, paced := a.paced[key]
 		r.Runs = append(r.Runs, &chervilv2.Run{
-			Task: run.Task, Attempt: run.Attempt, Percent: run.Percent, Checkpoint: run.Checkpoint, Gauge: run.Gauge, Pace: a.paced[key],
+			Paced: paced, Task: run.Task, Attempt: run.Attempt, Percent: run.Percent, Checkpoint: run.Checkpoint, Gauge: run.Gauge, Pace: pace,
 		})
 	}
 	for key := range a.tasks {
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -2,39 +2,38 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
+	"chervilridge/internal/interference"
 	"chervilridge/platform"
 )
 
 const (
 	// fullPace is the pace of a run that is not slowed, in percent.
 	fullPace = 100
-	// overPercent and underPercent are the tail latency, in percent of the target,
-	// above which filling runs are slowed and below which they are sped up.
-	overPercent, underPercent = 90, 75
-	// slowDown is what remains of the pace at a step down, in percent; speedUp is the
-	// step up in points.
-	slowDown, speedUp = 60, 10
-	leastPace         = 10
-	// severePercent is the tail at which the pace falls in proportion.
-	severePercent = 150
-	// notableShare is the share in a raised tail from which an image is slowed.
-	notableShare = 0.2
-	// stopAfter is how long a target may be missed before filling runs are halted;
-	// the platform counts harm after about four seconds.
-	stopAfter = 1600 * time.Millisecond
+	// goal is the headroom that pacing keeps for serving runs: their target over their
+	// tail latency. What is above 1 covers what the load changes within one round.
+	goal = 1.18
+	// raiseFactor bounds a step up, firstPace is the step from a halt, in percent.
+	raiseFactor, firstPace = 2, 20
+	leastPace              = 5
+	// haltAfter is how long a target may be missed before filling runs are halted; the
+	// platform counts harm after about four seconds.
+	haltAfter = 1600 * time.Millisecond
 	// settleTime is what a change of pace needs to show: the worker's figures are of
 	// the last half second.
-	settleTime = 600 * time.Millisecond
-	// ceilingHold is for how long a pace that proved too high is not tried again.
-	ceilingHold = 6 * time.Second
+	settleTime = 650 * time.Millisecond
+	// haltTime is how long a halted image stays halted.
+	haltTime = 1500 * time.Millisecond
 	// paceTimeout bounds one call.
 	paceTimeout = 500 * time.Millisecond
 	// infoKept is how long a run's description outlives its last listing.
 	infoKept = 5 * time.Second
+	// notable is the headroom that the runs of an image must take to be slowed.
+	notable = 0.1
 )
 
 // runInfo is how a run shares its worker.
@@ -50,47 +49,33 @@
 // answers for serving tasks staying under their target while the filling tasks disturb
 // them by amounts that change with load.
 type pacer struct {
-	level      uint32
-	changed    boottime.Instant
-	ceiling    uint32
-	ceilingEnd boottime.Instant
+	level   uint32
+	changed boottime.Instant
+	halted  boottime.Instant
 }
 
-// decide returns the pace. worst is the highest tail latency of the serving runs that
-// the image is to blame for, in percent of its target; 0 if there is none. halt is set
+// decide sets the pace to the goal, in percent: down at once, up in steps. halt is set
 // once a target was missed for too long.
-func (p *pacer) decide(now boottime.Instant, worst uint32, halt bool) uint32 {
-	switch {
-	case halt:
-		p.ceiling, p.ceilingEnd = max(p.level, leastPace), now.Add(ceilingHold)
+func (p *pacer) decide(now boottime.Instant, goal float64, halt bool) uint32 {
+	if halt {
+		p.halted = now
 		p.change(now, 0)
-	case worst == 0:
-		p.level = fullPace
-	case now.Sub(p.changed) < settleTime:
-	case worst > overPercent && p.level > 0:
-		p.ceiling, p.ceilingEnd = p.level, now.Add(ceilingHold)
-		next := p.level * slowDown / fullPace
-		if worst > severePercent {
-			next = p.level * fullPace / worst / 2
-		}
-		if next < leastPace {
-			next = 0
-		}
+		return 0
+	}
+	next := uint32(min(max(goal, 0), fullPace))
+	if next < leastPace {
+		next = 0
+	}
+	settled := now.Sub(p.changed) >= settleTime
+	switch {
+	case next < p.level && (settled || next+next/2 < p.level):
 		p.change(now, next)
-	case worst < underPercent:
-		p.speedUp(now)
+	case next > p.level && settled && (p.halted == 0 || now.Sub(p.halted) >= haltTime):
+		p.change(now, min(next, max(p.level*raiseFactor, firstPace)))
 	}
 	return p.level
 }
 
-func (p *pacer) speedUp(now boottime.Instant) {
-	next := min(p.level+speedUp, fullPace)
-	if p.ceilingEnd.After(now) && next >= p.ceiling {
-		return
-	}
-	p.change(now, next)
-}
-
 func (p *pacer) change(now boottime.Instant, level uint32) {
 	if level != p.level {
 		p.level, p.changed = level, now
@@ -101,50 +86,79 @@
 type neighbours struct {
 	fills map[string][]runKey // by image
 	use   map[string]float64  // cores that filling runs use, by image
-	tails map[string]uint32   // highest tail of the serving runs, in percent of the target, by image
-	worst uint32
+	full  map[string]float64  // cores that they would use at full pace
+	// serving is the least headroom of the serving runs, by image.
+	serving map[string]float64
+	least   float64
 }
 
 func (a *Agent) neighbours(l *life) neighbours {
-	n := neighbours{fills: map[string][]runKey{}, use: map[string]float64{}, tails: map[string]uint32{}}
+	n := neighbours{
+		fills: map[string][]runKey{}, use: map[string]float64{}, full: map[string]float64{}, serving: map[string]float64{}, least: math.Inf(1),
+	}
 	for key, run := range l.runs {
 		info := a.info[key]
 		if info.fills {
 			n.fills[info.image] = append(n.fills[info.image], key)
-			n.use[info.image] += float64(max(run.Gauge, info.cpu/fullPace)) / 1000
+			n.use[info.image] += float64(run.Gauge) / 1000
+			n.full[info.image] += float64(info.cpu) / 1000
 		}
-		if info.target > 0 && run.Gauge > 0 {
-			n.tails[info.image] = max(n.tails[info.image], run.Gauge*fullPace/info.target)
-			n.worst = max(n.worst, n.tails[info.image])
+		if info.target > 0 && run.Gauge > 0 && run.Percent >= fullPace {
+			headroom := float64(info.target) / float64(run.Gauge)
+			if old, ok := n.serving[info.image]; !ok || headroom < old {
+				n.serving[info.image] = headroom
+			}
+			n.least = min(n.least, headroom)
 		}
 	}
 	return n
 }
 
-// blamed returns the highest tail that the filling image has a notable part in.
-func (a *Agent) blamed(n neighbours, filling string) uint32 {
-	worst := uint32(0)
-	for serving, tail := range n.tails {
-		shares := a.model.Blame(serving, n.use)
-		if shares == nil || shares[filling] >= notableShare {
-			worst = max(worst, tail)
-		} else {
-			worst = max(worst, min(tail, underPercent-1)) // not its doing
+// goals returns the pace of each filling image that leaves the serving runs their
+// headroom. Images that take next to nothing of it keep their full pace.
+func (n neighbours) goals(model *interference.Model) map[string]float64 {
+	out := make(map[string]float64, len(n.fills))
+	for image := range n.fills {
+		out[image] = fullPace
+	}
+	for serving, headroom := range n.serving {
+		taken := model.Taken(serving, n.use)
+		available := headroom + taken - goal
+		wanted := 0.0
+		for image, cores := range n.full {
+			if takes := model.Slope(interference.Pair{Serving: serving, Filling: image}) * cores; takes >= notable {
+				wanted += takes
+			}
+		}
+		unexplained := headroom < 1 && wanted < notable
+		share := max(available, 0) / max(wanted, notable)
+		for image, cores := range n.full {
+			takes := model.Slope(interference.Pair{Serving: serving, Filling: image}) * cores
+			switch {
+			case unexplained:
+				out[image] = min(out[image], fullPace*headroom/2)
+			case takes >= notable:
+				out[image] = min(out[image], fullPace*share)
+			}
 		}
 	}
-	return worst
+	return out
 }
 
-// share paces the filling runs of the worker by the tail latency of the serving ones.
+// share paces the filling runs of the worker by the headroom of the serving ones.
 func (a *Agent) share(ctx context.Context, l *life) {
 	n := a.neighbours(l)
 	now := a.clock()
-	if n.worst <= fullPace {
+	for serving, headroom := range n.serving {
+		a.model.Observe(interference.Sample{At: now, Service: serving, Task: serving, Image: serving, Headroom: headroom, Use: n.use})
+	}
+	if n.least >= 1 {
 		a.over = 0
 	} else if a.over == 0 {
 		a.over = now
 	}
-	halt := a.over != 0 && now.Sub(a.over) >= stopAfter
+	halt := a.over != 0 && now.Sub(a.over) >= haltAfter
+	goals := n.goals(a.model)
 	for image, keys := range n.fills {
 		p := a.pacers[image]
 		if p == nil {
@@ -152,11 +166,10 @@
 			a.pacers[image] = p
 		}
 		before := p.level
-		worst := a.blamed(n, image)
-		level := p.decide(now, worst, halt)
+		level := p.decide(now, goals[image], halt)
 		if level != before {
-			events.RunPaced.Log("worker", l.id, "image", image, "fromPercent", before, "toPercent", level,
-				"tailPercentOfTarget", worst, "worst", n.worst, "halt", halt, "fills", len(keys))
+			events.RunPaced.Log("worker", l.id, "image", image, "fromPercent", before, "toPercent", level, "goal", int(goals[image]),
+				"leastHeadroom", n.least, "cores", n.full[image], "halt", halt, "fills", len(keys))
 		}
 		for _, key := range keys {
 			if current, ok := a.paced[key]; ok && current == level || !ok && level == fullPace {
@@ -166,8 +179,16 @@
 			go a.setPace(ctx, l, key, level)
 		}
 	}
+	for image, p := range a.pacers {
+		if len(n.fills[image]) == 0 && now.Sub(p.changed) > pacerKept {
+			delete(a.pacers, image)
+		}
+	}
 }
 
+// pacerKept is how long the pace of an image that no longer runs is remembered.
+const pacerKept = 3 * time.Second
+
 // paceNew sets the pace of a filling run that has just started.
 func (a *Agent) paceNew(ctx context.Context, key runKey) {
 	info := a.info[key]
