--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -21,7 +21,7 @@
 
 // pressAfter is how old a job must be for its filling tasks to go beside serving tasks
 // that they disturb.
-const pressAfter = 4 * time.Second
+const pressAfter = 400 * time.Second
 
 // maxAsidePercent bounds how many of a service's workers are set aside at once.
 const maxAsidePercent = 34
@@ -120,9 +120,8 @@
 			w.Serves[h.step.Image] = served
 		}
 		if h.step.Fills {
-			milli := h.paceMilli()
-			w.FillMilli += milli
-			w.FillCores[h.step.Image] += cores(uint32(milli))
+			w.FillMilli += h.paceMilli()
+			w.FillCores[h.step.Image] += cores(h.step.CpuMilli)
 		}
 	}
 	if n.health.doubt >= doubtLimit {
