An owner that the store turns away is replaced at once

Also: entries tell each other of the newest owner, so that an owner without the store hears that it was replaced.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -346,3 +346,6 @@
 	}
 	return e.clock().Sub(newest)
 }
+
+// Abandon ends the epoch at once: another owner has taken over.
+func (e *Engine) Abandon() { e.stopOnce.Do(func() { close(e.stop) }) }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -17,7 +17,7 @@
 
 // servingUse is the part of its processors that a serving task is counted with when
 // filling tasks are placed beside it, in percent.
-const servingUse = 55
+const servingUse = 45
 
 // pressAfter is how old a job must be for its filling tasks to go beside serving tasks
 // that they disturb.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -32,7 +32,7 @@
 	suspectAfter = 700 * time.Millisecond
 	// storeSilentLimit is how long an owner may be without the store before an entry
 	// that reaches the store takes over.
-	storeSilentLimit = 1800 * time.Millisecond
+	storeSilentLimit = 1500 * time.Millisecond
 	// peerSightLimit is how fresh a peer's sight of the owner must be to count.
 	peerSightLimit = 600 * time.Millisecond
 	// claimTimeout bounds how long the outcome of a claim is looked for.
@@ -51,7 +51,7 @@
 
 // Peers calls other entries.
 type Peers interface {
-	Ping(ctx context.Context, address string) (*chervilv2.PingReply, error)
+	Ping(ctx context.Context, address string, known *chervilv2.OwnerRecord) (*chervilv2.PingReply, error)
 	// Entries returns the addresses of the other entries that are known.
 	Entries() []string
 }
@@ -73,13 +73,12 @@
 	build   func(*statelog.Writer, map[string]*work.Job) *dispatch.Engine
 	storeOK func() bool
 
-	mu       sync.Mutex
-	owner    *chervilv2.OwnerRecord
-	ownerEnd int64
-	seen     boottime.Instant
-	engine   *dispatch.Engine
-	standBy  boottime.Instant // no claim before
-	leaving  bool
+	mu      sync.Mutex
+	owner   *chervilv2.OwnerRecord
+	seen    boottime.Instant
+	engine  *dispatch.Engine
+	standBy boottime.Instant // no claim before
+	leaving bool
 }
 
 // New returns an elector. storeOK tells whether the store served this process lately.
@@ -152,23 +151,34 @@
 
 func (x *Elector) round(ctx context.Context) {
 	if engine := x.Engine(); engine != nil {
-		x.watchOwn(engine)
+		x.watchOwn(ctx, engine)
 		return
 	}
-	if x.ownerServes(ctx) {
+	serves, cutOff := x.ownerServes(ctx)
+	if serves {
 		return
 	}
 	x.mu.Lock()
 	wait := x.leaving || x.standBy.After(x.clock())
 	x.mu.Unlock()
 	if !wait {
-		x.tryClaim(ctx)
+		x.tryClaim(ctx, cutOff)
 	}
 }
 
-// watchOwn gives an epoch up that has no use: one that no agent reaches.
-func (x *Elector) watchOwn(engine *dispatch.Engine) {
-	if engine.Lonely() < lonelyAfter || len(x.peers.Entries()) == 0 {
+// watchOwn gives an epoch up that has no use: one that no agent reaches, or one that
+// another entry has ended.
+func (x *Elector) watchOwn(ctx context.Context, engine *dispatch.Engine) {
+	owner := x.Owner()
+	if owner.GetEpoch() > engine.Epoch() {
+		engine.Abandon()
+		return
+	}
+	entries := x.peers.Entries()
+	if engine.StoreSilent() > storeSilentLimit {
+		x.askNewer(ctx, entries, owner)
+	}
+	if engine.Lonely() < lonelyAfter || len(entries) == 0 {
 		return
 	}
 	x.mu.Lock()
@@ -177,31 +187,48 @@
 	x.giveUp(engine)
 }
 
+// askNewer asks the other entries for an owner newer than this one: without the store
+// this process would not hear that it was replaced.
+func (x *Elector) askNewer(ctx context.Context, entries []string, owner *chervilv2.OwnerRecord) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, address := range entries {
+		wait.Go(func() {
+			if reply, err := x.peers.Ping(ctx, address, owner); err == nil {
+				x.Observe(reply.Owner)
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // ownerServes reports whether the known owner still does its work, as far as this
-// process can tell.
-func (x *Elector) ownerServes(ctx context.Context) bool {
+// process can tell; cutOff is set if it lives but the store does not serve it.
+func (x *Elector) ownerServes(ctx context.Context) (serves, cutOff bool) {
 	owner := x.Owner()
 	if owner == nil || owner.Released || owner.Address == x.me.Address {
-		return false
+		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	reply, err := x.peers.Ping(ctx, owner.Address)
+	reply, err := x.peers.Ping(ctx, owner.Address, owner)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if err == nil && reply.Owner != nil && x.adopt(reply.Owner) {
-		return true // look at the new owner in the next round
+		return true, false // look at the new owner in the next round
 	}
 	if err == nil && reply.Leads {
 		x.seen = x.clock()
-		cutOff := time.Duration(reply.StoreSilentMs)*time.Millisecond > storeSilentLimit
-		return !cutOff || !x.storeOK()
+		cutOff = time.Duration(reply.StoreSilentMs)*time.Millisecond > storeSilentLimit && x.storeOK()
+		return !cutOff, cutOff
 	}
-	return x.clock().Sub(x.seen) < suspectAfter
+	return x.clock().Sub(x.seen) < suspectAfter, false
 }
 
-// tryClaim claims the schedule unless the store or a peer knows better.
-func (x *Elector) tryClaim(ctx context.Context) {
+// tryClaim claims the schedule unless the store or, for an owner that is only out of
+// reach, a peer knows better.
+func (x *Elector) tryClaim(ctx context.Context, cutOff bool) {
 	owner, end, err := statelog.ReadOwner(ctx, x.store)
 	if err != nil {
 		return // without the store nobody can claim
@@ -211,28 +238,15 @@
 		x.mu.Unlock()
 		return
 	}
-	x.ownerEnd = end
 	x.mu.Unlock()
 	if owner != nil && !owner.Released && owner.Address != x.me.Address {
-		events.OwnerSuspected.Log("epoch", owner.Epoch, "owner", owner.Node, "seenBefore", x.OwnerSeen())
-		if x.peerSeesOwner(ctx, owner) {
+		events.OwnerSuspected.Log("epoch", owner.Epoch, "owner", owner.Node, "seenBefore", x.OwnerSeen(), "storeCutOff", cutOff)
+		if !cutOff && x.peerSeesOwner(ctx, owner) {
 			return
 		}
 	}
-	if !x.pause(ctx) {
-		return
-	}
-	x.claim(ctx, owner, end)
-}
-
-// pause lets stronger entries claim first.
-func (x *Elector) pause(ctx context.Context) bool {
-	delay := time.Duration((1-min(x.me.CPUShare, 1))*float64(weakDelay)) + rand.N(claimJitter)
-	select {
-	case <-time.After(delay):
-		return true
-	case <-ctx.Done():
-		return false
+	if x.pause(ctx) {
+		x.claim(ctx, owner, end)
 	}
 }
 
@@ -245,10 +259,9 @@
 	sights := make(chan bool, len(entries))
 	for _, address := range entries {
 		go func() {
-			reply, err := x.peers.Ping(ctx, address)
+			reply, err := x.peers.Ping(ctx, address, owner)
 			sights <- err == nil && address != owner.Address && reply.Owner != nil && reply.Owner.Epoch >= owner.Epoch &&
-				reply.OwnerSeenMs >= 0 && reply.OwnerSeenMs < peerSightLimit.Milliseconds() &&
-				reply.StoreSilentMs < storeSilentLimit.Milliseconds()
+				reply.OwnerSeenMs >= 0 && reply.OwnerSeenMs < peerSightLimit.Milliseconds()
 		}()
 	}
 	for range entries {
@@ -259,6 +272,17 @@
 	return false
 }
 
+// pause lets stronger entries claim first.
+func (x *Elector) pause(ctx context.Context) bool {
+	delay := time.Duration((1-min(x.me.CPUShare, 1))*float64(weakDelay)) + rand.N(claimJitter)
+	select {
+	case <-time.After(delay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // claim appends a claim under the next epoch and takes over if it won.
 func (x *Elector) claim(ctx context.Context, previous *chervilv2.OwnerRecord, end int64) {
 	mine := &chervilv2.OwnerRecord{Epoch: 1, Node: x.me.Node, Address: x.me.Address, Nonce: ulid.Make().String()}
--- a/internal/entrynode/peers.go
+++ b/internal/entrynode/peers.go
@@ -107,13 +107,13 @@
 	return chervilv2.NewSchedulerClient(conn), nil
 }
 
-// Ping asks an entry for the owner that it knows.
-func (p *Peers) Ping(ctx context.Context, address string) (*chervilv2.PingReply, error) {
+// Ping tells an entry of the owner that is known here, and asks for the one known there.
+func (p *Peers) Ping(ctx context.Context, address string, known *chervilv2.OwnerRecord) (*chervilv2.PingReply, error) {
 	client, err := p.client(address)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := client.Ping(ctx, &chervilv2.PingRequest{Node: p.node, EntryAddress: p.self})
+	reply, err := client.Ping(ctx, &chervilv2.PingRequest{Node: p.node, EntryAddress: p.self, Owner: known})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entrynode/service.go
+++ b/internal/entrynode/service.go
@@ -72,6 +72,7 @@
 // Ping tells who owns the schedule.
 func (s *Service) Ping(_ context.Context, r *chervilv2.PingRequest) (*chervilv2.PingReply, error) {
 	s.peers.Heard(r.EntryAddress)
+	s.elector.Observe(r.Owner)
 	reply := &chervilv2.PingReply{
 		Owner: s.elector.Owner(), Entries: s.peers.Live(), OperatorOffset: s.operator.Offset(), OwnerSeenMs: s.elector.OwnerSeen().Milliseconds(),
 	}
