--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -14,6 +14,7 @@
 	"chervilridge/internal/events"
 	"chervilridge/internal/interference"
 	"chervilridge/internal/statelog"
+	"chervilridge/internal/urgency"
 	"chervilridge/internal/work"
 	"chervilridge/platform"
 )
@@ -62,7 +63,8 @@
 	closed   bool
 	inFlight boottime.Instant // when the append under way began; 0 if there is none
 
-	model *interference.Model
+	durations *urgency.Durations
+	model     *interference.Model
 	// modelSent is the revision of the model that agents have, modelAt when it was sent.
 	modelSent uint64
 	modelAt   boottime.Instant
@@ -97,7 +99,7 @@
 	e := &Engine{
 		settings: settings, writer: writer, operator: operator, clock: clock, wall: time.Now, took: clock(),
 		jobs: map[string]*entry{}, open: map[string]*entry{}, nodes: map[string]*node{},
-		batch: newBatch(), planDue: true, model: interference.New(), kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
+		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurations(), kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
 	}
 	for id, job := range jobs {
 		en := &entry{job: job, phase: job.Phase, started: job.Started}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,6 +12,7 @@
 	"chervilridge/internal/events"
 	"chervilridge/internal/interference"
 	"chervilridge/internal/plan"
+	"chervilridge/internal/urgency"
 	"chervilridge/internal/work"
 )
 
@@ -141,6 +142,7 @@
 			continue
 		}
 		first := len(out)
+		class, slack := e.urgency(en, queue, now)
 		en.job.WaitingTasks(func(ref work.TaskRef, step *work.Step, _ *work.Task) {
 			key := stepKey(ref)
 			for i := first; i < len(out); i++ {
@@ -151,8 +153,8 @@
 			}
 			out = append(out, plan.Request{
 				Key: key, Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
-				Deadline: time.Duration(en.job.Spec.AcceptedUnixMs) * time.Millisecond,
-				Indexes:  []uint32{ref.Index}, Avoid: en.failedOn[ref], Pressed: now-en.job.Spec.AcceptedUnixMs > pressAfter.Milliseconds(),
+				Class: class, Slack: slack,
+				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Pressed: now-en.job.Spec.AcceptedUnixMs > pressAfter.Milliseconds(),
 			})
 		})
 		out = append(out[:first], slices.DeleteFunc(out[first:], func(r plan.Request) bool {
@@ -163,6 +165,20 @@
 	return out
 }
 
+// urgency returns how a job's tasks rank among those of the same priority.
+func (e *Engine) urgency(en *entry, queue *catalog.Queue, nowUnixMs int64) (urgency.Class, time.Duration) {
+	job := en.job
+	age := time.Duration(nowUnixMs-job.Spec.AcceptedUnixMs) * time.Millisecond
+	if job.Scheduled() {
+		return urgency.InTime, -age // each occurrence has its own due time
+	}
+	all, left := urgency.Chain(job.Occurrences[0], job.Spec.Steps)
+	if all == 0 {
+		return urgency.InTime, -age // its tasks last
+	}
+	return urgency.Classify(age, all, left, e.durations.Task(queue.Name), queue.Stretch, queue.TargetLatency)
+}
+
 func sameAvoid(a, b map[string]bool) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -194,6 +194,9 @@
 		events.RunUnknown.Log("task", end.Task, "attempt", end.Attempt, "node", n.name, "end", end.Kind)
 		return
 	}
+	if h := n.runs[runKey{ref, end.Attempt}]; h != nil && end.Kind == chervilv2.EndKind_END_KIND_DONE && !h.paced {
+		e.durations.Observe(en.job.Spec.Queue, e.clock().Sub(h.ordered))
+	}
 	n.remove(runKey{ref, end.Attempt})
 	effect := en.job.Finish(work.End{Ref: ref, Attempt: end.Attempt, Kind: end.Kind, Checkpoint: end.Checkpoint}, e.maxAttempts(en), e.wall().UnixMilli())
 	events.RunEnded.Log("task", end.Task, "attempt", end.Attempt, "node", n.name, "how", end.Kind, "number", end.Number, "changed", effect.Changed)
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -6,6 +6,7 @@
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/urgency"
 	"chervilridge/internal/work"
 )
 
@@ -98,9 +99,10 @@
 	Step     *chervilv2.Step
 	Service  string
 	Priority int
-	// Deadline orders requests of the same priority; the earliest comes first.
-	Deadline time.Duration
-	Indexes  []uint32
+	// Class and then Slack order requests of the same priority; the lowest comes first.
+	Class   urgency.Class
+	Slack   time.Duration
+	Indexes []uint32
 	// Allowed are the workers that a placement policy permits; nil means all.
 	Allowed map[string]bool
 	// Pressed requests have waited long: they go beside serving tasks too that they
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -16,7 +16,7 @@
 	Unplaced []Unplaced
 }
 
-// Make places waiting tasks in the order of priority and deadline. It changes the
+// Make places waiting tasks in the order of priority and urgency. It changes the
 // workers' use as it goes, so that no worker is granted beyond its capacity.
 func Make(workers []Worker, requests []Request, known Interference) Plan {
 	Sort(requests)
@@ -40,7 +40,7 @@
 func Sort(requests []Request) {
 	slices.SortStableFunc(requests, func(a, b Request) int {
 		return cmp.Or(
-			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Deadline, b.Deadline),
+			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Slack, b.Slack),
 			strings.Compare(a.Key.Job, b.Key.Job), cmp.Compare(a.Key.Occurrence, b.Key.Occurrence), cmp.Compare(a.Key.Step, b.Key.Step),
 		)
 	})
