--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -27,7 +27,9 @@
 
 // order goes to the agent of a node once the batch is stored.
 type order struct {
-	node      string
+	node string
+	// run is the run that a start or stop is about.
+	run       runKey
 	start     *chervilv2.StartOrder
 	stop      *chervilv2.StopOrder
 	storedEnd int64
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -245,17 +245,34 @@
 		}
 	}
 	for _, o := range b.orders {
-		n, ok := e.nodes[o.node]
-		if ok && n.key.ID == o.workerID && o.storedEnd > 0 {
-			n.storedEnd = max(n.storedEnd, o.storedEnd)
-		}
-		if ok && n.session != nil {
-			n.session.push(o)
-		}
+		e.give(o)
 	}
 	b.finish(nil)
 }
 
+// give hands a stored order to its agent. A start is void if its run was dropped while
+// the store was slow: the task may have been granted elsewhere since.
+func (e *Engine) give(o order) {
+	n, ok := e.nodes[o.node]
+	if !ok {
+		return
+	}
+	if o.storedEnd > 0 && n.key.ID == o.workerID && n.key.BornUnixMs == o.born {
+		n.storedEnd = max(n.storedEnd, o.storedEnd)
+	}
+	if o.start != nil {
+		h := n.runs[o.run]
+		if h == nil || h.run.Stopping || h.run.Worker != n.key {
+			events.StaleOrderDropped.Log("task", o.start.Task, "attempt", o.start.Attempt, "node", o.node, "known", h != nil)
+			return
+		}
+		h.ordered = e.clock()
+	}
+	if n.session != nil {
+		n.session.push(o)
+	}
+}
+
 func (e *Engine) watchTime(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -239,7 +239,7 @@
 	for _, r := range runs {
 		n := e.node(r.Worker.Node)
 		h := n.add(e, r)
-		e.batch.orders = append(e.batch.orders, order{node: n.name, start: e.startOrder(en, h)})
+		e.batch.orders = append(e.batch.orders, order{node: n.name, run: runKey{r.Ref, r.Attempt}, start: e.startOrder(en, h)})
 		events.TaskGranted.Log("task", r.Ref.String(), "attempt", r.Attempt, "node", n.name, "worker", r.Worker.ID,
 			"cpuMilli", h.step.CpuMilli, "fills", h.step.Fills, "usedMilli", n.used.CPUMilli, "fillMilli", n.fillMilli, "epoch", e.Epoch())
 	}
@@ -279,7 +279,9 @@
 		if h, ok := n.runs[runKey{r.Ref, r.Attempt}]; ok {
 			h.ordered = e.clock()
 		}
-		e.batch.orders = append(e.batch.orders, order{node: n.name, stop: &chervilv2.StopOrder{Task: r.Ref.String(), Attempt: r.Attempt}})
+		e.batch.orders = append(e.batch.orders, order{
+			node: n.name, run: runKey{r.Ref, r.Attempt}, stop: &chervilv2.StopOrder{Task: r.Ref.String(), Attempt: r.Attempt},
+		})
 		events.RunStopOrdered.Log("task", r.Ref.String(), "attempt", r.Attempt, "node", n.name, "reason", reason)
 	}
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -342,7 +342,7 @@
 		return
 	}
 	h.ordered = now
-	o := order{node: n.name}
+	o := order{node: n.name, run: runKey{h.run.Ref, h.run.Attempt}}
 	if h.run.Stopping || en.job.Ended() {
 		h.run.Stopping = true
 		o.stop = &chervilv2.StopOrder{Task: h.run.Ref.String(), Attempt: h.run.Attempt}
