Tests of the owner's engine; nothing is placed on a worker without a lease

Cause (found by TestOrderOfALapsedGrantIsNotGiven): right after the store's return an attached agent has no right to hold runs until its next report; a task placed then was taken for lapsed by the next tick and granted again.

--- /dev/null
+++ b/internal/dispatch/engine_test.go
@@ -0,0 +1,283 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+const (
+	done   = chervilv2.EndKind_END_KIND_DONE
+	failed = chervilv2.EndKind_END_KIND_FAILED
+)
+
+func (r *rig) phase(id string) chervilv2.JobPhase { return r.engine.Lookup(id).Phase }
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	job := spec(jobID(1), 2)
+	job.Steps = append(job.Steps, &chervilv2.Step{Tasks: 1, CpuMilli: 1000, After: []uint32{0}})
+	r.submit(job)
+	eventually(t, "first step starts", func() bool { return len(a.started()) == 2 })
+	a.end(1, a.started()[0], done)
+	assert.Equal(t, len(a.started()), 2, "the second step waits for the whole first one")
+	a.end(2, a.started()[1], done)
+	eventually(t, "second step starts", func() bool { return len(a.started()) == 3 })
+	a.end(3, a.started()[2], done)
+	eventually(t, "job completed", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_COMPLETED })
+	eventually(t, "ends acknowledged", func() bool { return a.storedEnd() == 3 })
+}
+
+func TestNothingIsOrderedBeforeItIsStored(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	release := r.store.block()
+	go r.engine.Submit(context.Background(), spec(jobID(1), 1))
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 0)
+	release()
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+}
+
+// A hunted day broke LIMIT and TWICE: the append with a grant was answered after the
+// leases had run out and the task was granted again.
+func TestOrderOfALapsedGrantIsNotGiven(t *testing.T) {
+	r := newRig(t)
+	first := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "first task starts", func() bool { return len(first.started()) == 1 })
+	release := r.store.block()
+	first.end(1, first.started()[0], failed)
+	// The next attempt is granted, its append waits, and the agent falls silent until
+	// all its leases have run out.
+	time.Sleep(100 * time.Millisecond)
+	first.detach()
+	r.clock.advance(30 * time.Second)
+	eventually(t, "run dropped", func() bool {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return len(r.engine.nodes["side-1"].runs) == 0
+	})
+	second := r.attach("side-1", 32000)
+	release()
+	eventually(t, "task granted again", func() bool {
+		second.report(&chervilv2.AgentReport{})
+		return len(second.started()) > 0
+	})
+	time.Sleep(100 * time.Millisecond)
+	orders := second.started()
+	assert.Equal(t, len(orders), 1, "only the newest grant is ordered: %v", orders)
+}
+
+// An agent that attaches while the store is away has no right to hold runs yet.
+func TestNothingIsPlacedWithoutALease(t *testing.T) {
+	r := newRig(t)
+	release := r.store.block()
+	defer release()
+	go r.engine.Submit(context.Background(), spec(jobID(1), 1))
+	eventually(t, "append under way", func() bool {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return r.engine.inFlight != 0
+	})
+	r.clock.advance(ConfirmLimit + time.Second)
+	r.attach("side-1", 32000)
+	time.Sleep(100 * time.Millisecond)
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	ok, why := r.engine.nodes["side-1"].usable(nil, r.clock.read())
+	assert.Assert(t, !ok, why)
+}
+
+func TestSameIDIsOneJob(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.end(1, a.started()[0], done)
+	eventually(t, "job completed", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_COMPLETED })
+	r.submit(spec(jobID(1), 1))
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 1)
+}
+
+func TestCapacityIsNeverExceeded(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 3000)
+	r.submit(spec(jobID(1), 8))
+	eventually(t, "worker full", func() bool { return len(a.started()) == 3 })
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 3)
+	a.end(1, a.started()[0], done)
+	eventually(t, "next task starts", func() bool { return len(a.started()) == 4 })
+}
+
+func TestFailedTaskIsTriedElsewhereAndThenFailsTheJob(t *testing.T) {
+	r := newRig(t)
+	a, b := r.attach("side-1", 32000), r.attach("side-2", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started())+len(b.started()) == 1 })
+	first, second := a, b
+	if len(b.started()) == 1 {
+		first, second = b, a
+	}
+	first.end(1, first.started()[0], failed)
+	eventually(t, "second try elsewhere", func() bool { return len(second.started()) == 1 })
+	assert.Equal(t, second.started()[0].Attempt, uint32(2))
+	second.end(1, second.started()[0], failed)
+	eventually(t, "job failed", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_FAILED })
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 2))
+	eventually(t, "tasks start", func() bool { return len(a.started()) == 2 })
+	reply := r.engine.Cancel(context.Background(), jobID(1))
+	assert.Equal(t, reply.Outcome, chervilv2.Outcome_OUTCOME_OK)
+	eventually(t, "stops ordered", func() bool { return len(a.stopped()) == 2 })
+	assert.Equal(t, r.phase(jobID(1)), chervilv2.JobPhase_JOB_PHASE_CANCELLED)
+	assert.Equal(t, r.engine.Cancel(context.Background(), jobID(9)).Outcome, chervilv2.Outcome_OUTCOME_NO_SUCH_JOB)
+}
+
+func TestDrainingAndEvacuatedWorkersGetNothing(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	a.worker.Draining = true
+	a.report(&chervilv2.AgentReport{Full: true})
+	r.submit(spec(jobID(1), 1))
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 0)
+	b := r.attach("side-2", 32000)
+	eventually(t, "task starts on the sound worker", func() bool { return len(b.started()) == 1 })
+	evacuated := *r.view
+	evacuated.Evacuated = map[string]bool{"pnw-a": true}
+	r.engine.mu.Lock()
+	r.view = &evacuated
+	r.engine.mu.Unlock()
+	r.submit(spec(jobID(2), 1))
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(b.started()), 1)
+}
+
+func TestNewLifeOfAWorkerEndsTheRunsOfTheOneBefore(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.worker = &chervilv2.Worker{Id: a.worker.Id, BornUnixMs: 2, Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000, Listed: true}
+	a.report(&chervilv2.AgentReport{Full: true})
+	eventually(t, "task starts again", func() bool { return len(a.started()) == 2 })
+	assert.Equal(t, a.started()[1].Attempt, uint32(2))
+}
+
+func TestNewOwnerGoesOnWhereTheOldOneEnded(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 2))
+	eventually(t, "tasks start", func() bool { return len(a.started()) == 2 })
+	a.end(1, a.started()[0], done)
+	eventually(t, "end stored", func() bool { return a.storedEnd() == 1 })
+	left := a.started()[1]
+	a.detach()
+	r.start(2)
+	b := r.attach("side-1", 32000)
+	b.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: left.Task, Attempt: left.Attempt}}})
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(b.started()), 0, "what runs is not started again")
+	b.end(2, left, done)
+	eventually(t, "job completed", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_COMPLETED })
+}
+
+func TestNewOwnerRepeatsOrdersThatGotLost(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.detach()
+	r.start(2)
+	b := r.attach("side-1", 32000)
+	r.clock.advance(2 * time.Second)
+	b.report(&chervilv2.AgentReport{Full: true})
+	eventually(t, "order repeated", func() bool { return len(b.started()) == 1 })
+	assert.Equal(t, b.started()[0].Attempt, a.started()[0].Attempt, "the worker recognizes the order by its attempt")
+}
+
+func TestSilentAgentKeepsItsTasksUntilTheLeasesAreOver(t *testing.T) {
+	r := newRig(t)
+	a, b := r.attach("side-1", 1000), r.attach("side-2", 1000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started())+len(b.started()) == 1 })
+	first, second := a, b
+	if len(b.started()) == 1 {
+		first, second = b, a
+	}
+	first.detach()
+	r.clock.advance(5 * time.Second)
+	for range 20 {
+		second.report(&chervilv2.AgentReport{Full: true})
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, len(second.started()), 0, "the lease of 6 s is not over")
+	r.clock.advance(6 * time.Second)
+	eventually(t, "task starts elsewhere", func() bool {
+		second.report(&chervilv2.AgentReport{Full: true})
+		return len(second.started()) == 1
+	})
+}
+
+func TestDeposedOwnerOrdersNothing(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.store.mu.Lock()
+	r.store.fenced = true
+	r.store.mu.Unlock()
+	reply := r.engine.Submit(context.Background(), spec(jobID(1), 1))
+	assert.Assert(t, reply.Outcome != chervilv2.Outcome_OUTCOME_OK && reply.Outcome != chervilv2.Outcome_OUTCOME_REJECTED)
+	<-r.engine.Gone()
+	assert.Equal(t, len(a.started()), 0)
+	assert.Equal(t, r.engine.Lookup(jobID(1)).Outcome, chervilv2.Outcome_OUTCOME_NOT_OWNER)
+}
+
+func TestUnknownRunsAreStopped(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	a.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: jobID(7) + ".0.0.0", Attempt: 3}}})
+	eventually(t, "stop ordered", func() bool { return len(a.stopped()) == 1 })
+}
+
+func TestGangStartsAsAWhole(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 2000)
+	job := spec(jobID(1), 3)
+	job.Steps[0].Gang = true
+	r.submit(job)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 0, "two of three would wait for the third")
+	b := r.attach("side-2", 2000)
+	eventually(t, "all start", func() bool { return len(a.started())+len(b.started()) == 3 })
+	a.end(1, a.started()[0], done)
+	eventually(t, "one end counts for all", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_COMPLETED })
+}
+
+func TestStoreAwayRejectsNewJobsAtOnce(t *testing.T) {
+	r := newRig(t)
+	release := r.store.block()
+	defer release()
+	go r.engine.Submit(context.Background(), spec(jobID(1), 1))
+	eventually(t, "append under way", func() bool {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return r.engine.inFlight != 0
+	})
+	r.clock.advance(2 * time.Second)
+	reply := r.engine.Submit(context.Background(), spec(jobID(2), 1))
+	assert.Equal(t, reply.Outcome, chervilv2.Outcome_OUTCOME_REJECTED)
+	assert.Assert(t, reply.RetryAfterMs > 0)
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -18,6 +18,9 @@
 	// suspectAfter is how long a worker may be silent before it gets no new tasks; it
 	// answers at least every half second when it is sound.
 	suspectAfter = 1200 * time.Millisecond
+	// leastGrant is what must be left of the right to hold runs on a worker for a task
+	// to be placed there.
+	leastGrant = 2 * time.Second
 	// repeatAfter is how old an order must be to be given again when the worker does
 	// not list the run: longer than an order and a report take.
 	repeatAfter = 900 * time.Millisecond
@@ -129,10 +132,12 @@
 }
 
 // usable reports whether the worker may get tasks now, and why not.
-func (n *node) usable(evacuated map[string]bool) (bool, string) {
+func (n *node) usable(evacuated map[string]bool, now boottime.Instant) (bool, string) {
 	switch {
 	case n.session == nil:
 		return false, "agent not attached"
+	case n.granted.Sub(now) < leastGrant:
+		return false, "no lease granted"
 	case n.worker == nil || n.worker.Gone || !n.worker.Listed:
 		return false, "worker unknown"
 	case n.worker.Draining:
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -92,7 +92,7 @@
 	var out []plan.Worker
 	for _, name := range names {
 		n := e.nodes[name]
-		if ok, _ := n.usable(view.Evacuated); !ok || view.Config.Services[n.worker.Service].Standby {
+		if ok, _ := n.usable(view.Evacuated, now); !ok || view.Config.Services[n.worker.Service].Standby {
 			continue
 		}
 		if n.health.aside(now) && (aside+1)*100 <= maxAsidePercent*len(names) {
--- /dev/null
+++ b/internal/dispatch/rig_test.go
@@ -0,0 +1,255 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/catalog"
+	"chervilridge/internal/statelog"
+	"chervilridge/platform"
+)
+
+// patience bounds every wait of these tests.
+const patience = 10 * time.Second
+
+// testStore is a store in memory whose appends can be held up.
+type testStore struct {
+	mu      sync.Mutex
+	records map[string][]byte
+	hold    chan struct{} // appends wait for it; nil lets them pass
+	fenced  bool
+	appends int
+}
+
+func newTestStore() *testStore { return &testStore{records: map[string][]byte{}} }
+
+func (s *testStore) Append(ctx context.Context, a platform.Append) (int64, error) {
+	s.mu.Lock()
+	hold := s.hold
+	s.mu.Unlock()
+	if hold != nil && len(a.Records) > 0 {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return 0, &platform.Error{Kind: platform.NoAnswer, Cause: ctx.Err()}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fenced {
+		return 0, &platform.Error{Kind: platform.Fenced}
+	}
+	s.appends++
+	for _, r := range a.Records {
+		if r.Value == nil {
+			delete(s.records, r.Key)
+			continue
+		}
+		s.records[r.Key] = r.Value
+	}
+	return int64(s.appends), nil
+}
+
+func (s *testStore) Newest(context.Context, string, string) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var page platform.Page
+	for k, v := range s.records {
+		page.Records = append(page.Records, platform.Record{Key: k, Value: v})
+	}
+	return page, nil
+}
+
+// block holds appends up until the returned function is called.
+func (s *testStore) block() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hold := make(chan struct{})
+	s.hold = hold
+	return func() {
+		s.mu.Lock()
+		s.hold = nil
+		s.mu.Unlock()
+		close(hold)
+	}
+}
+
+// testClock is a clock that tests move.
+type testClock struct {
+	mu  sync.Mutex
+	now boottime.Instant
+}
+
+func (c *testClock) read() boottime.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *testClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// rig is an engine over a test store.
+type rig struct {
+	t      *testing.T
+	store  *testStore
+	clock  *testClock
+	engine *Engine
+	view   *catalog.View
+}
+
+const (
+	testService = "desk"
+	testQueue   = "quotes"
+)
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, store: newTestStore(), clock: &testClock{now: boottime.Instant(time.Hour)}}
+	r.view = &catalog.View{
+		Evacuated: map[string]bool{},
+		Config: catalog.NewConfig(1,
+			[]catalog.Queue{{Name: testQueue, Service: testService, MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second}},
+			map[string]catalog.Service{testService: {Name: testService}}, catalog.Limits{}),
+	}
+	r.start(1)
+	return r
+}
+
+// start loads the state and runs an engine under the epoch.
+func (r *rig) start(epoch uint64) {
+	writer := statelog.NewWriter(r.store, epoch, r.clock.read)
+	assert.NilError(r.t, writer.Fence(context.Background()))
+	jobs, err := statelog.Load(context.Background(), r.store)
+	assert.NilError(r.t, err)
+	settings := Settings{Node: "entry", Bounds: platform.Bounds{MaxHold: 6 * time.Second, StatusRetention: 2 * time.Minute}}
+	r.engine = New(settings, writer, jobs, func() *catalog.View { return r.view }, r.clock.read)
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.engine.Run(ctx)
+	r.t.Cleanup(func() {
+		cancel()
+		<-r.engine.Gone()
+	})
+}
+
+// spec returns a job with one step of equal tasks.
+func spec(id string, tasks uint32) *chervilv2.JobSpec {
+	return &chervilv2.JobSpec{Id: id, Queue: testQueue, Steps: []*chervilv2.Step{{Tasks: tasks, CpuMilli: 1000, MemoryMb: 100}}}
+}
+
+func (r *rig) submit(spec *chervilv2.JobSpec) {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	reply := r.engine.Submit(ctx, spec)
+	assert.Equal(r.t, reply.Outcome, chervilv2.Outcome_OUTCOME_OK)
+}
+
+// testAgent is an agent with a worker that keeps all its orders.
+type testAgent struct {
+	t        *testing.T
+	node     string
+	worker   *chervilv2.Worker
+	reports  chan *chervilv2.AgentReport
+	mu       sync.Mutex
+	starts   []*chervilv2.StartOrder
+	stops    []*chervilv2.StopOrder
+	stored   int64
+	holds    int
+	sequence uint64
+	closed   chan struct{}
+}
+
+func (a *testAgent) Send(o *chervilv2.OwnerOrders) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.starts = append(a.starts, o.Starts...)
+	a.stops = append(a.stops, o.Stops...)
+	a.stored = max(a.stored, o.StoredEnd)
+	if o.HoldMs > 0 {
+		a.holds++
+	}
+	return nil
+}
+
+func (a *testAgent) Recv() (*chervilv2.AgentReport, error) {
+	select {
+	case r := <-a.reports:
+		return r, nil
+	case <-a.closed:
+		return nil, io.EOF
+	}
+}
+
+// attach connects an agent with a worker of the given processors.
+func (r *rig) attach(node string, cpuMilli uint32) *testAgent {
+	a := &testAgent{
+		t: r.t, node: node, reports: make(chan *chervilv2.AgentReport), closed: make(chan struct{}),
+		worker: &chervilv2.Worker{Id: "worker-" + node, BornUnixMs: 1, Service: testService, Zone: "pnw-a", CpuMilli: cpuMilli, MemoryMb: 64000, Listed: true},
+	}
+	engine := r.engine
+	go func() { _ = engine.Attach(a, func() []string { return nil }) }()
+	r.t.Cleanup(func() { a.detach() })
+	a.report(&chervilv2.AgentReport{Full: true})
+	return a
+}
+
+func (a *testAgent) detach() {
+	select {
+	case <-a.closed:
+	default:
+		close(a.closed)
+	}
+}
+
+func (a *testAgent) report(r *chervilv2.AgentReport) {
+	a.sequence++
+	r.Node, r.Incarnation, r.Worker, r.Sequence = a.node, "1", a.worker, a.sequence
+	a.reports <- r
+}
+
+// end reports the end of a run.
+func (a *testAgent) end(number int64, start *chervilv2.StartOrder, kind chervilv2.EndKind) {
+	a.report(&chervilv2.AgentReport{Ends: []*chervilv2.RunEnd{{Number: number, Task: start.Task, Attempt: start.Attempt, Kind: kind}}})
+}
+
+func (a *testAgent) started() []*chervilv2.StartOrder {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*chervilv2.StartOrder(nil), a.starts...)
+}
+
+func (a *testAgent) stopped() []*chervilv2.StopOrder {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*chervilv2.StopOrder(nil), a.stops...)
+}
+
+func (a *testAgent) storedEnd() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stored
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, patience)
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
