--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -29,7 +29,7 @@
 	for key, h := range n.runs {
 		if h.step.TargetLatencyMs > 0 && h.gauge > 0 && h.percent >= atWork {
 			e.model.Observe(interference.Sample{
-				At: now, Service: key.ref.Job, Task: key.ref.String(), Image: h.step.Image, Use: use,
+				At: now, Service: key.ref.Job, Task: key.ref.String(), Worker: n.name, Image: h.step.Image, Use: use,
 				Headroom: float64(h.step.TargetLatencyMs) / float64(h.gauge),
 			})
 		}
@@ -38,6 +38,7 @@
 
 // shareModel tells the agents what was learned.
 func (e *Engine) shareModel(now boottime.Instant) {
+	e.model.Solve(now)
 	if e.model.Revision() == e.modelSent || now.Sub(e.modelAt) < modelInterval {
 		return
 	}
@@ -85,7 +86,7 @@
 			}
 			en := e.jobs[h.run.Ref.Job]
 			queue := view.Config.Queue(en.job.Spec.Queue)
-			if queue == nil || h.percent >= nearlyDone {
+			if queue == nil || h.percent >= nearlyDone || !h.step.Checkpointable && h.percent > littleDone {
 				continue
 			}
 			if workers == nil {
@@ -106,5 +107,6 @@
 	}
 }
 
-// nearlyDone is the progress, in percent, from which a run is not moved any more.
-const nearlyDone = 85
+// nearlyDone is the progress, in percent, from which a run is not moved any more,
+// littleDone that up to which a run without checkpoints is.
+const nearlyDone, littleDone = 85, 25
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -17,18 +17,26 @@
 	// it is tried.
 	unknownSlope = 0.02
 	maxSlope     = 2.0
-	// slopeRate is how much of a deviation one sample corrects.
-	slopeRate = 0.3
-	// deadZone is a deviation that noise explains.
-	deadZone = 0.15
-	// leastUse is the use below which a sample says nothing of a slope, in cores.
+	// priorWeight is how much that assumption weighs, in squared cores.
+	priorWeight = 6.0
+	// forget is what remains of what was seen with each comparison.
+	forget = 0.998
+	// leastUse is the use below which a task counts as alone, in cores.
 	leastUse = 0.3
 	// leastHeadroom and mostHeadroom bound what load alone leaves until it is seen.
 	leastHeadroom, mostHeadroom = 1.5, 3.5
 	// boundRate is how fast these bounds follow what is seen alone.
 	boundRate = 0.2
-	// siblingAge is how old a sibling's sample may be: load changes within seconds.
-	siblingAge = 700 * time.Millisecond
+	// siblingAge is how old a sibling's sample may be to be compared with a new one:
+	// load changes within seconds.
+	siblingAge = 450 * time.Millisecond
+	// aloneAge is how old a sample may be to tell the load.
+	aloneAge = 700 * time.Millisecond
+	// solveInterval is the least time between two solutions.
+	solveInterval = 200 * time.Millisecond
+	// notableChange is the change of a slope that others have to hear of.
+	notableChange = 0.01
+	maxRatio      = 12.0 // caps a headroom, so that an idle task does not outweigh all
 )
 
 // Pair names the images of a serving and a filling task.
@@ -43,6 +51,7 @@
 	// Service names the tasks that share the load: those of one job.
 	Service  string
 	Task     string
+	Worker   string
 	Image    string
 	Headroom float64
 	// Use are the cores that filling tasks beside it use, by image.
@@ -51,22 +60,27 @@
 
 // sighting is the newest sample of a task.
 type sighting struct {
-	at       boottime.Instant
-	headroom float64
-	taken    float64 // what neighbours are thought to take
+	Sample
+	taken float64 // what neighbours are thought to take
 }
 
-// Model holds what was learned. Its owner guards it.
+// Model holds what was learned. It compares tasks of one service on different workers at
+// the same time: they share the load, so that the difference of their headroom is what
+// their neighbours take. Its owner guards it.
 type Model struct {
 	slope    map[Pair]float64
+	fits     map[string]*fit
 	services map[string]map[string]sighting
 	lo, hi   float64
 	revision uint64
+	solved   boottime.Instant
 }
 
 // New returns a model that knows nothing.
 func New() *Model {
-	return &Model{slope: map[Pair]float64{}, services: map[string]map[string]sighting{}, lo: leastHeadroom, hi: mostHeadroom}
+	return &Model{
+		slope: map[Pair]float64{}, fits: map[string]*fit{}, services: map[string]map[string]sighting{}, lo: leastHeadroom, hi: mostHeadroom,
+	}
 }
 
 // Revision rises with each notable change of what is known.
@@ -97,8 +111,8 @@
 func (m *Model) Alone(service string, now boottime.Instant) (headroom float64, ok bool) {
 	best := sighting{}
 	for task, s := range m.services[service] {
-		if now.Sub(s.at) > siblingAge {
-			if now.Sub(s.at) > 10*siblingAge {
+		if now.Sub(s.At) > aloneAge {
+			if now.Sub(s.At) > 10*aloneAge {
 				delete(m.services[service], task)
 			}
 			continue
@@ -111,42 +125,66 @@
 		delete(m.services, service)
 		return m.lo, false
 	}
-	return min(max(best.headroom+best.taken, m.lo), m.hi), true
+	return min(max(best.Headroom+best.taken, m.lo), m.hi), true
 }
 
 // Observe takes in one sample.
 func (m *Model) Observe(s Sample) {
-	used, squares := 0.0, 0.0
+	s.Headroom = min(s.Headroom, maxRatio)
+	siblings := m.services[s.Service]
+	if siblings == nil {
+		siblings = map[string]sighting{}
+		m.services[s.Service] = siblings
+	}
+	used := 0.0
 	for _, cores := range s.Use {
 		used += cores
-		squares += cores * cores
 	}
-	if m.services[s.Service] == nil {
-		m.services[s.Service] = map[string]sighting{}
-	}
-	taken := m.Taken(s.Image, s.Use)
-	m.services[s.Service][s.Task] = sighting{at: s.At, headroom: s.Headroom, taken: taken}
 	if used < leastUse {
 		m.bound(s.Headroom)
-		return
 	}
-	alone, _ := m.Alone(s.Service, s.At)
-	deviation := alone - taken - s.Headroom // positive: neighbours take more than known
-	switch {
-	case deviation > deadZone:
-		deviation -= deadZone
-	case deviation < -deadZone:
-		deviation += deadZone
-	default:
+	compared := map[string]bool{s.Worker: true}
+	for _, other := range siblings {
+		if compared[other.Worker] || other.Image != s.Image || s.At.Sub(other.At) > siblingAge {
+			continue
+		}
+		compared[other.Worker] = true
+		m.compare(s, other.Sample)
+	}
+	siblings[s.Task] = sighting{Sample: s, taken: m.Taken(s.Image, s.Use)}
+}
+
+// compare learns from two tasks of one service that differ in their neighbours.
+func (m *Model) compare(a, b Sample) {
+	difference := make(map[string]float64, len(a.Use)+len(b.Use))
+	for image, cores := range a.Use {
+		difference[image] += cores
+	}
+	for image, cores := range b.Use {
+		difference[image] -= cores
+	}
+	f := m.fits[a.Image]
+	if f == nil {
+		f = newFit()
+		m.fits[a.Image] = f
+	}
+	f.add(difference, b.Headroom-a.Headroom)
+}
+
+// Solve brings the slopes up to what was seen, if some time has passed.
+func (m *Model) Solve(now boottime.Instant) {
+	if now.Sub(m.solved) < solveInterval {
 		return
 	}
-	for filling, cores := range s.Use {
-		p := Pair{s.Image, filling}
-		before := m.Slope(p)
-		after := min(max(before+slopeRate*deviation*cores/squares, 0), maxSlope)
-		m.slope[p] = after
-		if max(after-before, before-after) > max(before, unknownSlope)/8 {
-			m.revision++
+	m.solved = now
+	for serving, f := range m.fits {
+		for filling, slope := range f.solve() {
+			p := Pair{serving, filling}
+			before := m.Slope(p)
+			m.slope[p] = min(max(slope, 0), maxSlope)
+			if change := m.slope[p] - before; max(change, -change) > notableChange {
+				m.revision++
+			}
 		}
 	}
 }
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -149,9 +149,6 @@
 func (a *Agent) share(ctx context.Context, l *life) {
 	n := a.neighbours(l)
 	now := a.clock()
-	for serving, headroom := range n.serving {
-		a.model.Observe(interference.Sample{At: now, Service: serving, Task: serving, Image: serving, Headroom: headroom, Use: n.use})
-	}
 	if n.least >= 1 {
 		a.over = 0
 	} else if a.over == 0 {
--- a/internal/statelog/writer.go
+++ b/internal/statelog/writer.go
@@ -44,7 +44,6 @@
 	adopted   bool // whether the store's sequence number is known
 	clock     boottime.Clock
 	confirmed atomic.Int64 // boottime.Instant before which the epoch was in force
-	reached   atomic.Int64 // boottime.Instant of the last answer of any kind
 }
 
 // NewWriter returns a writer that has not fenced older epochs yet.
