--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -203,7 +203,7 @@
 	milliPerCore = 1000
 	// leastHeadroom is the headroom that serving tasks must keep when a filling task
 	// joins; the load may take some of it while the task runs.
-	leastHeadroom = 1.2
+	leastHeadroom = 1.4
 	// unknownHeadroom is assumed of a serving task that has just been placed.
 	unknownHeadroom = 2.0
 	// takenSteps is in how many steps a headroom of 1 is told apart.
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -16,7 +16,7 @@
 	fullPace = 100
 	// goal is the headroom that pacing keeps for serving runs: their target over their
 	// tail latency. What is above 1 covers what the load changes within one round.
-	goal = 1.18
+	goal = 1.15
 	// raiseFactor bounds a step up, firstPace is the step from a halt, in percent.
 	raiseFactor, firstPace = 2, 20
 	leastPace              = 5
