--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,202 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/urgency"
+	"chervilridge/internal/work"
+)
+
+const service = "desk"
+
+// taken is a fixed table of interference.
+type taken map[[2]string]float64
+
+func (t taken) Taken(serving string, use map[string]float64) float64 {
+	sum := 0.0
+	for filling, cores := range use {
+		sum += t[[2]string{serving, filling}] * cores
+	}
+	return sum
+}
+
+func worker(name string, cpuMilli int64) Worker {
+	return Worker{
+		Key: work.WorkerKey{Node: name, ID: name}, Service: service, Rack: "r1",
+		Capacity: Resources{CPUMilli: cpuMilli, MemoryMB: 64000}, FillLimitMilli: cpuMilli,
+	}
+}
+
+func request(job string, tasks int, step *chervilv2.Step) Request {
+	r := Request{Key: StepKey{Job: job}, Step: step, Service: service}
+	for i := range tasks {
+		r.Indexes = append(r.Indexes, uint32(i))
+	}
+	return r
+}
+
+func places(p Plan, workers []Worker) map[string]int {
+	out := map[string]int{}
+	for _, g := range p.Grants {
+		out[workers[g.Worker].Key.Node]++
+	}
+	return out
+}
+
+func TestFilters(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(w *Worker, r *Request)
+		want   int
+	}{
+		{"fits", func(*Worker, *Request) {}, 1},
+		{"other service", func(w *Worker, _ *Request) { w.Service = "other" }, 0},
+		{"label missing", func(_ *Worker, r *Request) { r.Step.RequiredLabel = "gpu" }, 0},
+		{"label present", func(w *Worker, r *Request) { r.Step.RequiredLabel, w.Labels = "gpu", []string{"gpu"} }, 1},
+		{"no processors", func(w *Worker, _ *Request) { w.Used.CPUMilli = 31500 }, 0},
+		{"no memory", func(w *Worker, _ *Request) { w.Used.MemoryMB = 63990 }, 0},
+		{"no accelerator", func(_ *Worker, r *Request) { r.Step.Gpus = 1 }, 0},
+		{"not permitted", func(_ *Worker, r *Request) { r.Allowed = map[string]bool{"other": true} }, 0},
+		{"bound per worker reached", func(w *Worker, r *Request) {
+			r.Step.MaxPerWorker, w.PerStep = 1, map[StepKey]int{r.Key: 1}
+		}, 0},
+		{"avoided, but nothing else", func(w *Worker, r *Request) { r.Avoid = map[string]bool{w.Key.ID: true} }, 1},
+		{"avoided strictly", func(w *Worker, r *Request) { r.Avoid, r.Strict = map[string]bool{w.Key.ID: true}, true }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			workers := []Worker{worker("a", 32000)}
+			r := request("j", 1, &chervilv2.Step{CpuMilli: 1000, MemoryMb: 100})
+			c.change(&workers[0], &r)
+			assert.Equal(t, len(Make(workers, []Request{r}, nil).Grants), c.want)
+		})
+	}
+}
+
+func TestOrderOfRequests(t *testing.T) {
+	step := &chervilv2.Step{CpuMilli: 1000}
+	low := request("low", 1, step)
+	low.Priority = 2
+	late := request("late", 1, step)
+	late.Class = urgency.Late
+	slack := request("slack", 1, step)
+	slack.Slack = 5
+	first := request("first", 1, step)
+	workers := []Worker{worker("a", 4000)}
+	p := Make(workers, []Request{low, late, slack, first}, nil)
+	got := make([]string, 0, len(p.Grants))
+	for _, g := range p.Grants {
+		got = append(got, g.Key.Job)
+	}
+	assert.DeepEqual(t, got, []string{"first", "slack", "late", "low"})
+}
+
+func TestServingTasksArePackedByImage(t *testing.T) {
+	workers := []Worker{worker("a", 32000), worker("b", 32000), worker("c", 32000)}
+	feed := func(job, image string) Request {
+		return request(job, 3, &chervilv2.Step{CpuMilli: 6000, TargetLatencyMs: 50, Image: image})
+	}
+	p := Make(workers, []Request{feed("1", "x"), feed("2", "y"), feed("3", "x")}, taken{})
+	assert.Equal(t, len(p.Grants), 9)
+	images := map[string]map[string]bool{}
+	for _, g := range p.Grants {
+		image := map[string]string{"1": "x", "2": "y", "3": "x"}[g.Key.Job]
+		node := workers[g.Worker].Key.Node
+		if images[node] == nil {
+			images[node] = map[string]bool{}
+		}
+		images[node][image] = true
+	}
+	for node, on := range images {
+		assert.Equal(t, len(on), 1, "worker %s serves %v", node, on)
+	}
+}
+
+// The load: filling tasks of a harmful image, and serving tasks on every worker but one.
+func TestFillingTasksGoWhereTheyDisturbNobody(t *testing.T) {
+	serves := func(w Worker, image string, headroom float64) Worker {
+		w.Serves = map[string]Served{image: {Tasks: 2, Headroom: headroom}}
+		w.Serving = 2
+		return w
+	}
+	known := taken{{"x", "heavy"}: 0.2}
+	workers := []Worker{serves(worker("a", 32000), "x", 2.5), serves(worker("b", 32000), "y", 2.5)}
+	fill := request("f", 4, &chervilv2.Step{CpuMilli: 4000, Fills: true, Image: "heavy"})
+	assert.DeepEqual(t, places(Make(workers, []Request{fill}, known), workers), map[string]int{"b": 4})
+
+	only := []Worker{serves(worker("a", 32000), "x", 2.5)}
+	p := Make(only, []Request{request("f", 4, fill.Step)}, known)
+	assert.Equal(t, len(p.Grants), 1, "one task takes 0.8 of the headroom of 2.5, a second would leave less than 1.4")
+	assert.Equal(t, p.Unplaced[0].Count, 3)
+
+	light := request("l", 4, &chervilv2.Step{CpuMilli: 4000, Fills: true, Image: "light"})
+	busy := []Worker{serves(worker("a", 32000), "x", 1.1)}
+	assert.Equal(t, len(Make(busy, []Request{light}, known).Grants), 4, "harmless tasks need no headroom")
+}
+
+func TestFillingTasksTakeNoCountedProcessors(t *testing.T) {
+	workers := []Worker{worker("a", 8000)}
+	workers[0].Used.CPUMilli = 8000
+	workers[0].FillLimitMilli = 8000
+	fill := request("f", 3, &chervilv2.Step{CpuMilli: 4000, MemoryMb: 10, Fills: true})
+	p := Make(workers, []Request{fill}, nil)
+	assert.Equal(t, len(p.Grants), 2, "up to the limit for filling tasks")
+	assert.Equal(t, workers[0].Used.CPUMilli, int64(8000))
+	assert.Equal(t, workers[0].Used.MemoryMB, int64(20))
+}
+
+func TestGangIsPlacedWholeAndOnOneRack(t *testing.T) {
+	a, b, c := worker("a", 2000), worker("b", 2000), worker("c", 2000)
+	b.Rack, c.Rack = "r2", "r2"
+	gang := &chervilv2.Step{CpuMilli: 1000, Gang: true, SameRack: true}
+	workers := []Worker{a, b, c}
+	p := Make(workers, []Request{request("g", 4, gang)}, nil)
+	assert.DeepEqual(t, places(p, workers), map[string]int{"b": 2, "c": 2})
+	workers = []Worker{worker("a", 2000), worker("b", 1000)}
+	p = Make(workers, []Request{request("g", 4, gang)}, nil)
+	assert.Equal(t, len(p.Grants), 0)
+	assert.Equal(t, workers[0].Used.CPUMilli, int64(0), "a gang that does not fit takes nothing")
+}
+
+func TestNoWorkerIsGrantedBeyondItsCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var workers []Worker
+		for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
+			workers = append(workers, worker(fmt.Sprint(i), rapid.Int64Range(1000, 40000).Draw(t, "cpu")))
+		}
+		var requests []Request
+		for i := range rapid.IntRange(1, 8).Draw(t, "requests") {
+			requests = append(requests, request(fmt.Sprint(i), rapid.IntRange(1, 12).Draw(t, "tasks"), &chervilv2.Step{
+				CpuMilli: uint32(rapid.IntRange(1, 9000).Draw(t, "task cpu")), MemoryMb: uint32(rapid.IntRange(0, 20000).Draw(t, "memory")),
+				Fills: rapid.Bool().Draw(t, "fills"), Gang: rapid.Bool().Draw(t, "gang"),
+				MaxPerWorker: uint32(rapid.IntRange(0, 2).Draw(t, "most")), Image: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image"),
+			}))
+		}
+		p := Make(workers, requests, taken{{"x", "y"}: 0.1})
+		use := map[int]Resources{}
+		perStep := map[string]int{}
+		steps := map[StepKey]*chervilv2.Step{}
+		for _, r := range requests {
+			steps[r.Key] = r.Step
+		}
+		placed := map[string]bool{}
+		for _, g := range p.Grants {
+			use[g.Worker] = use[g.Worker].Add(Needs(steps[g.Key]))
+			perStep[fmt.Sprint(g.Key, g.Worker)]++
+			task := fmt.Sprint(g.Key, g.Index)
+			assert.Assert(t, !placed[task], "task placed twice")
+			placed[task] = true
+			if most := steps[g.Key].MaxPerWorker; most > 0 {
+				assert.Assert(t, perStep[fmt.Sprint(g.Key, g.Worker)] <= int(most))
+			}
+		}
+		for w, used := range use {
+			assert.Assert(t, used.Fits(workers[w].Capacity), "worker %d: %v of %v", w, used, workers[w].Capacity)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sidecar/pacer_test.go
@@ -0,0 +1,65 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/interference"
+)
+
+func TestGoalsKeepTheHeadroom(t *testing.T) {
+	model := interference.New()
+	model.Set(interference.Pair{Serving: "s", Filling: "heavy"}, 0.2)
+	model.Set(interference.Pair{Serving: "s", Filling: "light"}, 0)
+	beside := func(headroom, heavyUse float64) neighbours {
+		return neighbours{
+			fills: map[string][]runKey{"heavy": nil, "light": nil}, use: map[string]float64{"heavy": heavyUse, "light": 10},
+			full: map[string]float64{"heavy": 5, "light": 10}, serving: map[string]float64{"s": headroom}, least: headroom,
+		}
+	}
+	cases := []struct {
+		name               string
+		headroom, heavyUse float64
+		heavy              float64
+	}{
+		{"plenty of headroom", 3, 5, 100},
+		{"half the pace leaves the goal", goal - 0.5, 5, 50},
+		{"from a halt, as far as the headroom goes", goal + 0.25, 0, 25},
+		{"nothing is left", goal - 1, 5, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			goals := beside(c.headroom, c.heavyUse).goals(model)
+			assert.Assert(t, goals["heavy"] > c.heavy-0.01 && goals["heavy"] < c.heavy+0.01 || c.heavy == 100 && goals["heavy"] >= 100, "%v", goals)
+			assert.Equal(t, goals["light"], float64(fullPace), "a harmless image keeps its pace")
+		})
+	}
+}
+
+func TestUnexplainedMissSlowsAll(t *testing.T) {
+	n := neighbours{
+		fills: map[string][]runKey{"f": nil}, use: map[string]float64{"f": 1}, full: map[string]float64{"f": 1}, serving: map[string]float64{"s": 0.5}, least: 0.5,
+	}
+	assert.Equal(t, n.goals(interference.New())["f"], 25.0)
+}
+
+func TestPaceFallsAtOnceAndRisesInSteps(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	p := &pacer{level: fullPace, changed: now.Add(-time.Minute)}
+	assert.Equal(t, p.decide(now, 20, false), uint32(20))
+	assert.Equal(t, p.decide(now.Add(100*time.Millisecond), 90, false), uint32(20), "a change needs time to show")
+	now = now.Add(settleTime)
+	assert.Equal(t, p.decide(now, 90, false), uint32(40))
+	assert.Equal(t, p.decide(now.Add(time.Millisecond), 4, false), uint32(0), "a pace below the least one is a halt")
+}
+
+func TestMissForTooLongHalts(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	p := &pacer{level: fullPace}
+	assert.Equal(t, p.decide(now, 100, true), uint32(0))
+	assert.Equal(t, p.decide(now.Add(settleTime), 100, false), uint32(0), "a halt lasts")
+	assert.Equal(t, p.decide(now.Add(haltTime), 100, false), uint32(firstPace))
+}
--- /dev/null
+++ b/internal/urgency/urgency_test.go
@@ -0,0 +1,60 @@
+package urgency
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/work"
+)
+
+func TestClassify(t *testing.T) {
+	const task, stretch, target = time.Second, 2.0, time.Second
+	// Two steps of 1.4 s at most: the objective is 2 * 2.8 + 1 = 6.6 s.
+	cases := []struct {
+		name  string
+		age   time.Duration
+		left  int
+		want  Class
+		slack time.Duration
+	}{
+		{"new", 0, 2, InTime, 3800 * time.Millisecond},
+		{"last moment", 3800 * time.Millisecond, 2, InTime, 0},
+		{"too late to be in time", 4 * time.Second, 2, Late, 15800 * time.Millisecond},
+		{"half done", 5 * time.Second, 1, InTime, 200 * time.Millisecond},
+		{"of no use any more", 20 * time.Second, 1, Hopeless, 20 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			class, slack := Classify(c.age, 2, c.left, task, stretch, target)
+			assert.Equal(t, class, c.want)
+			assert.Equal(t, slack, c.slack)
+		})
+	}
+}
+
+func TestChain(t *testing.T) {
+	steps := []*chervilv2.Step{{Tasks: 1}, {Tasks: 1, After: []uint32{0}}, {Tasks: 1}, {Tasks: 1, After: []uint32{1, 2}}}
+	all, left := Chain(nil, steps)
+	assert.Equal(t, all, 3)
+	assert.Equal(t, left, 3)
+	o := &work.Occurrence{Steps: make([]work.Step, len(steps))}
+	o.Steps[0].Done = true
+	_, left = Chain(o, steps)
+	assert.Equal(t, left, 2)
+	all, _ = Chain(nil, []*chervilv2.Step{{Tasks: 1, LongRunning: true}})
+	assert.Equal(t, all, 0)
+}
+
+func TestDurationsFollowWhatIsSeen(t *testing.T) {
+	d := NewDurations()
+	assert.Equal(t, d.Task("q"), unknownTask)
+	d.Observe("q", time.Second)
+	assert.Equal(t, d.Task("q"), time.Second)
+	for range 100 {
+		d.Observe("q", 3*time.Second)
+	}
+	assert.Assert(t, d.Task("q") > 2900*time.Millisecond)
+}
