Tests with the real processes over the stand-ins; exit code 2 for bad settings

Fault found by TestBadSettingsEndTheProcess: an error of the settings file came out of the wiring as an internal one, with exit code 1.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
@@ -83,11 +84,18 @@
 	}
 	app := fx.New(parts, fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(stop))
 	if err := app.Err(); err != nil {
+		var bad *fault.Error
+		if errors.As(dig.RootCause(err), &bad) && bad.Code == fault.CodeBadSetting {
+			return bad
+		}
 		return fault.Wrap(err, fault.CodeInternal, fault.StepSettings, p.Name, "cannot build the process")
 	}
 	signals, unsubscribe := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer unsubscribe()
 	if err := start(signals, app); err != nil {
+		if fault.Is(err, fault.CodeBadSetting) {
+			return err
+		}
 		return fault.Wrap(err, fault.CodeInternal, fault.StepSettings, p.Name, "cannot start")
 	}
 	events.ProcessStarted.Log("program", p.Name, "pid", os.Getpid())
--- /dev/null
+++ b/internal/sitetest/site_test.go
@@ -0,0 +1,194 @@
+package sitetest
+
+import (
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilridge/internal/standin/metastore"
+)
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func TestJobsAreServedAcrossAllEntries(t *testing.T) {
+	s := startSite(t, 2, 3)
+	for i := range 10 {
+		s.submit(i, 3)
+	}
+	for i := range 10 {
+		s.waitState(i, "completed")
+	}
+	s.check(30)
+}
+
+func TestBadRequestsAreRejectedAndNothingIsStored(t *testing.T) {
+	s := startSite(t, 1, 1)
+	cases := []struct {
+		path, body string
+		want       int
+	}{
+		{"/quotes/0000000000000001", "{", http.StatusBadRequest},
+		{"/quotes/0000000000000001", `{"task-groups":[{"count":0}]}`, http.StatusBadRequest},
+		{"/quotes/xyz", `{"task-groups":[{"count":1}]}`, http.StatusBadRequest},
+		{"/quotes/0000000000000001", `{"task-spec":"` + string(make([]byte, 70000)) + `"}`, http.StatusRequestEntityTooLarge},
+		{"/nowhere/0000000000000001", `{"task-groups":[{"count":1}]}`, http.StatusNotFound},
+	}
+	for _, c := range cases {
+		status, _ := s.call(0, http.MethodPost, c.path, c.body)
+		assert.Equal(t, status, c.want, c.path)
+	}
+	status, _ := s.call(0, http.MethodGet, "/quotes/0000000000000001", "")
+	assert.Equal(t, status, http.StatusGone)
+}
+
+func TestOwnerIsKilledAndWorkGoesOn(t *testing.T) {
+	s := startSite(t, 2, 3)
+	for i := range 6 {
+		s.submit(i, 4)
+	}
+	s.kill(s.owner())
+	for i := range 6 {
+		s.waitState(i, "completed")
+	}
+	s.submitUntilAccepted(7, 2)
+	s.waitState(7, "completed")
+	s.check(26)
+}
+
+func TestAgentIsKilledAndItsTasksGoOn(t *testing.T) {
+	s := startSite(t, 1, 2)
+	s.submit(0, 4)
+	name := s.agentName(0)
+	s.signal(name, syscall.SIGKILL)
+	s.restart(name)
+	s.waitState(0, "completed")
+	s.check(4)
+}
+
+func TestWorkerCrashesAndItsTasksRunElsewhere(t *testing.T) {
+	s := startSite(t, 1, 2)
+	s.submit(0, 4)
+	s.crashWorker(0)
+	s.waitState(0, "completed")
+	tasks, _ := s.journal.Done()
+	assert.Equal(t, tasks, 4)
+	assert.Equal(t, len(s.journal.Problems()), 0, s.journal.Problems())
+}
+
+func TestEverythingIsKilledAndAcceptedJobsAreDone(t *testing.T) {
+	s := startSite(t, 2, 2)
+	for i := range 5 {
+		s.submit(i, 3)
+	}
+	for _, name := range s.names() {
+		s.signal(name, syscall.SIGKILL)
+	}
+	for _, name := range s.names() {
+		s.restart(name)
+	}
+	for i := range 5 {
+		s.waitState(i, "completed")
+	}
+	s.check(15)
+}
+
+func TestStoreIsAwayAndNothingIsLost(t *testing.T) {
+	s := startSite(t, 2, 2)
+	s.submit(0, 3)
+	s.store.Set(metastore.Faults{Down: true})
+	deadline := time.Now().Add(patience)
+	for i := 20; ; i++ {
+		status, retry := s.trySubmit(i, 3)
+		if status == http.StatusServiceUnavailable {
+			assert.Assert(t, retry != "", "a rejection says when to come back")
+			break
+		}
+		assert.Assert(t, time.Now().Before(deadline), "last status %d", status)
+	}
+	s.store.Set(metastore.Faults{})
+	s.submitUntilAccepted(2, 3)
+	s.waitState(0, "completed")
+	s.waitState(2, "completed")
+	assert.Equal(t, len(s.journal.Problems()), 0, s.journal.Problems())
+}
+
+func TestLostAnswersOfTheStoreDoubleNothing(t *testing.T) {
+	s := startSite(t, 2, 2)
+	s.store.Set(metastore.Faults{LostShare: 0.3})
+	for i := range 5 {
+		s.submitUntilAccepted(i, 3)
+	}
+	s.store.Set(metastore.Faults{})
+	for i := range 5 {
+		s.waitState(i, "completed")
+	}
+	s.check(15)
+}
+
+func TestOwnerThatTheStoreTurnsAwayIsReplaced(t *testing.T) {
+	s := startSite(t, 2, 2)
+	s.submit(0, 2)
+	old := s.owner()
+	s.store.Set(metastore.Faults{Refused: map[string]bool{old: true}})
+	s.eventually("another owner", func() bool { return s.owner() != old })
+	s.submitUntilAccepted(1, 2)
+	s.waitState(1, "completed")
+	s.check(4)
+}
+
+func TestConfigurationAndEvacuationTakeEffect(t *testing.T) {
+	s := startSite(t, 2, 2)
+	s.putConfig(2, "quotes", "plans")
+	for e := range 2 {
+		s.eventually("new queue known", func() bool {
+			status, _ := s.call(e, http.MethodGet, "/plans/", "")
+			return status == http.StatusOK
+		})
+	}
+	s.state.Put("keyed.op", "evacuate/zone-0", []byte("{}"))
+	time.Sleep(2 * time.Second)
+	before := s.startsOn(0)
+	for i := range 5 {
+		s.submit(10+i, 2)
+		s.waitState(10+i, "completed")
+	}
+	assert.Equal(t, s.startsOn(0), before, "nothing starts in the evacuated data centre")
+}
+
+func TestCancelStopsAJob(t *testing.T) {
+	s := startSite(t, 2, 2)
+	s.runTime.Store(int64(time.Minute))
+	s.submit(0, 4)
+	s.waitState(0, "running")
+	status, _ := s.call(1, http.MethodDelete, jobPath(0), "")
+	assert.Equal(t, status, http.StatusOK)
+	s.waitState(0, "cancelled")
+	s.eventually("nothing runs", func() bool { return s.running() == 0 })
+	status, _ = s.call(0, http.MethodDelete, jobPath(99), "")
+	assert.Equal(t, status, http.StatusGone)
+}
+
+func TestPlannedStopsCutNothingOff(t *testing.T) {
+	s := startSite(t, 2, 2)
+	for i := range 4 {
+		s.submit(i, 3)
+	}
+	owner := s.owner()
+	s.signal(owner, syscall.SIGTERM)
+	s.eventually("another owner", func() bool { return s.owner() != owner })
+	for i := range 4 {
+		s.waitStateAt(s.other(owner), i, "completed")
+	}
+	s.waitExit(owner)
+	s.check(12)
+}
+
+func TestBadSettingsEndTheProcess(t *testing.T) {
+	code, output := runWithSettings(t, "node=x\nip=127.0.0.1\n")
+	assert.Equal(t, code, 2)
+	assert.Assert(t, len(output) > 0)
+}
--- a/internal/standin/metastore/http.go
+++ b/internal/standin/metastore/http.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -28,7 +27,7 @@
 	// how much later they are carried out.
 	LostShare float64
 	Late      time.Duration
-	// Refused are the IP addresses of machines that are turned away with 503.
+	// Refused are the machines that are turned away with 503.
 	Refused map[string]bool
 }
 
@@ -61,12 +60,13 @@
 	return s.calls
 }
 
-// Handler returns the HTTP handler of the protocol.
-func (s *Server) Handler() http.Handler {
+// Handler returns the HTTP handler of the protocol. machine names who calls it; a
+// deployment that tells machines apart serves each of them at an address of its own.
+func (s *Server) Handler(machine string) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/log-append", s.faulty(s.handleAppend))
-	mux.HandleFunc("GET /v1/log-read", s.faulty(s.handleRead))
-	mux.HandleFunc("GET /v1/log-newest", s.faulty(s.handleNewest))
+	mux.HandleFunc("POST /v1/log-append", s.faulty(machine, s.handleAppend))
+	mux.HandleFunc("GET /v1/log-read", s.faulty(machine, s.handleRead))
+	mux.HandleFunc("GET /v1/log-newest", s.faulty(machine, s.handleNewest))
 	mux.HandleFunc("PUT /standin/faults", s.handleFaults)
 	mux.HandleFunc("PUT /standin/records", s.handlePut)
 	return mux
@@ -80,15 +80,14 @@
 	return s.faults, s.random.Float64() < s.faults.LostShare
 }
 
-func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+func (s *Server) faulty(machine string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f, lost := s.draw()
-		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		switch {
 		case f.Silent:
 			<-r.Context().Done()
 			return
-		case f.Down || f.Refused[host]:
+		case f.Down || f.Refused[machine]:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
