--- /dev/null
+++ b/internal/entrynode/relay.go
@@ -0,0 +1,55 @@
+package entrynode
+
+import (
+	"context"
+
+	"google.golang.org/grpc/metadata"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/peer"
+)
+
+// relayedKey marks a stream that an entry passes on, so that it is passed on only once.
+const relayedKey = "chervil-relayed"
+
+func isRelayed(ctx context.Context) bool {
+	values, ok := metadata.FromIncomingContext(ctx)
+	return ok && len(values.Get(relayedKey)) > 0
+}
+
+// relay passes reports and orders on between an agent and the owner until either ends.
+// Both ends notice silence by themselves.
+func relay(agent chervilv2.Scheduler_AttachServer, owner string) error {
+	conn, err := peer.Dial(owner)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancelCause(metadata.AppendToOutgoingContext(agent.Context(), relayedKey, "1"))
+	defer cancel(nil)
+	onward, err := chervilv2.NewSchedulerClient(conn).Attach(ctx)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			report, err := agent.Recv()
+			if err == nil {
+				err = onward.Send(report)
+			}
+			if err != nil {
+				cancel(err)
+				return
+			}
+		}
+	}()
+	for {
+		orders, err := onward.Recv()
+		if err == nil {
+			err = agent.Send(orders)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/internal/entrynode/service.go
+++ b/internal/entrynode/service.go
@@ -8,6 +8,7 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/election"
+	"chervilridge/internal/events"
 	"chervilridge/internal/operator"
 )
 
@@ -88,11 +89,16 @@
 	return s.operator.Since(r.KnownOffset), nil
 }
 
-// Attach serves an agent while this entry owns the schedule.
+// Attach serves an agent while this entry owns the schedule; otherwise it passes the
+// agent on to the owner, for agents that cannot reach it themselves.
 func (s *Service) Attach(stream chervilv2.Scheduler_AttachServer) error {
-	engine := s.elector.Engine()
-	if engine == nil {
+	if engine := s.elector.Engine(); engine != nil {
+		return engine.Attach(stream, s.peers.Live)
+	}
+	owner := s.elector.Owner()
+	if owner == nil || owner.Released || owner.Address == s.peers.self || isRelayed(stream.Context()) {
 		return status.Error(codes.FailedPrecondition, "this entry does not own the schedule")
 	}
-	return engine.Attach(stream, s.peers.Live)
+	events.AgentRelayed.Log("owner", owner.Node, "address", owner.Address, "epoch", owner.Epoch)
+	return relay(stream, owner.Address)
 }
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -62,5 +62,6 @@
 	RunPaced          = define(7314, Info, "pace of a run changed")
 	StaleOwnerIgnored = define(7315, Warning, "orders of an older owner ignored")
 	WorkerSuspected   = define(7316, Warning, "worker set aside")
+	AgentRelayed      = define(7318, Info, "agent passed on to the owner")
 	PaceUnanswered    = define(7319, Warning, "pace not taken by the worker")
 )
--- a/internal/sidecar/owner.go
+++ b/internal/sidecar/owner.go
@@ -27,9 +27,11 @@
 	// ownerSilentLimit is how long the owner may leave reports unanswered.
 	ownerSilentLimit = 1300 * time.Millisecond
 	// searchTimeout bounds one search for the owner, searchPause lies between two.
-	searchTimeout = 600 * time.Millisecond
-	searchPause   = 80 * time.Millisecond
-	searchJitter  = 60 * time.Millisecond
+	searchTimeout = 400 * time.Millisecond
+	// relaySight is how lately an entry must have reached the owner to pass on to it.
+	relaySight   = time.Second
+	searchPause  = 80 * time.Millisecond
+	searchJitter = 60 * time.Millisecond
 )
 
 var errOwnerSilent = errors.New("the owner does not answer reports")
@@ -68,27 +70,46 @@
 	}
 }
 
-// search asks the store and all known entries who owns the schedule.
+// answer is what an entry said in a search.
+type answer struct {
+	address string
+	leads   bool
+	// sees is set if the entry reached the owner lately.
+	sees bool
+}
+
+// search asks the store and all known entries who owns the schedule. It returns where to
+// attach: at the owner, or at an entry that reaches it if this process does not.
 func (k *Link) search(ctx context.Context) string {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	k.mu.Lock()
 	entries := slices.Clone(k.entries)
 	k.mu.Unlock()
-	found := make(chan bool, len(entries)+1)
+	answers := make(chan answer, len(entries)+1)
 	go func() {
 		owner, _, err := statelog.ReadOwner(ctx, k.store)
-		k.observe(owner)
-		found <- err == nil && owner != nil && !owner.Released
+		if err == nil {
+			k.observe(owner)
+		}
+		answers <- answer{}
 	}()
 	for _, address := range entries {
-		go func() { found <- k.ask(ctx, address) }()
+		go func() { answers <- k.ask(ctx, address) }()
 	}
+	relay := ""
 	for range len(entries) + 1 {
-		if <-found {
-			break
+		a := <-answers
+		if a.leads {
+			return a.address
+		}
+		if a.sees {
+			relay = a.address
 		}
 	}
+	if relay != "" {
+		return relay
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.owner == nil || k.owner.Released {
@@ -97,19 +118,20 @@
 	return k.owner.Address
 }
 
-// ask reports whether the entry leads.
-func (k *Link) ask(ctx context.Context, address string) bool {
+// ask asks an entry for the owner.
+func (k *Link) ask(ctx context.Context, address string) answer {
 	conn, err := k.pool.Get(address)
 	if err != nil {
-		return false
+		return answer{}
 	}
 	reply, err := chervilv2.NewSchedulerClient(conn).Ping(ctx, &chervilv2.PingRequest{Node: k.node.Name})
 	if err != nil {
-		return false
+		return answer{}
 	}
 	k.observe(reply.Owner)
 	k.learn(reply.Entries)
-	return reply.Leads
+	sees := reply.OwnerSeenMs >= 0 && reply.OwnerSeenMs < relaySight.Milliseconds()
+	return answer{address: address, leads: reply.Leads, sees: sees && !reply.Leads}
 }
 
 func (k *Link) observe(owner *chervilv2.OwnerRecord) {
--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -24,6 +24,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/peer"
 	"chervilridge/internal/standin/metastore"
 	"chervilridge/internal/standin/taskworker"
 )
@@ -425,3 +426,23 @@
 	assert.Assert(t, errors.As(err, &exit), "%v", err)
 	return exit.ExitCode(), string(output)
 }
+
+// attachThrough attaches an agent of its own at an entry and returns the report that the
+// owner answered.
+func (s *site) attachThrough(entry string) uint64 {
+	s.t.Helper()
+	conn, err := peer.Dial(fmt.Sprintf("%s:%d", s.programs[entry].ip, innerPort))
+	assert.NilError(s.t, err)
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	stream, err := chervilv2.NewSchedulerClient(conn).Attach(ctx)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, stream.Send(&chervilv2.AgentReport{Node: "agent-x", Incarnation: "1", Sequence: 1}))
+	orders, err := stream.Recv()
+	for err == nil && orders.Report == 0 {
+		orders, err = stream.Recv()
+	}
+	assert.NilError(s.t, err)
+	return orders.Report
+}
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -192,3 +192,12 @@
 	assert.Equal(t, code, 2)
 	assert.Assert(t, len(output) > 0)
 }
+
+// A bridge cut on a grown deployment: an agent cannot reach the owner, another entry can.
+func TestAgentIsPassedOnToAnOwnerThatItCannotReach(t *testing.T) {
+	s := startSite(t, 2, 1)
+	owner := s.owner()
+	relay := s.other(owner)
+	report := s.attachThrough(relay)
+	assert.Assert(t, report > 0, "the owner answers a report that another entry passed on")
+}
