--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -159,11 +159,23 @@
 		return
 	}
 	x.mu.Lock()
-	wait := x.leaving || x.standBy.After(x.clock())
+	standsBack := x.leaving || x.standBy.After(x.clock())
 	x.mu.Unlock()
-	if !wait {
-		x.tryClaim(ctx, cutOff)
+	if standsBack {
+		x.lookUp(ctx)
+		return
 	}
+	x.tryClaim(ctx, cutOff)
+}
+
+// lookUp learns of a newer owner from the store, or else from the other entries.
+func (x *Elector) lookUp(ctx context.Context) {
+	owner, _, err := statelog.ReadOwner(ctx, x.store)
+	if err == nil {
+		x.Observe(owner)
+		return
+	}
+	x.askNewer(ctx, x.peers.Entries(), x.Owner())
 }
 
 // watchOwn gives an epoch up that has no use: one that no agent reaches, or one that
@@ -230,8 +242,9 @@
 // reach, a peer knows better.
 func (x *Elector) tryClaim(ctx context.Context, cutOff bool) {
 	owner, end, err := statelog.ReadOwner(ctx, x.store)
-	if err != nil {
-		return // without the store nobody can claim
+	if err != nil { // without the store nobody can claim, but others may know more
+		x.askNewer(ctx, x.peers.Entries(), x.Owner())
+		return
 	}
 	x.mu.Lock()
 	if owner != nil && x.adopt(owner) && !owner.Released && owner.Address != x.me.Address {
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -187,6 +187,19 @@
 	s.check(12)
 }
 
+// A rolling restart rejected jobs at the leaving entry: it did not look for the owner that
+// had taken over.
+func TestLeavingEntryServesThroughTheNewOwner(t *testing.T) {
+	s := startSite(t, 2, 1)
+	owner := s.owner()
+	s.signal(owner, syscall.SIGTERM)
+	s.eventually("another owner", func() bool { return s.owner() != owner })
+	time.Sleep(500 * time.Millisecond) // within the 2 s for which it still takes connections
+	status, body, _ := s.callAt(s.programs[owner].ip, http.MethodPost, jobPath(0), jobBody(1))
+	assert.Equal(t, status, http.StatusOK, body)
+	s.waitExit(owner)
+}
+
 func TestBadSettingsEndTheProcess(t *testing.T) {
 	code, output := runWithSettings(t, "node=x\nip=127.0.0.1\n")
 	assert.Equal(t, code, 2)
