--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -90,6 +90,8 @@
 	storedIn *batch
 	// failedOn are the workers on which a task failed.
 	failedOn map[work.TaskRef]map[string]bool
+	// idle is since when tasks wait and none runs; 0 if that is not so.
+	idle boottime.Instant
 	// nextDue is when the next occurrence begins, in Unix ms; 0 if none is left.
 	nextDue int64
 }
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/interference"
 )
 
 const (
@@ -266,6 +267,26 @@
 	assert.Equal(t, r.engine.Lookup(jobID(1)).Outcome, chervilv2.Outcome_OUTCOME_NOT_OWNER)
 }
 
+// A trial broke LOST: filling tasks waited for headroom that never came, and their jobs
+// ran nothing while half of the processors were free.
+func TestJobThatRunsNothingIsPressed(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	feed := &chervilv2.JobSpec{Id: jobID(1), Queue: testQueue, Steps: []*chervilv2.Step{{Tasks: 1, CpuMilli: 4000, LongRunning: true, TargetLatencyMs: 50, Image: "x"}}}
+	r.submit(feed)
+	eventually(t, "serving task starts", func() bool { return len(a.started()) == 1 })
+	r.engine.mu.Lock()
+	r.engine.model.Set(interference.Pair{Serving: "x", Filling: "heavy"}, 1)
+	r.engine.mu.Unlock()
+	r.submit(&chervilv2.JobSpec{Id: jobID(2), Queue: testQueue, Steps: []*chervilv2.Step{{Tasks: 3, CpuMilli: 4000, Fills: true, Image: "heavy"}}})
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 1, "it waits for headroom")
+	r.clock.advance(pressAfter)
+	eventually(t, "one task starts", func() bool { return len(a.started()) == 2 })
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, len(a.started()), 2, "the others wait")
+}
+
 func TestUnknownRunsAreStopped(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -20,9 +20,10 @@
 // filling tasks are placed beside it, in percent.
 const servingUse = 45
 
-// pressAfter is how old a job must be for its filling tasks to go beside serving tasks
-// that they disturb.
-const pressAfter = 400 * time.Second
+// pressAfter is how long a job may have nothing running before one of its filling tasks
+// goes beside serving tasks that it disturbs, at the pace that the agent allows. The
+// platform expects a job to run something within 3 s if there is room.
+const pressAfter = 1500 * time.Millisecond
 
 // maxAsidePercent bounds how many of a service's workers are set aside at once.
 const maxAsidePercent = 34
@@ -154,9 +155,10 @@
 			out = append(out, plan.Request{
 				Key: key, Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
 				Class: class, Slack: slack,
-				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Pressed: now-en.job.Spec.AcceptedUnixMs > pressAfter.Milliseconds(),
+				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref],
 			})
 		})
+		out = e.press(out, first, en)
 		out = append(out[:first], slices.DeleteFunc(out[first:], func(r plan.Request) bool {
 			return r.Step.Gang && len(r.Indexes) < int(r.Step.Tasks) // members of the last attempt still run
 		})...)
@@ -165,6 +167,33 @@
 	return out
 }
 
+// press has one filling task of a job that has run nothing for a while placed anyway.
+// out[first:] are the job's requests.
+func (e *Engine) press(out []plan.Request, first int, en *entry) []plan.Request {
+	running := false
+	en.job.Runs(func(*work.Run) { running = true })
+	now := e.clock()
+	switch {
+	case running || first == len(out):
+		en.idle = 0
+		return out
+	case en.idle == 0:
+		en.idle = now
+	}
+	r := out[first]
+	if now.Sub(en.idle) < pressAfter || !r.Step.Fills || r.Step.Gang {
+		return out
+	}
+	one := r
+	one.Pressed, one.Indexes = true, r.Indexes[:1]
+	out[first].Indexes = r.Indexes[1:]
+	if len(r.Indexes) == 1 {
+		out[first] = one
+		return out
+	}
+	return append(out, one)
+}
+
 // urgency returns how a job's tasks rank among those of the same priority.
 func (e *Engine) urgency(en *entry, queue *catalog.Queue, nowUnixMs int64) (urgency.Class, time.Duration) {
 	job := en.job
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -105,8 +105,8 @@
 	Indexes []uint32
 	// Allowed are the workers that a placement policy permits; nil means all.
 	Allowed map[string]bool
-	// Pressed requests have waited long: they go beside serving tasks too that they
-	// are predicted to disturb, at the pace that the agent allows.
+	// Pressed filling tasks go beside serving tasks too that they disturb: their job has
+	// run nothing for a while.
 	Pressed bool
 	// Avoid are workers where a run of the task failed before.
 	Avoid map[string]bool
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -142,7 +142,7 @@
 		!Needs(r.Step).Fits(w.Capacity.Sub(w.Used)):
 		return false
 	case r.Step.Fills:
-		return w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli && w.headroom(r.Step, r.paceShare()) >= leastHeadroom
+		return r.Pressed || w.FillMilli+int64(r.Step.CpuMilli) <= w.FillLimitMilli && w.headroom(r.Step) >= leastHeadroom
 	}
 	return true
 }
@@ -211,8 +211,6 @@
 	// sameImageWeight is how many strange serving images a worker may have and still be
 	// preferred for an image that it serves already.
 	sameImageWeight = 3
-	// pressedShare is the pace at which a filling task that has waited long may run.
-	pressedShare = 0.3
 )
 
 // servingCompany prefers workers that serve the same image already, and few others: the
@@ -243,23 +241,15 @@
 	w.Serves[image] = served
 }
 
-// paceShare is the pace that a filling task of the request needs to be placed.
-func (r *Request) paceShare() float64 {
-	if r.Pressed {
-		return pressedShare
-	}
-	return 1
-}
-
 // headroom is the least headroom that a serving task here keeps if a filling task of the
-// step joins at a share of its processors; without serving tasks it has no bound.
-func (w *Worker) headroom(s *chervilv2.Step, share float64) float64 {
+// step joins; without serving tasks it has no bound.
+func (w *Worker) headroom(s *chervilv2.Step) float64 {
 	least := math.Inf(1)
 	if w.known == nil {
 		return least
 	}
 	for serving, served := range w.Serves {
-		joining := w.known.Taken(serving, map[string]float64{s.Image: share * float64(s.CpuMilli) / milliPerCore})
+		joining := w.known.Taken(serving, map[string]float64{s.Image: float64(s.CpuMilli) / milliPerCore})
 		if joining < harmless {
 			continue
 		}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -139,6 +139,20 @@
 	assert.Equal(t, len(Make(busy, []Request{light}, known).Grants), 4, "harmless tasks need no headroom")
 }
 
+func TestPressedFillingTaskGoesWhereItDisturbsLeast(t *testing.T) {
+	serves := func(name, image string) Worker {
+		w := worker(name, 32000)
+		w.Serves, w.Serving = map[string]Served{image: {Tasks: 1, Headroom: 1}}, 1
+		return w
+	}
+	known := taken{{"x", "heavy"}: 0.4, {"y", "heavy"}: 0.2}
+	workers := []Worker{serves("a", "x"), serves("b", "y")}
+	fill := request("f", 1, &chervilv2.Step{CpuMilli: 4000, Fills: true, Image: "heavy"})
+	assert.Equal(t, len(Make(workers, []Request{fill}, known).Grants), 0)
+	fill.Pressed = true
+	assert.DeepEqual(t, places(Make(workers, []Request{fill}, known), workers), map[string]int{"b": 1})
+}
+
 func TestFillingTasksTakeNoCountedProcessors(t *testing.T) {
 	workers := []Worker{worker("a", 8000)}
 	workers[0].Used.CPUMilli = 8000
