Queues with a placement policy: the policy is asked, tickets are carried

The platform's advisor was decoded but never asked, so that starts on such a queue would have been rejected for want of a ticket.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -13,6 +13,7 @@
 	"chervilridge/internal/catalog"
 	"chervilridge/internal/events"
 	"chervilridge/internal/interference"
+	"chervilridge/internal/plan"
 	"chervilridge/internal/statelog"
 	"chervilridge/internal/urgency"
 	"chervilridge/internal/work"
@@ -43,6 +44,8 @@
 type Settings struct {
 	Node   string
 	Bounds platform.Bounds
+	// Advisor is nil where no queue has a placement policy.
+	Advisor Advisor
 }
 
 // Engine is the schedule of one epoch. It is safe for concurrent use.
@@ -63,6 +66,8 @@
 	closed   bool
 	inFlight boottime.Instant // when the append under way began; 0 if there is none
 
+	advice    map[plan.StepKey]*advice
+	advising  int // questions under way
 	durations *urgency.Durations
 	model     *interference.Model
 	// modelSent is the revision of the model that agents have, modelAt when it was sent.
@@ -101,7 +106,8 @@
 	e := &Engine{
 		settings: settings, writer: writer, operator: operator, clock: clock, wall: time.Now, took: clock(),
 		jobs: map[string]*entry{}, open: map[string]*entry{}, nodes: map[string]*node{},
-		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurations(), kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
+		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurations(),
+		advice: map[plan.StepKey]*advice{}, kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
 	}
 	for id, job := range jobs {
 		en := &entry{job: job, phase: job.Phase, started: job.Started}
@@ -307,6 +313,7 @@
 		}
 	}
 	e.forgetOld(wall)
+	e.forgetAdvice()
 	e.shareModel(now)
 	e.moveSlowed(now)
 	e.replan()
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/catalog"
 	"chervilridge/internal/interference"
 )
 
@@ -323,3 +325,40 @@
 	assert.Equal(t, reply.Outcome, chervilv2.Outcome_OUTCOME_REJECTED)
 	assert.Assert(t, reply.RetryAfterMs > 0)
 }
+
+// policy is a placement policy that permits some workers.
+type policy struct {
+	mu      sync.Mutex
+	permits map[string]string
+	asked   int
+}
+
+func (p *policy) Advise(_ context.Context, _ string, workers []string) (map[string]string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked++
+	out := map[string]string{}
+	for _, w := range workers {
+		if ticket, ok := p.permits[w]; ok {
+			out[w] = ticket
+		}
+	}
+	return out, nil
+}
+
+func TestPlacementPolicyIsAskedAndItsTicketsAreCarried(t *testing.T) {
+	p := &policy{permits: map[string]string{"worker-side-2": "ticket-1"}}
+	r := newRigWith(t, catalog.Queue{Advisor: &catalog.Advisor{TicketValid: 5 * time.Second}}, p)
+	a, b := r.attach("side-1", 32000), r.attach("side-2", 4000)
+	r.submit(spec(jobID(1), 3))
+	eventually(t, "tasks start on the permitted worker", func() bool { return len(b.started()) == 3 })
+	assert.Equal(t, len(a.started()), 0)
+	assert.Equal(t, b.started()[0].Ticket, "ticket-1")
+	// A ticket that the worker does not take is asked for anew.
+	p.mu.Lock()
+	p.permits["worker-side-2"] = "ticket-2"
+	p.mu.Unlock()
+	start := b.started()[0]
+	b.report(&chervilv2.AgentReport{Results: []*chervilv2.StartResult{{Task: start.Task, Attempt: start.Attempt, Answer: chervilv2.StartAnswer_START_ANSWER_TICKET}}})
+	eventually(t, "started with a new ticket", func() bool { return len(b.started()) == 4 && b.started()[3].Ticket == "ticket-2" })
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -158,6 +158,11 @@
 				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref],
 			})
 		})
+		if queue.Advisor != nil && e.settings.Advisor != nil {
+			for i := first; i < len(out); i++ {
+				out[i].Allowed = e.allowed(out[i].Key, queue.Advisor, queue.Service)
+			}
+		}
 		out = e.press(out, first, en)
 		out = append(out[:first], slices.DeleteFunc(out[first:], func(r plan.Request) bool {
 			return r.Step.Gang && len(r.Indexes) < int(r.Step.Tasks) // members of the last attempt still run
@@ -280,7 +285,7 @@
 	return &chervilv2.StartOrder{
 		Task: h.run.Ref.String(), Attempt: h.run.Attempt, Payload: en.job.Spec.Payload, Checkpoint: gangCheckpoint(en, h, task),
 		WorkerId: h.run.Worker.ID, Fills: h.step.Fills, TargetLatencyMs: h.step.TargetLatencyMs,
-		Image: h.step.Image, CpuMilli: h.step.CpuMilli,
+		Image: h.step.Image, CpuMilli: h.step.CpuMilli, Ticket: e.ticketFor(h.run),
 	}
 }
 
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -107,6 +107,8 @@
 	clock  *testClock
 	engine *Engine
 	view   *catalog.View
+	// advisor is the placement policy; nil if there is none.
+	advisor Advisor
 }
 
 const (
@@ -114,12 +116,16 @@
 	testQueue   = "quotes"
 )
 
-func newRig(t *testing.T) *rig {
-	r := &rig{t: t, store: newTestStore(), clock: &testClock{now: boottime.Instant(time.Hour)}}
+func newRig(t *testing.T) *rig { return newRigWith(t, catalog.Queue{}, nil) }
+
+// newRigWith is newRig with a placement policy of the queue.
+func newRigWith(t *testing.T, queue catalog.Queue, advisor Advisor) *rig {
+	queue.Name, queue.Service, queue.MaxAttempts, queue.Stretch, queue.TargetLatency = testQueue, testService, 2, 2, time.Second
+	r := &rig{t: t, advisor: advisor, store: newTestStore(), clock: &testClock{now: boottime.Instant(time.Hour)}}
 	r.view = &catalog.View{
 		Evacuated: map[string]bool{},
 		Config: catalog.NewConfig(1,
-			[]catalog.Queue{{Name: testQueue, Service: testService, MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second}},
+			[]catalog.Queue{queue},
 			map[string]catalog.Service{testService: {Name: testService}}, catalog.Limits{}),
 	}
 	r.start(1)
@@ -132,7 +138,7 @@
 	assert.NilError(r.t, writer.Fence(context.Background()))
 	jobs, err := statelog.Load(context.Background(), r.store)
 	assert.NilError(r.t, err)
-	settings := Settings{Node: "entry", Bounds: platform.Bounds{MaxHold: 6 * time.Second, StatusRetention: 2 * time.Minute}}
+	settings := Settings{Node: "entry", Bounds: platform.Bounds{MaxHold: 6 * time.Second, StatusRetention: 2 * time.Minute}, Advisor: r.advisor}
 	r.engine = New(settings, writer, jobs, func() *catalog.View { return r.view }, r.clock.read)
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.engine.Run(ctx)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -260,6 +260,9 @@
 		run.Started = true
 		return
 	}
+	if r.Answer == chervilv2.StartAnswer_START_ANSWER_TICKET {
+		e.forgetTicket(run)
+	}
 	events.RunNotStarted.Log("task", r.Task, "attempt", r.Attempt, "node", n.name, "answer", r.Answer)
 	n.remove(runKey{ref, r.Attempt})
 	en.job.Drop(ref, r.Attempt)
--- a/internal/entrynode/module.go
+++ b/internal/entrynode/module.go
@@ -100,8 +100,12 @@
 
 func newElector(n *platform.Node, store *platform.Store, peers *Peers, f *operator.Follower) *election.Elector {
 	me := election.Identity{Node: n.Name, Address: InnerAddress(n), CPUShare: n.CPUShare}
+	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds}
+	if n.AdvisorAddress != "" {
+		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
+	}
 	build := func(w *statelog.Writer, jobs map[string]*work.Job) *dispatch.Engine {
-		return dispatch.New(dispatch.Settings{Node: n.Name, Bounds: n.Bounds}, w, jobs, f.View, boottime.Now)
+		return dispatch.New(settings, w, jobs, f.View, boottime.Now)
 	}
 	storeOK := func() bool { return f.StoreSilent() < storeFresh }
 	return election.New(me, store, peers, boottime.Now, storeOK, build)
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -63,5 +63,7 @@
 	StaleOwnerIgnored = define(7315, Warning, "orders of an older owner ignored")
 	WorkerSuspected   = define(7316, Warning, "worker set aside")
 	AgentRelayed      = define(7318, Info, "agent passed on to the owner")
+	AdviceUnanswered  = define(7321, Warning, "placement policy did not answer")
+	AdviceTaken       = define(7322, Info, "placement policy answered")
 	PaceUnanswered    = define(7319, Warning, "pace not taken by the worker")
 )
