Serving runs that miss their target by themselves are excused; slow workers come last

Now slopes below 0.045 count as none; only images to blame are halted first; what misses its target while all are halted is left out for 3 s.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
 	"chervilridge/internal/catalog"
 	"chervilridge/internal/interference"
 )
@@ -362,3 +363,19 @@
 	b.report(&chervilv2.AgentReport{Results: []*chervilv2.StartResult{{Task: start.Task, Attempt: start.Attempt, Answer: chervilv2.StartAnswer_START_ANSWER_TICKET}}})
 	eventually(t, "started with a new ticket", func() bool { return len(b.started()) == 4 && b.started()[3].Ticket == "ticket-2" })
 }
+
+// The load: one worker turns slow, so that its runs take five times as long.
+func TestSlowWorkerIsChosenLast(t *testing.T) {
+	h := health{}
+	now := boottime.Instant(time.Hour)
+	for range 20 {
+		h.took(0.5, now)
+		h.took(1.5, now)
+	}
+	assert.Equal(t, h.slow(now), 0.0, "the work of tasks varies")
+	for range 4 {
+		h.took(5, now)
+	}
+	assert.Assert(t, h.slow(now) > slowLimitFactor)
+	assert.Equal(t, h.slow(now.Add(slowMemory+time.Second)), 0.0, "it is tried again")
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -126,8 +126,9 @@
 			w.FillCores[h.step.Image] += cores(h.step.CpuMilli)
 		}
 	}
+	w.Doubt = n.health.slow(now)
 	if n.health.doubt >= doubtLimit {
-		w.Doubt = n.health.doubt
+		w.Doubt += n.health.doubt
 	}
 	w.FillLimitMilli = w.Capacity.CPUMilli - (w.Used.CPUMilli - w.ServingMilli) - w.ServingMilli*servingUse/100
 	return w
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -195,7 +195,9 @@
 		return
 	}
 	if h := n.runs[runKey{ref, end.Attempt}]; h != nil && end.Kind == chervilv2.EndKind_END_KIND_DONE && !h.paced {
-		e.durations.Observe(en.job.Spec.Queue, e.clock().Sub(h.ordered))
+		took := e.clock().Sub(h.ordered)
+		n.health.took(float64(took)/float64(e.durations.Task(en.job.Spec.Queue)), e.clock())
+		e.durations.Observe(en.job.Spec.Queue, took)
 	}
 	n.remove(runKey{ref, end.Attempt})
 	effect := en.job.Finish(work.End{Ref: ref, Attempt: end.Attempt, Kind: end.Kind, Checkpoint: end.Checkpoint}, e.maxAttempts(en), e.wall().UnixMilli())
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -65,5 +65,6 @@
 	AgentRelayed      = define(7318, Info, "agent passed on to the owner")
 	AdviceUnanswered  = define(7321, Warning, "placement policy did not answer")
 	AdviceTaken       = define(7322, Info, "placement policy answered")
+	ServingExcused    = define(7323, Info, "serving run misses its target without filling runs")
 	PaceUnanswered    = define(7319, Warning, "pace not taken by the worker")
 )
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -19,8 +19,10 @@
 	maxSlope     = 2.0
 	// priorWeight is how much that assumption weighs, in squared cores.
 	priorWeight = 6.0
+	// negligible is a slope that noise explains; what is below it counts as none.
+	negligible = 0.045
 	// forget is what remains of what was seen with each comparison.
-	forget = 0.998
+	forget = 0.999
 	// leastUse is the use below which a task counts as alone, in cores.
 	leastUse = 0.3
 	// leastHeadroom and mostHeadroom bound what load alone leaves until it is seen.
@@ -94,6 +96,24 @@
 	return unknownSlope
 }
 
+// Harm is Slope without what noise explains.
+func (m *Model) Harm(p Pair) float64 {
+	if s := m.Slope(p); s >= negligible {
+		return s
+	}
+	return 0
+}
+
+// KnowsAll reports whether the harm of all filling images to a serving one was learned.
+func (m *Model) KnowsAll(serving string, use map[string]float64) bool {
+	for filling := range use {
+		if _, ok := m.slope[Pair{serving, filling}]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Set replaces what is known of a pair.
 func (m *Model) Set(p Pair, slope float64) { m.slope[p] = slope }
 
@@ -101,7 +121,7 @@
 func (m *Model) Taken(serving string, use map[string]float64) float64 {
 	sum := 0.0
 	for filling, cores := range use {
-		sum += m.Slope(Pair{serving, filling}) * cores
+		sum += m.Harm(Pair{serving, filling}) * cores
 	}
 	return sum
 }
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -64,6 +64,15 @@
 	assert.Equal(t, New().Slope(Pair{"s", "f"}), unknownSlope)
 }
 
+func TestNoiseCountsAsNoHarm(t *testing.T) {
+	m := New()
+	p := Pair{"s", "f"}
+	m.Set(p, negligible-0.001)
+	assert.Equal(t, m.Taken("s", map[string]float64{"f": 10}), 0.0)
+	m.Set(p, negligible)
+	assert.Assert(t, m.Taken("s", map[string]float64{"f": 10}) > 0.4)
+}
+
 func TestLoadIsToldByTheLeastDisturbedTask(t *testing.T) {
 	m := New()
 	m.Set(Pair{"s", "f"}, 0.2)
--- a/internal/sidecar/pacer.go
+++ b/internal/sidecar/pacer.go
@@ -20,9 +20,11 @@
 	// raiseFactor bounds a step up, firstPace is the step from a halt, in percent.
 	raiseFactor, firstPace = 2, 20
 	leastPace              = 5
-	// haltAfter is how long a target may be missed before filling runs are halted; the
-	// platform counts harm after about four seconds.
-	haltAfter = 1600 * time.Millisecond
+	// haltAfter is how long a target may be missed before the filling runs to blame are
+	// halted, haltAllAfter before all are; the platform counts harm after about four
+	// seconds.
+	haltAfter    = 1600 * time.Millisecond
+	haltAllAfter = 2400 * time.Millisecond
 	// settleTime is what a change of pace needs to show: the worker's figures are of
 	// the last half second.
 	settleTime = 650 * time.Millisecond
@@ -103,7 +105,7 @@
 			n.use[info.image] += float64(run.Gauge) / 1000
 			n.full[info.image] += float64(info.cpu) / 1000
 		}
-		if info.target > 0 && run.Gauge > 0 && run.Percent >= fullPace {
+		if info.target > 0 && run.Gauge > 0 && run.Percent >= fullPace && !a.ownFault[key].After(a.clock()) {
 			headroom := float64(info.target) / float64(run.Gauge)
 			if old, ok := n.serving[info.image]; !ok || headroom < old {
 				n.serving[info.image] = headroom
@@ -126,14 +128,14 @@
 		available := headroom + taken - goal
 		wanted := 0.0
 		for image, cores := range n.full {
-			if takes := model.Slope(interference.Pair{Serving: serving, Filling: image}) * cores; takes >= notable {
+			if takes := model.Harm(interference.Pair{Serving: serving, Filling: image}) * cores; takes >= notable {
 				wanted += takes
 			}
 		}
-		unexplained := headroom < 1 && wanted < notable
+		unexplained := headroom < 1 && wanted < notable && !model.KnowsAll(serving, n.full)
 		share := max(available, 0) / max(wanted, notable)
 		for image, cores := range n.full {
-			takes := model.Slope(interference.Pair{Serving: serving, Filling: image}) * cores
+			takes := model.Harm(interference.Pair{Serving: serving, Filling: image}) * cores
 			switch {
 			case unexplained:
 				out[image] = min(out[image], fullPace*headroom/2)
@@ -145,6 +147,17 @@
 	return out
 }
 
+// blamed reports whether the image takes headroom of a serving run that misses its
+// target.
+func (n neighbours) blamed(model *interference.Model, filling string) bool {
+	for serving, headroom := range n.serving {
+		if headroom < 1 && model.Harm(interference.Pair{Serving: serving, Filling: filling}) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // share paces the filling runs of the worker by the headroom of the serving ones.
 func (a *Agent) share(ctx context.Context, l *life) {
 	n := a.neighbours(l)
@@ -154,7 +167,11 @@
 	} else if a.over == 0 {
 		a.over = now
 	}
-	halt := a.over != 0 && now.Sub(a.over) >= haltAfter
+	missed := time.Duration(0)
+	if a.over != 0 {
+		missed = now.Sub(a.over)
+	}
+	a.excuse(l, n, now)
 	goals := n.goals(a.model)
 	for image, keys := range n.fills {
 		p := a.pacers[image]
@@ -163,6 +180,7 @@
 			a.pacers[image] = p
 		}
 		before := p.level
+		halt := missed >= haltAllAfter || missed >= haltAfter && n.blamed(a.model, image)
 		level := p.decide(now, goals[image], halt)
 		if level != before {
 			events.RunPaced.Log("worker", l.id, "image", image, "fromPercent", before, "toPercent", level, "goal", int(goals[image]),
@@ -183,6 +201,35 @@
 	}
 }
 
+// excuse notes the serving runs that miss their target although all filling runs have
+// been halted for a while: their own load or their worker is the cause, and to slow the
+// filling runs for them helps nobody.
+func (a *Agent) excuse(l *life, n neighbours, now boottime.Instant) {
+	if len(n.fills) == 0 {
+		return
+	}
+	for image := range n.fills {
+		if p := a.pacers[image]; p == nil || p.level > 0 || now.Sub(p.changed) < excuseAfter {
+			return
+		}
+	}
+	for key, run := range l.runs {
+		if info := a.info[key]; info.target > 0 && run.Gauge > info.target {
+			a.ownFault[key] = now.Add(excuseTime)
+			events.ServingExcused.Log("task", key.task, "worker", l.id, "tailMs", run.Gauge, "targetMs", info.target, "for", excuseTime)
+		}
+	}
+}
+
+const (
+	// excuseAfter is how long filling runs must be halted to be cleared: a halt takes a
+	// tenth of a second, and the worker's figures are of the last half second.
+	excuseAfter = 900 * time.Millisecond
+	// excuseTime is how long a serving run is left out after that; the platform counts
+	// harm after about four seconds.
+	excuseTime = 3 * time.Second
+)
+
 // pacerKept is how long the pace of an image that no longer runs is remembered.
 const pacerKept = 3 * time.Second
 
