Ends of a worker that leaves are read before it is answered, and still reported

Ruled out: the owner (ends are taken in before runs are dropped since this commit, but no report carried both). TestEndsOfAWorkerThatIsGoneAreStillReported fails before (0 ends), passes after; TestLastLookReadsTheEndsOfAWorkerThatLeaves, TestEndReportedWithTheLossOfTheWorkerCounts.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -183,6 +183,18 @@
 	assert.Equal(t, a.started()[1].Attempt, uint32(2))
 }
 
+func TestEndReportedWithTheLossOfTheWorkerCounts(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	b := r.attach("side-2", 500) // too small for the task
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.worker.Gone, a.worker.Listed = true, false
+	a.end(1, a.started()[0], done)
+	eventually(t, "job completed", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_COMPLETED })
+	assert.Equal(t, len(b.started())+len(a.started()), 1)
+}
+
 func TestNewOwnerGoesOnWhereTheOldOneEnded(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -137,6 +137,9 @@
 	for _, result := range r.Results {
 		e.takeResult(n, result)
 	}
+	if r.Worker.GetGone() && len(n.runs) > 0 { // after the ends, which may say more
+		e.loseRuns(n, nil, "worker gone")
+	}
 	if r.Full {
 		e.reconcile(n, r)
 	}
@@ -165,9 +168,6 @@
 		n.key, n.lastEnd, n.storedEnd, n.health = key, 0, 0, health{}
 		e.replan()
 	}
-	if w.Gone && len(n.runs) > 0 {
-		e.loseRuns(n, nil, "worker gone")
-	}
 	if n.worker == nil || n.worker.Listed != w.Listed || n.worker.Draining != w.Draining {
 		e.replan()
 	}
--- a/internal/sidecar/agent.go
+++ b/internal/sidecar/agent.go
@@ -33,6 +33,13 @@
 	// silentLimit is after how many unanswered calls leases are no longer renewed, so
 	// that they run out.
 	silentLimit = 3
+	// oweTime is how long the ends of a life that is gone are reported.
+	oweTime = 3 * time.Second
+	// lastHoldTimeout bounds the last look at a worker that leaves.
+	lastHoldTimeout = 250 * time.Millisecond
+	// drainingWait is how long a draining worker may hold a call open: it may end at any
+	// moment.
+	drainingWait = 100 * time.Millisecond
 )
 
 // Worker is what the agent calls of the worker beside it.
@@ -56,6 +63,7 @@
 	draining bool
 	left     bool // it has said that it ends
 	gone     bool // nothing runs on it any more, and it does not come back
+	goneAt   boottime.Instant
 	lapsed   bool // all leases ran out while it was silent
 	listed   bool
 	// clock is a reading of the worker's clock and clockAt a time not before it.
@@ -80,6 +88,7 @@
 
 	mu        sync.Mutex
 	life      *life
+	next      *platform.Heartbeat // of a new life that has to wait
 	epoch     uint64
 	authority boottime.Instant // until when leases may be renewed
 	tasks     map[runKey]*task
@@ -126,6 +135,11 @@
 			events.HeartbeatRejected.Log("worker", h.WorkerID, "born", h.BornUnixMs, "known", l.id, "knownBorn", l.born, "reason", "of an earlier life")
 			return
 		}
+		if l != nil && l.owes(a.clock()) {
+			a.next = &h // taken in once the ends of the life before are stored
+			return
+		}
+		a.next = nil
 		l = &life{runs: map[runKey]platform.Run{}, answered: a.clock()}
 		a.life = l
 		clear(a.info)
@@ -153,6 +167,23 @@
 	l.beat, l.draining = h, h.Draining
 }
 
+// owes reports whether ends of this life wait to be stored. What the owner does not
+// store within oweTime it learns as lost.
+func (l *life) owes(now boottime.Instant) bool {
+	return len(l.ends) > 0 && (!l.gone || now.Sub(l.goneAt) < oweTime)
+}
+
+// takeNext takes in the heartbeat of a new life that waited for the one before.
+func (a *Agent) takeNext() {
+	a.mu.Lock()
+	h := a.next
+	ready := h != nil && (a.life == nil || !a.life.owes(a.clock()))
+	a.mu.Unlock()
+	if ready {
+		a.Heartbeat(*h)
+	}
+}
+
 // is reports whether the heartbeat is of this life of the worker.
 func (l *life) is(h platform.Heartbeat) bool {
 	return (l.id == "" || l.id == h.WorkerID) && (l.born == 0 || h.BornUnixMs == 0 || l.born == h.BornUnixMs)
@@ -169,9 +200,35 @@
 	}
 }
 
+// LastLook reads the ends of a worker that is about to end, before it is answered.
+func (a *Agent) LastLook(ctx context.Context, workerID string) {
+	a.mu.Lock()
+	l, epoch := a.life, a.epoch
+	if l == nil || l.id != workerID || l.gone {
+		a.mu.Unlock()
+		return
+	}
+	hold := platform.Hold{Fence: epoch, AcknowledgedEnd: l.stored}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, lastHoldTimeout)
+	defer cancel()
+	runs, err := a.worker.Hold(ctx, workerID, hold)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		events.HoldUnanswered.LogError(err, "worker", workerID, "last", true)
+		return
+	}
+	if a.life == l {
+		a.holdAnswered(ctx, l, hold, runs, nil)
+		signal(a.changed)
+	}
+}
+
 // Hold renews leases and follows the worker's runs until the context ends.
 func (a *Agent) Hold(ctx context.Context) {
 	for ctx.Err() == nil {
+		a.takeNext()
 		pause := a.holdOnce(ctx)
 		if pause == 0 {
 			continue
@@ -200,6 +257,9 @@
 	hold := platform.Hold{Until: a.leaseEnd(l), Fence: a.epoch, AcknowledgedEnd: l.stored}
 	if len(l.ends) == 0 && len(settling) == 0 && l.listed && l.silent == 0 {
 		hold.Wait = holdWait
+		if l.draining {
+			hold.Wait = drainingWait
+		}
 	}
 	l.until = max(l.until, hold.Until)
 	a.mu.Unlock()
@@ -261,18 +321,19 @@
 	case l.silent >= silentLimit && !l.lapsed && l.allLapsed(a.clock()):
 		events.WorkerGone.Log("worker", l.id, "born", l.born, "reason", "all leases have run out", "runs", len(l.runs), "silent", a.clock().Sub(l.answered))
 		l.lapsed, l.listed = true, false
-		l.runs, l.ends = map[runKey]platform.Run{}, nil
+		l.runs = map[runKey]platform.Run{}
 	}
 	signal(a.changed)
 	return idlePause
 }
 
-// markGone notes that nothing runs on this life of the worker any more.
+// markGone notes that nothing runs on this life of the worker any more. Its ends that are
+// not stored yet are still reported.
 func (a *Agent) markGone(l *life, reason string) {
-	events.WorkerGone.Log("worker", l.id, "born", l.born, "reason", reason, "runs", len(l.runs), "silent", a.clock().Sub(l.answered))
+	events.WorkerGone.Log("worker", l.id, "born", l.born, "reason", reason, "runs", len(l.runs), "ends", len(l.ends), "silent", a.clock().Sub(l.answered))
 	l.runs = map[runKey]platform.Run{}
-	l.ends = nil
-	l.gone, l.listed = true, false
+	l.gone, l.listed, l.goneAt = true, false, a.clock()
+	a.full = true
 }
 
 func (a *Agent) holdAnswered(ctx context.Context, l *life, hold platform.Hold, runs platform.Runs, settling []*chervilv2.StartResult) {
--- a/internal/sidecar/agent_test.go
+++ b/internal/sidecar/agent_test.go
@@ -194,3 +194,34 @@
 	r := b.agent.report()
 	assert.Equal(t, r.Worker.Id, "i-2")
 }
+
+// A play broke TWICE: a run was done just before its worker left, and the agent dropped
+// that end with the worker.
+func TestEndsOfAWorkerThatIsGoneAreStillReported(t *testing.T) {
+	b := newBench(t, 50*time.Millisecond)
+	b.listed()
+	b.start(task1, 1)
+	b.wait("ended", func(r *chervilv2.AgentReport) bool { return len(r.Ends) == 1 })
+	_ = b.server.Listener.Close()
+	b.worker.Close()
+	b.server.CloseClientConnections()
+	r := b.wait("gone", func(r *chervilv2.AgentReport) bool { return r.Worker.Gone })
+	assert.Equal(t, len(r.Ends), 1)
+	born := b.agent.life.born
+	b.agent.Heartbeat(platform.Heartbeat{WorkerID: "i-2", BornUnixMs: born + 5000, Service: "desk", Sequence: 1})
+	r = b.agent.report()
+	assert.Equal(t, r.Worker.Id, workerID, "a new life waits until the ends are stored")
+	b.order(&chervilv2.OwnerOrders{StoredEnd: 1, WorkerId: workerID, BornUnixMs: born})
+	b.wait("new life", func(r *chervilv2.AgentReport) bool { return r.Worker.Id == "i-2" })
+}
+
+func TestLastLookReadsTheEndsOfAWorkerThatLeaves(t *testing.T) {
+	b := newBench(t, 50*time.Millisecond)
+	b.listed()
+	b.cancel() // the regular calls have stopped
+	b.start(task1, 1)
+	time.Sleep(200 * time.Millisecond)
+	b.agent.LastLook(context.Background(), workerID)
+	r := b.agent.report()
+	assert.Equal(t, len(r.Ends), 1)
+}
--- a/internal/sidecar/module.go
+++ b/internal/sidecar/module.go
@@ -121,6 +121,7 @@
 		g.JSON(http.StatusOK, struct{}{})
 	})
 	engine.DELETE(path, func(g *gin.Context) {
+		a.LastLook(g.Request.Context(), g.Param("id"))
 		a.Left(g.Param("id"))
 		g.JSON(http.StatusOK, struct{}{})
 	})
