--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -138,7 +138,7 @@
 func (e *Engine) requests(view *catalog.View) []plan.Request {
 	var out []plan.Request
 	now := e.wall().UnixMilli()
-	for id, en := range e.open {
+	for _, en := range e.open {
 		queue := view.Config.Queue(en.job.Spec.Queue)
 		if queue == nil || en.job.Ended() {
 			continue
@@ -168,7 +168,6 @@
 		out = append(out[:first], slices.DeleteFunc(out[first:], func(r plan.Request) bool {
 			return r.Step.Gang && len(r.Indexes) < int(r.Step.Tasks) // members of the last attempt still run
 		})...)
-		_ = id
 	}
 	return out
 }
--- a/internal/entrynode/router.go
+++ b/internal/entrynode/router.go
@@ -38,8 +38,6 @@
 type call struct {
 	local  func(ctx context.Context, e *dispatch.Engine) *chervilv2.JobReply
 	remote func(ctx context.Context, c chervilv2.SchedulerClient, relayed bool) (*chervilv2.JobReply, error)
-	// repeatable calls change nothing.
-	repeatable bool
 }
 
 func submitCall(spec *chervilv2.JobSpec) call {
@@ -66,7 +64,6 @@
 		remote: func(ctx context.Context, c chervilv2.SchedulerClient, relayed bool) (*chervilv2.JobReply, error) {
 			return c.Lookup(ctx, &chervilv2.JobRequest{Id: id, Relayed: relayed})
 		},
-		repeatable: true,
 	}
 }
 
--- a/internal/entrynode/service.go
+++ b/internal/entrynode/service.go
@@ -26,37 +26,31 @@
 	return &Service{elector: elector, router: router, operator: operator, peers: peers}
 }
 
-// Submit passes a job to the owner, unless it was passed on once already.
+// Submit passes a job to the owner.
 func (s *Service) Submit(ctx context.Context, r *chervilv2.SubmitRequest) (*chervilv2.JobReply, error) {
-	if engine := s.elector.Engine(); engine != nil {
-		return engine.Submit(ctx, r.Spec), nil
-	}
-	if r.Relayed {
-		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
-	}
-	return s.router.atOwner(ctx, submitCall(r.Spec), true)
+	return s.pass(ctx, submitCall(r.Spec), r.Relayed)
 }
 
-// Cancel passes a cancel to the owner, unless it was passed on once already.
+// Cancel passes a cancel to the owner.
 func (s *Service) Cancel(ctx context.Context, r *chervilv2.JobRequest) (*chervilv2.JobReply, error) {
-	if engine := s.elector.Engine(); engine != nil {
-		return engine.Cancel(ctx, r.Id), nil
-	}
-	if r.Relayed {
-		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
-	}
-	return s.router.atOwner(ctx, cancelCall(r.Id), true)
+	return s.pass(ctx, cancelCall(r.Id), r.Relayed)
 }
 
-// Lookup passes a question for a job to the owner, unless it was passed on once already.
+// Lookup passes a question for a job to the owner.
 func (s *Service) Lookup(ctx context.Context, r *chervilv2.JobRequest) (*chervilv2.JobReply, error) {
+	return s.pass(ctx, lookupCall(r.Id), r.Relayed)
+}
+
+// pass carries a call out if this entry owns the schedule, and passes it on to the owner
+// unless it was passed on once already.
+func (s *Service) pass(ctx context.Context, c call, relayed bool) (*chervilv2.JobReply, error) {
 	if engine := s.elector.Engine(); engine != nil {
-		return engine.Lookup(r.Id), nil
+		return c.local(ctx, engine), nil
 	}
-	if r.Relayed {
+	if relayed {
 		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
-	return s.router.atOwner(ctx, lookupCall(r.Id), true)
+	return s.router.atOwner(ctx, c, true)
 }
 
 // CountPending counts the waiting jobs of a queue.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,29 +8,29 @@
 
 	"gotest.tools/v3/assert"
 
-	pb "chervilridge/api/chervil/v1"
+	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/standin/proxy"
 )
 
 // owner answers beats after a while.
 type owner struct {
-	pb.UnimplementedShardOwnerServiceServer
+	chervilv2.UnimplementedSchedulerServer
 	takes time.Duration
 }
 
-func (o owner) Beat(ctx context.Context, _ *pb.BeatRequest) (*pb.BeatReply, error) {
+func (o owner) Ping(ctx context.Context, _ *chervilv2.PingRequest) (*chervilv2.PingReply, error) {
 	select {
 	case <-time.After(o.takes):
 	case <-ctx.Done():
 	}
-	return &pb.BeatReply{}, nil
+	return &chervilv2.PingReply{}, nil
 }
 
 func serve(t *testing.T, takes time.Duration) *proxy.Proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := NewServer()
-	pb.RegisterShardOwnerServiceServer(server, owner{takes: takes})
+	chervilv2.RegisterSchedulerServer(server, owner{takes: takes})
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
 	p, err := proxy.Listen(l.Addr().String())
@@ -48,13 +48,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	tracked, handOver := TrackHandOver(ctx)
-	_, err = pb.NewShardOwnerServiceClient(conn).Beat(tracked, &pb.BeatRequest{})
+	_, err = chervilv2.NewSchedulerClient(conn).Ping(tracked, &chervilv2.PingRequest{})
 	return handOver, err
 }
 
-// TestSilentBeats lets the connection to a shard's owner go silent: beats reach
+// TestSilentPings lets the connection to an owner go silent: pings reach
 // it over a new one within the stated 2 s.
-func TestSilentBeats(t *testing.T) {
+func TestSilentPings(t *testing.T) {
 	const every, timeout, noticed = 500 * time.Millisecond, time.Second, 2 * time.Second
 	p := serve(t, 0)
 	pool := NewPool()
