--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,7 +12,7 @@
 	"chervilridge/internal/standin/proxy"
 )
 
-// owner answers beats after a while.
+// owner answers pings after a while.
 type owner struct {
 	chervilv2.UnimplementedSchedulerServer
 	takes time.Duration
@@ -21,9 +21,10 @@
 func (o owner) Ping(ctx context.Context, _ *chervilv2.PingRequest) (*chervilv2.PingReply, error) {
 	select {
 	case <-time.After(o.takes):
+		return &chervilv2.PingReply{}, nil
 	case <-ctx.Done():
+		return nil, ctx.Err() // an answer now would race with the caller's own deadline
 	}
-	return &chervilv2.PingReply{}, nil
 }
 
 func serve(t *testing.T, takes time.Duration) *proxy.Proxy {
@@ -39,8 +40,8 @@
 	return p
 }
 
-// beat calls as an agent does that reports to a shard's owner.
-func beat(pool *Pool, address string, timeout time.Duration) (*HandOver, error) {
+// ping calls as an entry does that looks at the owner.
+func ping(pool *Pool, address string, timeout time.Duration) (*HandOver, error) {
 	conn, err := pool.Get(address)
 	if err != nil {
 		return nil, err
@@ -59,12 +60,12 @@
 	p := serve(t, 0)
 	pool := NewPool()
 	defer pool.Close()
-	_, err := beat(pool, p.Address(), timeout)
+	_, err := ping(pool, p.Address(), timeout)
 	assert.NilError(t, err)
 	p.Silence()
 	began := time.Now()
 	for {
-		if _, err = beat(pool, p.Address(), timeout); err == nil {
+		if _, err = ping(pool, p.Address(), timeout); err == nil {
 			break
 		}
 		assert.Assert(t, time.Since(began) < noticed, "%v", err)
@@ -80,7 +81,7 @@
 	p := serve(t, 2*(heartbeatEvery+heartbeatTimeout))
 	pool := NewPool()
 	defer pool.Close()
-	_, err := beat(pool, p.Address(), time.Minute)
+	_, err := ping(pool, p.Address(), time.Minute)
 	assert.NilError(t, err)
 	assert.Equal(t, p.Accepted(), 1)
 }
@@ -90,12 +91,12 @@
 	p := serve(t, time.Minute)
 	pool := NewPool()
 	defer pool.Close()
-	reached, err := beat(pool, p.Address(), 100*time.Millisecond)
+	reached, err := ping(pool, p.Address(), 100*time.Millisecond)
 	assert.Assert(t, err != nil)
 	assert.Assert(t, reached.Began())
 	p.Close()
 	pool.Close()
-	refused, err := beat(pool, p.Address(), time.Minute)
+	refused, err := ping(pool, p.Address(), time.Minute)
 	assert.Assert(t, err != nil)
 	assert.Assert(t, !refused.Began())
 }
