--- a/internal/entrynode/clients.go
+++ b/internal/entrynode/clients.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/uber-go/tally/v4"
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/catalog"
@@ -36,13 +37,18 @@
 	operator *operator.Follower
 	router   *Router
 	leaving  func() bool
+	scope    tally.Scope
 }
 
-// NewClients returns the handler of clients' requests.
-func NewClients(operator *operator.Follower, router *Router, leaving func() bool) *Clients {
-	return &Clients{operator: operator, router: router, leaving: leaving}
+// NewClients returns the handler of clients' requests; it records their number and
+// latency by method and status.
+func NewClients(operator *operator.Follower, router *Router, leaving func() bool, scope tally.Scope) *Clients {
+	return &Clients{operator: operator, router: router, leaving: leaving, scope: scope}
 }
 
+// latencyBuckets reach from 1 ms to 8 s, beyond every client's deadline.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Handler returns the HTTP handler.
 func (c *Clients) Handler() http.Handler {
 	engine := gin.New()
@@ -83,6 +89,8 @@
 }
 
 func (c *Clients) log(r *http.Request, queue *catalog.Queue, id string, a answer, took time.Duration) {
+	c.scope.Tagged(map[string]string{"method": methodLabel(r.Method), "status": strconv.Itoa(a.status)}).
+		Histogram("job_requests", latencyBuckets).RecordDuration(took)
 	name := ""
 	if queue != nil {
 		name = queue.Name
@@ -92,6 +100,15 @@
 		"tookMs", took.Milliseconds(), "config", c.version(), "epoch", owner.GetEpoch())
 }
 
+// methodLabel bounds the values of the label: clients may send any word.
+func methodLabel(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	}
+	return "other"
+}
+
 func (c *Clients) version() int64 {
 	if v := c.operator.View(); v != nil && v.Config != nil {
 		return v.Config.Version
--- a/internal/entrynode/module.go
+++ b/internal/entrynode/module.go
@@ -111,11 +111,11 @@
 	return election.New(me, store, peers, boottime.Now, storeOK, build)
 }
 
-func newEntry(n *platform.Node, x *election.Elector, f *operator.Follower, r *Router, p *Peers, s *Service) *Entry {
+func newEntry(n *platform.Node, x *election.Elector, f *operator.Follower, r *Router, p *Peers, s *Service, t *telemetry.Server) *Entry {
 	e := &Entry{node: n, elector: x, operator: f, router: r, peers: p, grpc: peer.NewServer()}
 	chervilv2.RegisterSchedulerServer(e.grpc, s)
 	e.front = &http.Server{
-		Handler: NewClients(f, r, e.leaving.Load).Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: NewClients(f, r, e.leaving.Load, t.Scope()).Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReadiness, e.readiness)
--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -91,7 +92,7 @@
 }
 
 const (
-	frontPort, readyPort, controlPort, innerPort, appPort = 8161, 8167, 8166, 7720, 8165
+	frontPort, readyPort, controlPort, innerPort, appPort, metricsPort = 8161, 8167, 8166, 7720, 8165, 9464
 )
 
 // startSite starts a store, workers with agents, and entries, and waits until all of
@@ -446,3 +447,15 @@
 	assert.NilError(s.t, err)
 	return orders.Report
 }
+
+// metrics returns what an entry serves on its metrics address.
+func (s *site) metrics(entry int) string {
+	response, err := s.client.Get(fmt.Sprintf("http://%s:%d/metrics", s.ip(100+entry), metricsPort))
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	return string(content)
+}
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -214,3 +215,14 @@
 	report := s.attachThrough(relay)
 	assert.Assert(t, report > 0, "the owner answers a report that another entry passed on")
 }
+
+func TestMetricsCountRequestsAndEvents(t *testing.T) {
+	s := startSite(t, 1, 1)
+	s.submit(0, 1)
+	s.waitState(0, "completed")
+	s.eventually("metrics served", func() bool {
+		text := s.metrics(0)
+		return strings.Contains(text, `chervil_job_requests_bucket{method="POST",status="200"`) &&
+			strings.Contains(text, `chervil_events{event="7201"}`)
+	})
+}
