--- a/internal/operator/follower.go
+++ b/internal/operator/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
 	"chervilridge/internal/catalog"
 	"chervilridge/internal/events"
 	"chervilridge/platform"
@@ -42,8 +43,8 @@
 
 	mu      sync.Mutex
 	records map[string]platform.Record
-	offset  int64 // after the newest record taken in
-	reached atomic.Int64
+	offset  int64        // after the newest record taken in
+	reached atomic.Int64 // boottime.Instant of the store's last answer
 	ready   chan struct{}
 	once    sync.Once
 }
@@ -61,7 +62,7 @@
 
 // StoreSilent returns how long ago the store last answered this process.
 func (f *Follower) StoreSilent() time.Duration {
-	return time.Duration(time.Now().UnixNano() - f.reached.Load())
+	return boottime.Now().Sub(boottime.Instant(f.reached.Load()))
 }
 
 // Run follows until the context ends.
@@ -75,7 +76,7 @@
 				events.StoreRegained.Log("failures", failures)
 			}
 			failures = 0
-			f.reached.Store(time.Now().UnixNano())
+			f.reached.Store(int64(boottime.Now()))
 			continue
 		}
 		if ctx.Err() != nil {
