A run that is said not to have started never starts; less is told of interference

The agent now remembers what it refused for a minute and refuses repeats; the next attempt is free. TestRunSaidNotToHaveStartedNeverStarts fails before. Besides: slopes go to an agent for the images that serve there, once a second instead of all of them three times; entries weigh their link as well as their processor before they claim, and wait longer for the first claim.

--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -12,7 +12,7 @@
 )
 
 // modelInterval is the least time between two sendings of what was learned.
-const modelInterval = 300 * time.Millisecond
+const modelInterval = time.Second
 
 // atWork is the percentage at which a serving task serves.
 const atWork = 100
@@ -43,19 +43,27 @@
 		return
 	}
 	e.modelSent, e.modelAt = e.model.Revision(), now
-	known := e.interference()
 	for _, n := range e.nodes {
 		if n.session != nil && n.serving > 0 {
+			known := e.interference(n)
 			n.session.edit(func(next *chervilv2.OwnerOrders) { next.Interference = known })
 		}
 	}
 }
 
-func (e *Engine) interference() []*chervilv2.Interference {
-	pairs := e.model.Pairs()
-	out := make([]*chervilv2.Interference, 0, len(pairs))
-	for _, p := range pairs {
-		out = append(out, &chervilv2.Interference{Serving: p.Serving, Filling: p.Filling, SlopeMilli: uint32(e.model.Slope(interference.Pair(p)) * 1000)})
+// interference returns what was learned of the images that serve on the node.
+func (e *Engine) interference(n *node) []*chervilv2.Interference {
+	serves := map[string]bool{}
+	for _, h := range n.runs {
+		if h.step.TargetLatencyMs > 0 {
+			serves[h.step.Image] = true
+		}
+	}
+	var out []*chervilv2.Interference
+	for _, p := range e.model.Pairs() {
+		if serves[p.Serving] {
+			out = append(out, &chervilv2.Interference{Serving: p.Serving, Filling: p.Filling, SlopeMilli: uint32(e.model.Slope(p) * 1000)})
+		}
 	}
 	return out
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -125,7 +125,7 @@
 		}
 		n.session = s
 		s.edit(func(next *chervilv2.OwnerOrders) {
-			next.Runs, next.Interference = n.runInfos(), e.interference()
+			next.Runs, next.Interference = n.runInfos(), e.interference(n)
 		})
 		e.replan()
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -38,10 +38,14 @@
 	// claimTimeout bounds how long the outcome of a claim is looked for.
 	claimTimeout = 3 * time.Second
 	claimPause   = 60 * time.Millisecond
-	// weakDelay is how much longer than a whole core an entry without any processor
-	// would wait before it claims; strong entries come first.
-	weakDelay   = 160 * time.Millisecond
-	claimJitter = 60 * time.Millisecond
+	// weakDelay is how much longer than a strong entry one without any processor or link
+	// would wait before it claims; firstDelay is the same for the first claim of all,
+	// since processes start some hundred milliseconds apart and nobody waits yet.
+	weakDelay  = 250 * time.Millisecond
+	firstDelay = 1500 * time.Millisecond
+	// ampleLinkMbps is a link that the owner of some hundred workers does not fill.
+	ampleLinkMbps = 100
+	claimJitter   = 60 * time.Millisecond
 	// lonelyAfter is how long an owner without any agent keeps the schedule while
 	// others could take it, and lonelyPause how long it then stands back.
 	lonelyAfter = 2500 * time.Millisecond
@@ -60,8 +64,15 @@
 type Identity struct {
 	Node    string
 	Address string
-	// CPUShare is the share of a core that the process gets.
+	// CPUShare is the share of a core that the process gets, LinkMbps its bandwidth.
 	CPUShare float64
+	LinkMbps float64
+}
+
+// strength ranks entries from 0 to 1: the owner needs both processor and link, and the
+// scarcer one counts.
+func (i Identity) strength() float64 {
+	return min(i.CPUShare, i.LinkMbps/ampleLinkMbps, 1)
 }
 
 // Elector follows who owns the schedule, and claims it when the owner is gone.
@@ -258,7 +269,7 @@
 			return
 		}
 	}
-	if x.pause(ctx) {
+	if x.pause(ctx, owner == nil) {
 		x.claim(ctx, owner, end)
 	}
 }
@@ -286,8 +297,12 @@
 }
 
 // pause lets stronger entries claim first.
-func (x *Elector) pause(ctx context.Context) bool {
-	delay := time.Duration((1-min(x.me.CPUShare, 1))*float64(weakDelay)) + rand.N(claimJitter)
+func (x *Elector) pause(ctx context.Context, first bool) bool {
+	longest := weakDelay
+	if first {
+		longest = firstDelay
+	}
+	delay := time.Duration((1-x.me.strength())*float64(longest)) + rand.N(claimJitter)
 	select {
 	case <-time.After(delay):
 		return true
--- a/internal/entrynode/module.go
+++ b/internal/entrynode/module.go
@@ -99,7 +99,7 @@
 }
 
 func newElector(n *platform.Node, store *platform.Store, peers *Peers, f *operator.Follower) *election.Elector {
-	me := election.Identity{Node: n.Name, Address: InnerAddress(n), CPUShare: n.CPUShare}
+	me := election.Identity{Node: n.Name, Address: InnerAddress(n), CPUShare: n.CPUShare, LinkMbps: n.LinkMbps}
 	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds}
 	if n.AdvisorAddress != "" {
 		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
--- a/internal/sidecar/agent.go
+++ b/internal/sidecar/agent.go
@@ -93,6 +93,8 @@
 	authority boottime.Instant // until when leases may be renewed
 	tasks     map[runKey]*task
 	results   []*chervilv2.StartResult
+	// refused are runs that were said not to have started, and when.
+	refused map[runKey]boottime.Instant
 	// settled are results that wait for a full list newer than themselves.
 	settled []*chervilv2.StartResult
 	info    map[runKey]runInfo
@@ -112,7 +114,7 @@
 func NewAgent(node *platform.Node, worker Worker, clock boottime.Clock) *Agent {
 	a := &Agent{
 		node: node, worker: worker, clock: clock, tasks: map[runKey]*task{}, paced: map[runKey]uint32{}, info: map[runKey]runInfo{},
-		pacers: map[string]*pacer{}, model: interference.New(), ownFault: map[runKey]boottime.Instant{},
+		pacers: map[string]*pacer{}, model: interference.New(), ownFault: map[runKey]boottime.Instant{}, refused: map[runKey]boottime.Instant{},
 		changed: make(chan struct{}, 1), holdNow: make(chan struct{}, 1), slots: make(chan struct{}, orderConcurrency),
 	}
 	return a
--- a/internal/sidecar/agent_test.go
+++ b/internal/sidecar/agent_test.go
@@ -138,6 +138,14 @@
 		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
 	})
 	b.start(task1, 4)
+	b.wait("refused", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+	// The worker refuses it too, also to an agent that has forgotten.
+	b.agent.mu.Lock()
+	clear(b.agent.refused)
+	b.agent.mu.Unlock()
+	b.start(task1, 4)
 	b.wait("fenced off", func(r *chervilv2.AgentReport) bool {
 		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_OLD
 	})
@@ -225,3 +233,28 @@
 	r := b.agent.report()
 	assert.Equal(t, len(r.Ends), 1)
 }
+
+// A grown day broke TWICE: a start was said not to have been tried, the owner's repeat of
+// it was on its way, and the run began after the owner had granted another.
+func TestRunSaidNotToHaveStartedNeverStarts(t *testing.T) {
+	b := newBench(t, time.Minute)
+	b.listed()
+	b.agent.mu.Lock()
+	b.agent.authority = 0
+	b.agent.mu.Unlock()
+	start := &chervilv2.StartOrder{Task: task1, Attempt: 1, WorkerId: workerID}
+	b.agent.Orders(context.Background(), &chervilv2.OwnerOrders{Epoch: 1, Starts: []*chervilv2.StartOrder{start}}, 0)
+	b.wait("not started", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+	b.start(task1, 1)
+	b.wait("still not", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, b.worker.Running(), 0)
+	b.start(task1, 2)
+	b.wait("the next attempt runs", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_STARTED
+	})
+}
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -24,6 +24,8 @@
 	// startTries is how often a start is tried before it is fenced off by a stop.
 	startTries = 3
 	orderPause = 60 * time.Millisecond
+	// refusedKept is how long a refused run is remembered; no order is that old.
+	refusedKept = time.Minute
 )
 
 // task is an order that is being carried out.
@@ -61,6 +63,11 @@
 	}
 	for _, s := range o.Starts {
 		key := runKey{s.Task, s.Attempt}
+		if _, refused := a.refused[key]; refused {
+			a.results = append(a.results, &chervilv2.StartResult{Task: key.task, Attempt: key.attempt, Answer: chervilv2.StartAnswer_START_ANSWER_NOT_STARTED})
+			signal(a.changed)
+			continue
+		}
 		a.info[key] = runInfo{fills: s.Fills, target: s.TargetLatencyMs, image: s.Image, cpu: s.CpuMilli, since: a.clock()}
 		if a.tasks[key] == nil {
 			t := &task{start: s, began: a.clock()}
@@ -97,10 +104,23 @@
 		signal(a.changed)
 		return
 	}
+	a.refuse(key)
 	a.settled = append(a.settled, r)
 	signal(a.holdNow)
 }
 
+// refuse makes sure that a run which is said not to have started never starts: the owner
+// may have repeated its order meanwhile.
+func (a *Agent) refuse(key runKey) {
+	now := a.clock()
+	a.refused[key] = now
+	for old, at := range a.refused {
+		if now.Sub(at) > refusedKept {
+			delete(a.refused, old)
+		}
+	}
+}
+
 // carryOutStart starts a run. If the worker does not answer, a stop of the same run
 // makes sure that it never starts.
 func (a *Agent) carryOutStart(ctx context.Context, key runKey, t *task) {
