dispatch, sidecar, operator: state nobody reads is removed

Cause: the review of the whole change found state that is written and never read, or never used: held.moved, life.acked, task.began, the follower's Ready channel, entrynode.StopTimeout (the setting replaced it), and an admit stage that always admitted. Stop repeated the body of Abandon, and reopen asked twice whether the job has ended.

Change: these are removed, Stop calls Abandon, reopen asks once. No test and no bound changes.

Conclusion: behaviour is unchanged as far as the tests show.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -129,13 +129,13 @@
 
 // reopen enters a job into the open ones or takes it out.
 func (e *Engine) reopen(id string, en *entry) {
-	hasRuns := false
 	if en.job.Ended() {
+		hasRuns := false
 		en.job.Runs(func(*work.Run) { hasRuns = true })
-	}
-	if en.job.Ended() && !hasRuns {
-		delete(e.open, id)
-		return
+		if !hasRuns {
+			delete(e.open, id)
+			return
+		}
 	}
 	e.open[id] = en
 }
@@ -356,7 +356,7 @@
 		case <-e.gone:
 		}
 	}
-	e.stopOnce.Do(func() { close(e.stop) })
+	e.Abandon()
 	select {
 	case <-e.gone:
 	case <-ctx.Done():
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -26,10 +26,6 @@
 			e.mu.Unlock()
 			return e.reject(spec.Id, "the store does not answer", storeRetryAfter)
 		}
-		if reason, wait := e.admit(spec); reason != "" {
-			e.mu.Unlock()
-			return e.reject(spec.Id, reason, wait)
-		}
 		en = e.enter(spec)
 	}
 	b := en.storedIn
@@ -134,8 +130,3 @@
 	}
 	return reply
 }
-
-// admit decides whether a new job is taken; it returns why not, and when to come back.
-func (e *Engine) admit(*chervilv2.JobSpec) (reason string, retryAfter time.Duration) {
-	return "", 0
-}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -60,7 +60,6 @@
 	ordered boottime.Instant
 	percent uint32
 	gauge   uint32
-	moved   boottime.Instant // when percent last rose
 	// pace is the percentage at which the agent lets the run work, slow since when it is
 	// below slowPace.
 	paced bool
@@ -94,7 +93,7 @@
 // add accounts for a run.
 func (n *node) add(e *Engine, r *work.Run) *held {
 	step, _ := e.jobs[r.Ref.Job].job.Task(r.Ref)
-	h := &held{run: r, step: step.Spec, ordered: e.clock(), moved: e.clock()}
+	h := &held{run: r, step: step.Spec, ordered: e.clock()}
 	n.runs[runKey{r.Ref, r.Attempt}] = h
 	n.account(h, 1)
 	return h
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -309,9 +309,6 @@
 }
 
 func (e *Engine) takeProgress(h *held, run *chervilv2.Run, now boottime.Instant) {
-	if run.Percent > h.percent {
-		h.moved = now
-	}
 	h.percent, h.gauge = run.Percent, run.Gauge
 	h.paced, h.pace = run.Paced, run.Pace
 	if !run.Paced || run.Pace > slowPace {
--- a/internal/entrynode/module.go
+++ b/internal/entrynode/module.go
@@ -61,9 +61,6 @@
 	return &Options{MetricsPort: set.Int("metrics-port", defaultMetrics, 1, 65535, "port", "port of the metrics address")}
 }
 
-// StopTimeout bounds a planned stop.
-func StopTimeout() time.Duration { return 10 * time.Second }
-
 // Entry is the running process.
 type Entry struct {
 	node     *platform.Node
--- a/internal/operator/follower.go
+++ b/internal/operator/follower.go
@@ -45,21 +45,16 @@
 	records map[string]platform.Record
 	offset  int64        // after the newest record taken in
 	reached atomic.Int64 // boottime.Instant of the store's last answer
-	ready   chan struct{}
-	once    sync.Once
 }
 
 // NewFollower returns a follower without a view. peers may be nil.
 func NewFollower(store Store, peers Peers) *Follower {
-	return &Follower{store: store, peers: peers, records: map[string]platform.Record{}, ready: make(chan struct{})}
+	return &Follower{store: store, peers: peers, records: map[string]platform.Record{}}
 }
 
 // View returns the newest view, or nil before the first one.
 func (f *Follower) View() *catalog.View { return f.view.Load() }
 
-// Ready is closed once there is a configuration.
-func (f *Follower) Ready() <-chan struct{} { return f.ready }
-
 // StoreSilent returns how long ago the store last answered this process.
 func (f *Follower) StoreSilent() time.Duration {
 	return boottime.Now().Sub(boottime.Instant(f.reached.Load()))
@@ -213,9 +208,6 @@
 		}
 	}
 	f.view.Store(next)
-	if next.Config != nil {
-		f.once.Do(func() { close(f.ready) })
-	}
 }
 
 // newerConfig returns the configuration of a record if it is readable and newer than
--- a/internal/sidecar/agent.go
+++ b/internal/sidecar/agent.go
@@ -77,7 +77,6 @@
 	runs     map[runKey]platform.Run
 	ends     []platform.RunEnd
 	stored   int64 // ends up to it are stored by the owner
-	acked    int64
 }
 
 // Agent is the state of the agent. It is safe for concurrent use.
@@ -361,7 +360,6 @@
 		signal(a.changed)
 	}
 	l.silent, l.refused, l.listed, l.lapsed = 0, 0, true, false
-	l.acked = max(l.acked, hold.AcknowledgedEnd)
 	l.runs = make(map[runKey]platform.Run, len(runs.Running))
 	for _, r := range runs.Running {
 		l.runs[runKey{r.Task, r.Attempt}] = r
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -32,7 +32,6 @@
 type task struct {
 	start    *chervilv2.StartOrder
 	stopping bool
-	began    boottime.Instant
 }
 
 // Orders takes in orders of the owner and carries them out in the background.
@@ -70,7 +69,7 @@
 		}
 		a.info[key] = runInfo{fills: s.Fills, target: s.TargetLatencyMs, image: s.Image, cpu: s.CpuMilli, since: a.clock()}
 		if a.tasks[key] == nil {
-			t := &task{start: s, began: a.clock()}
+			t := &task{start: s}
 			a.tasks[key] = t
 			go a.carryOutStart(ctx, key, t)
 		}
@@ -79,7 +78,7 @@
 		key := runKey{s.Task, s.Attempt}
 		t := a.tasks[key]
 		if t == nil {
-			t = &task{began: a.clock()}
+			t = &task{}
 			a.tasks[key] = t
 			t.stopping = true
 			go a.carryOutStop(ctx, key)
