What was learned of interference is stored for the next owner

Cause: the model of interference lived in the owner's memory. Besides, an agent heard of the slopes of an image only with the next change of the model. Changed: slopes are a record of the state topic, written at most every 3 s with a batch; a new owner loads it with the jobs, its filter begins at these slopes (variance 1 instead of 9). Starts of serving tasks carry the slopes of their images along. Test: TestNewOwnerKnowsWhatWasLearned (the record did not exist before).

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -14,6 +14,7 @@
 	specs   map[string]bool // new jobs
 	dirty   map[string]bool
 	forget  []string
+	learned bool // what was learned of interference is stored too
 	orders  []order
 	visible map[string]visible
 	done    chan struct{}
@@ -42,7 +43,7 @@
 }
 
 func (b *batch) empty() bool {
-	return len(b.specs) == 0 && len(b.dirty) == 0 && len(b.forget) == 0 && len(b.orders) == 0
+	return !b.learned && len(b.specs) == 0 && len(b.dirty) == 0 && len(b.forget) == 0 && len(b.orders) == 0
 }
 
 // finish tells who waits for the batch; only the first call counts.
@@ -111,6 +112,14 @@
 		size += platform.RecordSize(progress)
 		b.visible[id] = visible{phase: en.job.Phase, started: en.job.Started}
 	}
+	if b.learned {
+		record, err := statelog.LearnedRecord(e.learned(nil))
+		if err == nil {
+			records = append(records, record)
+		} else {
+			events.StateAppendRetried.LogError(err, "record", "interference")
+		}
+	}
 	for _, id := range b.forget {
 		records = append(records, statelog.ForgetRecords(id)...)
 	}
--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -12,8 +12,43 @@
 	"chervilridge/internal/work"
 )
 
-// modelInterval is the least time between two sendings of what was learned.
-const modelInterval = time.Second
+const (
+	// modelInterval is the least time between two sendings of what was learned.
+	modelInterval = time.Second
+	// modelStoreInterval is the least time between two records of it: learning it anew
+	// takes some tens of seconds.
+	modelStoreInterval = 3 * time.Second
+	// slopeMilli is the unit of slopes in messages and records.
+	slopeMilli = 1000
+)
+
+// recall takes in what an owner before this one learned.
+func (e *Engine) recall(pairs []*chervilv2.Interference) {
+	for _, p := range pairs {
+		e.model.Set(interference.Pair{Serving: p.Serving, Filling: p.Filling}, float64(p.SlopeMilli)/slopeMilli)
+	}
+}
+
+// storeModel has what was learned stored with the next batch, if it has changed.
+func (e *Engine) storeModel(now boottime.Instant) {
+	if e.model.Revision() == e.modelStored || now.Sub(e.modelStoredAt) < modelStoreInterval {
+		return
+	}
+	e.modelStored, e.modelStoredAt = e.model.Revision(), now
+	e.batch.learned = true
+	e.wake()
+}
+
+// learned returns what was learned, of the serving images given or of all if that is nil.
+func (e *Engine) learned(serves map[string]bool) []*chervilv2.Interference {
+	var out []*chervilv2.Interference
+	for _, p := range e.model.Pairs() {
+		if serves == nil || serves[p.Serving] {
+			out = append(out, &chervilv2.Interference{Serving: p.Serving, Filling: p.Filling, SlopeMilli: uint32(e.model.Slope(p) * slopeMilli)})
+		}
+	}
+	return out
+}
 
 // atWork is the percentage at which a serving task serves.
 const atWork = 100
@@ -78,13 +113,7 @@
 			serves[h.step.Image] = true
 		}
 	}
-	var out []*chervilv2.Interference
-	for _, p := range e.model.Pairs() {
-		if serves[p.Serving] {
-			out = append(out, &chervilv2.Interference{Serving: p.Serving, Filling: p.Filling, SlopeMilli: uint32(e.model.Slope(p) * 1000)})
-		}
-	}
-	return out
+	return e.learned(serves)
 }
 
 const (
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -73,6 +73,9 @@
 	// modelSent is the revision of the model that agents have, modelAt when it was sent.
 	modelSent uint64
 	modelAt   boottime.Instant
+	// modelStored is the revision that the store has, modelStoredAt when it was stored.
+	modelStored   uint64
+	modelStoredAt boottime.Instant
 	// movedAt is when slowed runs were last looked at.
 	movedAt boottime.Instant
 	// stateLogged is when the state was last logged.
@@ -101,15 +104,16 @@
 	nextDue int64
 }
 
-// New returns an engine for the jobs of a store that was fenced by the writer.
-func New(settings Settings, writer *statelog.Writer, jobs map[string]*work.Job, operator func() *catalog.View, clock boottime.Clock) *Engine {
+// New returns an engine for what was restored from a store that was fenced by the writer.
+func New(settings Settings, writer *statelog.Writer, restored *statelog.Restored, operator func() *catalog.View, clock boottime.Clock) *Engine {
 	e := &Engine{
 		settings: settings, writer: writer, operator: operator, clock: clock, wall: time.Now, took: clock(),
 		jobs: map[string]*entry{}, open: map[string]*entry{}, nodes: map[string]*node{},
 		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurations(),
 		advice: map[plan.StepKey]*advice{}, kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
 	}
-	for id, job := range jobs {
+	e.recall(restored.Interference)
+	for id, job := range restored.Jobs {
 		en := &entry{job: job, phase: job.Phase, started: job.Started}
 		e.jobs[id] = en
 		if !job.Ended() {
@@ -278,8 +282,13 @@
 		}
 		h.ordered = e.clock()
 	}
-	if n.session != nil {
-		n.session.push(o)
+	if n.session == nil {
+		return
+	}
+	n.session.push(o)
+	if o.start != nil && o.start.TargetLatencyMs > 0 { // the agent may not know what disturbs this image
+		known := e.interference(n)
+		n.session.edit(func(next *chervilv2.OwnerOrders) { next.Interference = known })
 	}
 }
 
@@ -315,6 +324,7 @@
 	e.forgetOld(wall)
 	e.forgetAdvice()
 	e.shareModel(now)
+	e.storeModel(now)
 	e.moveSlowed(now)
 	e.replan()
 }
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -12,6 +12,7 @@
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/catalog"
 	"chervilridge/internal/interference"
+	"chervilridge/internal/statelog"
 )
 
 const (
@@ -391,3 +392,26 @@
 	assert.Assert(t, h.slow(now) > slowLimitFactor)
 	assert.Equal(t, h.slow(now.Add(slowMemory+time.Second)), 0.0, "it is tried again")
 }
+
+// All processes lose power: what was learned of interference is known to the next owner
+// before its first plan, so that serving tasks are placed by it.
+func TestNewOwnerKnowsWhatWasLearned(t *testing.T) {
+	r := newRig(t)
+	pair := interference.Pair{Serving: "x", Filling: "heavy"}
+	r.engine.mu.Lock()
+	r.engine.model.Set(pair, 7.5)
+	r.engine.modelStored = 1 // anything but the model's revision
+	r.engine.mu.Unlock()
+	r.clock.advance(modelStoreInterval)
+	eventually(t, "stored", func() bool {
+		restored, err := statelog.Load(context.Background(), r.store)
+		return err == nil && len(restored.Interference) == 1
+	})
+	r.engine.Abandon()
+	<-r.engine.Gone()
+	r.start(2)
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	assert.Equal(t, r.engine.model.Slope(pair), 7.5)
+	assert.Equal(t, r.engine.model.Harmful("x").Count(), 1)
+}
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -136,10 +136,10 @@
 func (r *rig) start(epoch uint64) {
 	writer := statelog.NewWriter(r.store, epoch, r.clock.read)
 	assert.NilError(r.t, writer.Fence(context.Background()))
-	jobs, err := statelog.Load(context.Background(), r.store)
+	restored, err := statelog.Load(context.Background(), r.store)
 	assert.NilError(r.t, err)
 	settings := Settings{Node: "entry", Bounds: platform.Bounds{MaxHold: 6 * time.Second, StatusRetention: 2 * time.Minute}, Advisor: r.advisor}
-	r.engine = New(settings, writer, jobs, func() *catalog.View { return r.view }, r.clock.read)
+	r.engine = New(settings, writer, restored, func() *catalog.View { return r.view }, r.clock.read)
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.engine.Run(ctx)
 	r.t.Cleanup(func() {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -18,7 +18,6 @@
 	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
 	"chervilridge/internal/statelog"
-	"chervilridge/internal/work"
 	"chervilridge/platform"
 )
 
@@ -81,7 +80,7 @@
 	store   statelog.Store
 	peers   Peers
 	clock   boottime.Clock
-	build   func(*statelog.Writer, map[string]*work.Job) *dispatch.Engine
+	build   func(*statelog.Writer, *statelog.Restored) *dispatch.Engine
 	storeOK func() bool
 
 	mu      sync.Mutex
@@ -94,7 +93,7 @@
 
 // New returns an elector. storeOK tells whether the store served this process lately.
 func New(me Identity, store statelog.Store, peers Peers, clock boottime.Clock, storeOK func() bool,
-	build func(*statelog.Writer, map[string]*work.Job) *dispatch.Engine,
+	build func(*statelog.Writer, *statelog.Restored) *dispatch.Engine,
 ) *Elector {
 	return &Elector{me: me, store: store, peers: peers, clock: clock, build: build, storeOK: storeOK, seen: clock()}
 }
@@ -365,19 +364,19 @@
 	if err := writer.Fence(ctx); err != nil {
 		return err
 	}
-	jobs, err := statelog.Load(ctx, x.store)
+	restored, err := statelog.Load(ctx, x.store)
 	for err != nil && ctx.Err() == nil && !fault.Is(err, fault.CodeInternal) {
 		events.ClaimFailed.LogError(err, "epoch", mine.Epoch, "step", fault.StepRestore)
 		if err = writer.Fence(ctx); err != nil {
 			return err
 		}
-		jobs, err = statelog.Load(ctx, x.store)
+		restored, err = statelog.Load(ctx, x.store)
 	}
 	if err != nil {
 		return err
 	}
-	engine := x.build(writer, jobs)
-	events.StateLoaded.Log("epoch", mine.Epoch, "jobs", len(jobs), "took", time.Since(began))
+	engine := x.build(writer, restored)
+	events.StateLoaded.Log("epoch", mine.Epoch, "jobs", len(restored.Jobs), "pairs", len(restored.Interference), "took", time.Since(began))
 	x.mu.Lock()
 	x.adopt(mine)
 	x.engine = engine
--- a/internal/entrynode/module.go
+++ b/internal/entrynode/module.go
@@ -30,7 +30,6 @@
 	"chervilridge/internal/settings"
 	"chervilridge/internal/statelog"
 	"chervilridge/internal/telemetry"
-	"chervilridge/internal/work"
 	"chervilridge/platform"
 )
 
@@ -101,8 +100,8 @@
 	if n.AdvisorAddress != "" {
 		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
 	}
-	build := func(w *statelog.Writer, jobs map[string]*work.Job) *dispatch.Engine {
-		return dispatch.New(settings, w, jobs, f.View, boottime.Now)
+	build := func(w *statelog.Writer, restored *statelog.Restored) *dispatch.Engine {
+		return dispatch.New(settings, w, restored, f.View, boottime.Now)
 	}
 	storeOK := func() bool { return f.StoreSilent() < storeFresh }
 	return election.New(me, store, peers, boottime.Now, storeOK, build)
--- a/internal/interference/filter.go
+++ b/internal/interference/filter.go
@@ -10,6 +10,8 @@
 	// unknownSlope is assumed of a pair that was not seen together yet: little, so that
 	// it is tried. unknownVariance is how unsure that is: slopes up to 10 were seen.
 	unknownSlope, unknownVariance = 0.3, 9.0
+	// toldVariance is how unsure a slope is that another owner learned.
+	toldVariance = 1.0
 	// unknownAlone is the headroom assumed of a service that was not seen yet, and
 	// aloneVariance how unsure that is: loads between 0.2 and 0.7 were seen.
 	unknownAlone, aloneVariance = 2.5, 1.0
@@ -35,12 +37,13 @@
 	filling map[string]int // index of the slope of a filling image
 	alone   map[string]int // index of the headroom that a service's load alone leaves
 	seen    map[string]boottime.Instant
+	told    map[string]float64 // slopes that another owner learned
 	state   []float64
 	cov     [][]float64
 }
 
-func newFilter() *filter {
-	return &filter{filling: map[string]int{}, alone: map[string]int{}, seen: map[string]boottime.Instant{}}
+func newFilter(told map[string]float64) *filter {
+	return &filter{told: told, filling: map[string]int{}, alone: map[string]int{}, seen: map[string]boottime.Instant{}}
 }
 
 // variable adds a variable to the state and returns its index.
@@ -57,10 +60,15 @@
 
 func (f *filter) slopeOf(image string) int {
 	i, ok := f.filling[image]
-	if !ok {
+	if ok {
+		return i
+	}
+	if slope, told := f.told[image]; told {
+		i = f.variable(slope, toldVariance)
+	} else {
 		i = f.variable(unknownSlope, unknownVariance)
-		f.filling[image] = i
 	}
+	f.filling[image] = i
 	return i
 }
 
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -175,7 +175,13 @@
 	s.Headroom = min(s.Headroom, maxRatio)
 	f := m.filters[s.Image]
 	if f == nil {
-		f = newFilter()
+		told := map[string]float64{}
+		for p, slope := range m.slope {
+			if p.Serving == s.Image {
+				told[p.Filling] = slope
+			}
+		}
+		f = newFilter(told)
 		m.filters[s.Image] = f
 	}
 	f.observe(s)
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -93,7 +93,7 @@
 
 // Services come and go; what was learned of the images stays.
 func TestServicesThatEndAreForgotten(t *testing.T) {
-	f := newFilter()
+	f := newFilter(nil)
 	now := boottime.Instant(time.Hour)
 	for i := range 20 {
 		now = now.Add(time.Second)
--- a/internal/statelog/state.go
+++ b/internal/statelog/state.go
@@ -19,8 +19,17 @@
 const (
 	specPrefix     = "s/"
 	progressPrefix = "p/"
+	// learnedKey is what was learned of interference between images.
+	learnedKey = "l/interference"
 )
 
+// Restored is what a new owner finds in the store.
+type Restored struct {
+	Jobs map[string]*work.Job
+	// Interference is nil if nothing was learned.
+	Interference []*chervilv2.Interference
+}
+
 const loadTimeout = 2 * time.Second
 
 // SpecRecord returns the record of what a job asks for.
@@ -43,9 +52,16 @@
 	return []platform.Record{{Key: specPrefix + id}, {Key: progressPrefix + id}}
 }
 
-// Load reads all jobs. The caller must have fenced older writers. A job whose progress
+// LearnedRecord returns the record of what was learned of interference.
+func LearnedRecord(pairs []*chervilv2.Interference) (platform.Record, error) {
+	value, err := proto.Marshal(&chervilv2.LearnedInterference{Pairs: pairs})
+	return platform.Record{Key: learnedKey, Value: value}, err
+}
+
+// Load reads all jobs and what was learned. The caller must have fenced older writers. A job whose progress
 // is not readable fails the load, since to guess could run its tasks twice.
-func Load(ctx context.Context, store Store) (map[string]*work.Job, error) {
+func Load(ctx context.Context, store Store) (*Restored, error) {
+	learned := &chervilv2.LearnedInterference{}
 	specs := map[string]*chervilv2.JobSpec{}
 	progress := map[string]*chervilv2.JobProgress{}
 	for after := ""; ; {
@@ -54,6 +70,13 @@
 			return nil, err
 		}
 		for _, r := range page.Records {
+			if r.Key == learnedKey {
+				if err := proto.Unmarshal(r.Value, learned); err != nil {
+					events.StoreRecordIgnored.LogError(err, "topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
+					learned.Reset() // it is learned anew
+				}
+				continue
+			}
 			if err := decode(r, specs, progress); err != nil {
 				return nil, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, r.Key, "cannot decode a stored record")
 			}
@@ -70,7 +93,7 @@
 		}
 		jobs[id] = job
 	}
-	return jobs, nil
+	return &Restored{Jobs: jobs, Interference: learned.Pairs}, nil
 }
 
 func newest(ctx context.Context, store Store, topic, after string) (platform.Page, error) {
