Maintenance waves; waits for silent agents outlive owners; unknown pairs count as half harmful

Silent agents. Changed: the agents that an owner has not heard are a record; the next owner takes that time off. Nothing is granted to an agent on the record before it is taken off. Tests: TestWaitForASilentAgentOutlivesOwners, TestNothingIsGrantedToAnAgentOnTheSilentRecord.

Cause: upkeep that the operator asks for was decoded and ignored; a deployment with waves would miss its duties.

Unknown pairs. Cause: a pair not seen before counted as harmless, so that each harmful one was found by a target missed tenfold. Changed: slope 2.0 instead of 0.3 until it is learned.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -15,6 +15,9 @@
 	dirty   map[string]bool
 	forget  []string
 	learned bool // what was learned of interference is stored too
+	waves   map[string]*wave
+	// silent replaces the stored record of silent agents; nil leaves it.
+	silent  map[string]int64
 	orders  []order
 	visible map[string]visible
 	done    chan struct{}
@@ -39,11 +42,11 @@
 }
 
 func newBatch() *batch {
-	return &batch{specs: map[string]bool{}, dirty: map[string]bool{}, visible: map[string]visible{}, done: make(chan struct{})}
+	return &batch{specs: map[string]bool{}, dirty: map[string]bool{}, waves: map[string]*wave{}, visible: map[string]visible{}, done: make(chan struct{})}
 }
 
 func (b *batch) empty() bool {
-	return !b.learned && len(b.specs) == 0 && len(b.dirty) == 0 && len(b.forget) == 0 && len(b.orders) == 0
+	return !b.learned && b.silent == nil && len(b.waves) == 0 && len(b.specs) == 0 && len(b.dirty) == 0 && len(b.forget) == 0 && len(b.orders) == 0
 }
 
 // finish tells who waits for the batch; only the first call counts.
@@ -120,6 +123,23 @@
 			events.StateAppendRetried.LogError(err, "record", "interference")
 		}
 	}
+	e.silence.writing = b.silent
+	if b.silent != nil {
+		record, err := statelog.SilentRecord(b.silent)
+		if err == nil {
+			records = append(records, record)
+		} else {
+			events.StateAppendRetried.LogError(err, "record", "silent agents")
+		}
+	}
+	for name, w := range b.waves {
+		record, err := statelog.WaveRecord(w.progress(name))
+		if err == nil {
+			records = append(records, record)
+		} else {
+			events.StateAppendRetried.LogError(err, "record", "wave", "wave", name)
+		}
+	}
 	for _, id := range b.forget {
 		records = append(records, statelog.ForgetRecords(id)...)
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	Bounds platform.Bounds
 	// Advisor is nil where no queue has a placement policy.
 	Advisor Advisor
+	// Machines is nil where the platform offers no machine API.
+	Machines Machines
 }
 
 // Engine is the schedule of one epoch. It is safe for concurrent use.
@@ -66,6 +69,8 @@
 	closed   bool
 	inFlight boottime.Instant // when the append under way began; 0 if there is none
 
+	waves     map[string]*wave
+	silence   silence
 	advice    map[plan.StepKey]*advice
 	advising  int // questions under way
 	durations *urgency.Durations
@@ -108,11 +113,13 @@
 func New(settings Settings, writer *statelog.Writer, restored *statelog.Restored, operator func() *catalog.View, clock boottime.Clock) *Engine {
 	e := &Engine{
 		settings: settings, writer: writer, operator: operator, clock: clock, wall: time.Now, took: clock(),
-		jobs: map[string]*entry{}, open: map[string]*entry{}, nodes: map[string]*node{},
+		waves: map[string]*wave{}, jobs: map[string]*entry{}, open: map[string]*entry{}, nodes: map[string]*node{},
 		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurations(),
 		advice: map[plan.StepKey]*advice{}, kick: make(chan struct{}, 1), gone: make(chan struct{}), stop: make(chan struct{}),
 	}
 	e.recall(restored.Interference)
+	e.recallWaves(restored.Waves)
+	e.silence.before, e.silence.stored = restored.SilentMs, maps.Clone(restored.SilentMs)
 	for id, job := range restored.Jobs {
 		en := &entry{job: job, phase: job.Phase, started: job.Started}
 		e.jobs[id] = en
@@ -158,6 +165,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.watchTime(ctx)
+	if e.settings.Machines != nil {
+		go e.maintain(ctx)
+	}
 	go func() {
 		select {
 		case <-e.stop:
@@ -261,6 +271,9 @@
 	for _, o := range b.orders {
 		e.give(o)
 	}
+	if b.silent != nil {
+		e.silence.stored, e.silence.writing = b.silent, nil
+	}
 	b.finish(nil)
 }
 
@@ -325,6 +338,7 @@
 	e.forgetAdvice()
 	e.shareModel(now)
 	e.storeModel(now)
+	e.storeSilence(now)
 	e.moveSlowed(now)
 	e.replan()
 }
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -415,3 +415,68 @@
 	assert.Equal(t, r.engine.model.Slope(pair), 7.5)
 	assert.Equal(t, r.engine.model.Harmful("x").Count(), 1)
 }
+
+// A day at 300 machines broke LOST: a machine was lost for good, two owners followed each
+// other within eight seconds, and each waited for its leases anew.
+func TestWaitForASilentAgentOutlivesOwners(t *testing.T) {
+	const lease = 6*time.Second + 6*time.Second/50 + clockMargin
+	r := newRig(t)
+	a := r.attach("side-1", 1000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.detach()
+	r.start(2)
+	const heldBack = 6 * time.Second
+	r.clock.advance(silentAfter)
+	for range int((heldBack - silentAfter) / silenceInterval) {
+		r.clock.advance(silenceInterval)
+		eventually(t, "silence stored", func() bool {
+			r.engine.mu.Lock()
+			defer r.engine.mu.Unlock()
+			return r.engine.silence.stored["side-1"] >= r.clock.read().Sub(r.engine.took).Milliseconds()
+		})
+	}
+	r.start(3)
+	b := r.attach("side-2", 1000)
+	r.clock.advance(ConfirmLimit + lease - heldBack - 100*time.Millisecond)
+	b.report(&chervilv2.AgentReport{Full: true})
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, len(b.started()), 0, "a lease may still hold the run")
+	r.clock.advance(200 * time.Millisecond)
+	b.report(&chervilv2.AgentReport{Full: true})
+	eventually(t, "it goes on elsewhere", func() bool { return len(b.started()) == 1 })
+}
+
+// What the record of silent agents names was granted nothing: that must stay true until
+// the record without the agent is stored.
+func TestNothingIsGrantedToAnAgentOnTheSilentRecord(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 1000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.detach()
+	r.start(2)
+	r.clock.advance(silentAfter)
+	eventually(t, "silence stored", func() bool {
+		restored, err := statelog.Load(context.Background(), r.store)
+		return err == nil && restored.SilentMs["side-1"] > 0
+	})
+	release := r.store.block()
+	b := r.attach("side-1", 1000)
+	b.report(&chervilv2.AgentReport{Full: true})
+	time.Sleep(100 * time.Millisecond)
+	b.mu.Lock()
+	holds := b.holds
+	b.mu.Unlock()
+	assert.Equal(t, holds, 0, "the record still names it")
+	release()
+	eventually(t, "granted", func() bool {
+		b.report(&chervilv2.AgentReport{Full: true})
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.holds > 0
+	})
+	restored, err := statelog.Load(context.Background(), r.store)
+	assert.NilError(t, err)
+	assert.Equal(t, len(restored.SilentMs), 0)
+}
--- /dev/null
+++ b/internal/dispatch/maintenance_test.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/catalog"
+	"chervilridge/platform"
+)
+
+// testMachines is a machine API whose upkeep ends when the test says so.
+type testMachines struct {
+	mu     sync.Mutex
+	state  map[string]platform.MachineState
+	worker map[string]string
+	order  []string
+	most   int // machines in upkeep at the same time
+	fences []uint64
+	told   []bool
+}
+
+func newTestMachines(nodes ...string) *testMachines {
+	m := &testMachines{state: map[string]platform.MachineState{}, worker: map[string]string{}}
+	for _, n := range nodes {
+		m.state["m-"+n], m.worker["m-"+n] = platform.MachineUp, "worker-"+n
+	}
+	return m
+}
+
+func (m *testMachines) List(context.Context) ([]platform.Machine, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []platform.Machine
+	for name, state := range m.state {
+		out = append(out, platform.Machine{Name: name, State: state, WorkerID: m.worker[name]})
+	}
+	return out, nil
+}
+
+func (m *testMachines) Upkeep(_ context.Context, machine string, _ int64, fence uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.order, m.fences = append(m.order, machine), append(m.fences, fence)
+	m.state[machine] = platform.MachineUpkeep
+	down := 0
+	for _, s := range m.state {
+		if s != platform.MachineUp {
+			down++
+		}
+	}
+	m.most = max(m.most, down)
+	return nil
+}
+
+func (m *testMachines) Announce(_ context.Context, _ string, completed bool) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told = append(m.told, completed)
+	return nil
+}
+
+// back ends the upkeep of all machines that are in it.
+func (m *testMachines) back() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.state {
+		m.state[name] = platform.MachineUp
+	}
+}
+
+func (m *testMachines) ordered() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.order)
+}
+
+func (m *testMachines) completed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.told) > 0 && m.told[len(m.told)-1]
+}
+
+// rigWithWave has a wave for all its nodes, of which one may be away.
+func rigWithWave(t *testing.T, nodes ...string) (*rig, *testMachines) {
+	machines := newTestMachines(nodes...)
+	r := &rig{t: t, store: newTestStore(), clock: &testClock{now: newRig(t).clock.read()}, machines: machines}
+	wave := catalog.Wave{Number: 7, MaxDown: 1}
+	for _, n := range nodes {
+		wave.Machines = append(wave.Machines, "m-"+n)
+	}
+	r.view = testView(catalog.Queue{})
+	r.view.Waves = map[string]catalog.Wave{"7": wave}
+	r.start(1)
+	return r, machines
+}
+
+func TestWaveTakesOneMachineAfterTheOther(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1", "side-2", "side-3")
+	for i := range 3 {
+		r.attach(fmt.Sprint("side-", i+1), 4000)
+	}
+	for i := range 3 {
+		eventually(t, "next upkeep", func() bool { return machines.ordered() == i+1 })
+		time.Sleep(2 * maintainInterval)
+		assert.Equal(t, machines.ordered(), i+1, "the next one waits until this one is back")
+		machines.back()
+	}
+	eventually(t, "completed", machines.completed)
+	assert.Equal(t, machines.most, 1)
+	assert.DeepEqual(t, machines.fences, []uint64{1, 1, 1})
+	assert.Equal(t, machines.told[0], false, "told as running first")
+}
+
+func TestMachineIsEmptiedBeforeItsUpkeep(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1")
+	a, b := r.attach("side-1", 4000), r.attach("side-2", 1000)
+	_ = b
+	r.submit(&chervilv2.JobSpec{Id: jobID(1), Queue: testQueue, Steps: []*chervilv2.Step{{Tasks: 1, CpuMilli: 2000, LongRunning: true, TargetLatencyMs: 50}}})
+	eventually(t, "starts or is emptied", func() bool { return len(a.started()) == 1 || machines.ordered() == 1 })
+	if len(a.started()) == 1 {
+		s := a.started()[0]
+		a.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: s.Task, Attempt: s.Attempt, Percent: 100}}})
+		eventually(t, "stop ordered", func() bool { return len(a.stopped()) == 1 })
+		assert.Equal(t, machines.ordered(), 0, "its upkeep waits for the end of the task")
+		a.end(1, s, chervilv2.EndKind_END_KIND_STOPPED)
+	}
+	eventually(t, "upkeep ordered", func() bool { return machines.ordered() == 1 })
+}
+
+func TestStepsKeepWhatTheyMayNotMiss(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1")
+	r.view.Waves["7"] = catalog.Wave{Number: 7, MaxDown: 1} // nothing yet
+	a := r.attach("side-1", 4000)
+	r.submit(&chervilv2.JobSpec{Id: jobID(1), Queue: testQueue, Steps: []*chervilv2.Step{{Tasks: 2, CpuMilli: 1000, LongRunning: true, TargetLatencyMs: 50, MayMiss: 1}}})
+	eventually(t, "both start", func() bool { return len(a.started()) == 2 })
+	first, second := a.started()[0], a.started()[1]
+	a.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{
+		{Task: first.Task, Attempt: first.Attempt, Percent: 100}, {Task: second.Task, Attempt: second.Attempt, Percent: 40},
+	}})
+	r.engine.mu.Lock()
+	h := r.engine.nodes["side-1"].runs
+	stoppable := 0
+	for _, run := range h {
+		if run.percent == 100 && r.engine.mayStop(run) {
+			stoppable++
+		}
+	}
+	r.engine.mu.Unlock()
+	assert.Equal(t, stoppable, 0, "the other task is away already")
+	assert.Equal(t, machines.ordered(), 0)
+}
+
+func TestNewOwnerGoesOnWithAWave(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1", "side-2")
+	r.attach("side-1", 4000)
+	eventually(t, "first upkeep", func() bool { return machines.ordered() >= 1 })
+	time.Sleep(100 * time.Millisecond) // its record is stored
+	r.engine.Abandon()
+	<-r.engine.Gone()
+	machines.back()
+	r.start(2)
+	eventually(t, "second upkeep", func() bool { return machines.ordered() >= 2 })
+	machines.back()
+	eventually(t, "completed", machines.completed)
+	seen := map[string]int{}
+	for _, m := range machines.order {
+		seen[m]++
+	}
+	assert.DeepEqual(t, seen, map[string]int{"m-side-1": 1, "m-side-2": 1})
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -51,6 +51,8 @@
 	// lastEnd is the newest end taken in, storedEnd the newest one stored.
 	lastEnd, storedEnd int64
 	health             health
+	// emptying is since when the node gets no tasks, for an upkeep; 0 if it does.
+	emptying boottime.Instant
 	// lastUse is what filling runs used by the list before, by image.
 	lastUse map[string]float64
 }
@@ -81,10 +83,11 @@
 
 // lapsedAt is when everything on the node has certainly ended if its agent stays
 // silent: the owner before this one may have granted leases until ConfirmLimit after
-// its last confirmation, which was before this epoch.
+// its last confirmation, which was before this epoch. What owners before this one are
+// known to have granted nothing for counts.
 func (n *node) lapsedAt(e *Engine) boottime.Instant {
 	lease := e.settings.Bounds.MaxHold + e.settings.Bounds.MaxHold/50 + clockMargin
-	inherited := e.took.Add(ConfirmLimit + lease)
+	inherited := e.took.Add(ConfirmLimit + lease - e.silence.known(n.name))
 	return max(inherited, n.granted.Add(e.settings.Bounds.MaxHold/50+clockMargin))
 }
 
@@ -143,6 +146,8 @@
 		return false, "worker unknown"
 	case n.worker.Draining:
 		return false, "draining"
+	case n.emptying != 0:
+		return false, "emptied for its upkeep"
 	case evacuated[n.worker.Zone]:
 		return false, "data centre evacuated"
 	case time.Duration(n.worker.SilentMs)*time.Millisecond > suspectAfter:
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -147,7 +147,7 @@
 		n.session = nil
 	}
 	hold := time.Duration(0)
-	if e.writer.ConfirmedFor() < ConfirmLimit {
+	if e.writer.ConfirmedFor() < ConfirmLimit && !e.silentOnRecord(n) {
 		hold = e.settings.Bounds.MaxHold
 		n.granted = e.clock().Add(hold)
 	}
@@ -165,7 +165,7 @@
 		events.WorkerSeen.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "service", w.Service, "zone", w.Zone,
 			"cpuMilli", w.CpuMilli, "memoryMB", w.MemoryMb, "labels", w.Labels)
 		e.loseRuns(n, &key, "another life of the worker")
-		n.key, n.lastEnd, n.storedEnd, n.health = key, 0, 0, health{}
+		n.key, n.lastEnd, n.storedEnd, n.health, n.emptying = key, 0, 0, health{}, 0
 		e.replan()
 	}
 	if n.worker == nil || n.worker.Listed != w.Listed || n.worker.Draining != w.Draining {
--- a/internal/entrynode/module.go
+++ b/internal/entrynode/module.go
@@ -94,12 +94,26 @@
 	return operator.NewFollower(store, peers.Operator)
 }
 
+// machineAPI is where the owner lists machines, orders upkeep and tells how a wave goes.
+type machineAPI struct {
+	*platform.Machines
+	store *platform.Store
+}
+
+// Announce publishes the state of a wave.
+func (m machineAPI) Announce(ctx context.Context, wave string, completed bool) error {
+	return m.store.PutStatus(ctx, wave, completed)
+}
+
 func newElector(n *platform.Node, store *platform.Store, peers *Peers, f *operator.Follower) *election.Elector {
 	me := election.Identity{Node: n.Name, Address: InnerAddress(n), CPUShare: n.CPUShare, LinkMbps: n.LinkMbps}
 	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds}
 	if n.AdvisorAddress != "" {
 		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
 	}
+	if n.MachinesAddress != "" {
+		settings.Machines = machineAPI{platform.NewMachines(n.MachinesAddress, n.Name), store}
+	}
 	build := func(w *statelog.Writer, restored *statelog.Restored) *dispatch.Engine {
 		return dispatch.New(settings, w, restored, f.View, boottime.Now)
 	}
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -46,6 +46,12 @@
 
 // Events of agents and workers.
 var (
+	WaveBegun         = define(7106, Info, "maintenance wave begun")
+	MachineEmptied    = define(7107, Info, "machine is emptied for its upkeep")
+	UpkeepOrdered     = define(7108, Info, "upkeep of a machine ordered")
+	UpkeepRejected    = define(7109, Warning, "upkeep of a machine not taken on")
+	WaveCompleted     = define(7110, Info, "maintenance wave completed")
+	AgentHeardAgain   = define(7324, Info, "agent that owners had not heard is heard again")
 	AgentAttached     = define(7301, Info, "agent attached")
 	AgentDetached     = define(7302, Warning, "agent detached")
 	WorkerSeen        = define(7303, Info, "worker registered")
--- a/internal/interference/filter.go
+++ b/internal/interference/filter.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// unknownSlope is assumed of a pair that was not seen together yet: little, so that
-	// it is tried. unknownVariance is how unsure that is: slopes up to 10 were seen.
-	unknownSlope, unknownVariance = 0.3, 9.0
+	// unknownSlope is assumed of a pair that was not seen together yet: half of what a harmful
+	// one takes, so that it is tried with care. unknownVariance is how unsure that is: slopes
+	// up to 16 were seen.
+	unknownSlope, unknownVariance = 2.0, 9.0
 	// toldVariance is how unsure a slope is that another owner learned.
 	toldVariance = 1.0
 	// unknownAlone is the headroom assumed of a service that was not seen yet, and
--- a/internal/statelog/state.go
+++ b/internal/statelog/state.go
@@ -21,6 +21,10 @@
 	progressPrefix = "p/"
 	// learnedKey is what was learned of interference between images.
 	learnedKey = "l/interference"
+	// wavePrefix begins the keys of maintenance waves.
+	wavePrefix = "w/"
+	// silentKey is which agents owners have granted nothing, and for how long.
+	silentKey = "n/silent"
 )
 
 // Restored is what a new owner finds in the store.
@@ -28,6 +32,10 @@
 	Jobs map[string]*work.Job
 	// Interference is nil if nothing was learned.
 	Interference []*chervilv2.Interference
+	// Waves are maintenance waves that have begun, by name.
+	Waves map[string]*chervilv2.WaveProgress
+	// SilentMs is for how long at least owners have granted a node nothing, by its name.
+	SilentMs map[string]int64
 }
 
 const loadTimeout = 2 * time.Second
@@ -58,10 +66,24 @@
 	return platform.Record{Key: learnedKey, Value: value}, err
 }
 
+// WaveRecord returns the record of how far a maintenance wave is.
+func WaveRecord(p *chervilv2.WaveProgress) (platform.Record, error) {
+	value, err := proto.Marshal(p)
+	return platform.Record{Key: wavePrefix + p.Wave, Value: value}, err
+}
+
+// SilentRecord returns the record of the agents to which nothing was granted for a while.
+func SilentRecord(silentMs map[string]int64) (platform.Record, error) {
+	value, err := proto.Marshal(&chervilv2.SilentAgents{SilentMs: silentMs})
+	return platform.Record{Key: silentKey, Value: value}, err
+}
+
 // Load reads all jobs and what was learned. The caller must have fenced older writers. A job whose progress
 // is not readable fails the load, since to guess could run its tasks twice.
 func Load(ctx context.Context, store Store) (*Restored, error) {
 	learned := &chervilv2.LearnedInterference{}
+	waves := map[string]*chervilv2.WaveProgress{}
+	silent := &chervilv2.SilentAgents{}
 	specs := map[string]*chervilv2.JobSpec{}
 	progress := map[string]*chervilv2.JobProgress{}
 	for after := ""; ; {
@@ -77,6 +99,20 @@
 				}
 				continue
 			}
+			if r.Key == silentKey {
+				if err := proto.Unmarshal(r.Value, silent); err != nil {
+					events.StoreRecordIgnored.LogError(err, "topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
+					silent.Reset() // their leases are waited for in full
+				}
+				continue
+			}
+			if name, ok := strings.CutPrefix(r.Key, wavePrefix); ok && len(r.Value) > 0 {
+				waves[name] = &chervilv2.WaveProgress{}
+				if err := proto.Unmarshal(r.Value, waves[name]); err != nil {
+					return nil, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, r.Key, "cannot decode a stored record")
+				}
+				continue
+			}
 			if err := decode(r, specs, progress); err != nil {
 				return nil, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, r.Key, "cannot decode a stored record")
 			}
@@ -93,7 +129,7 @@
 		}
 		jobs[id] = job
 	}
-	return &Restored{Jobs: jobs, Interference: learned.Pairs}, nil
+	return &Restored{Jobs: jobs, Interference: learned.Pairs, Waves: waves, SilentMs: silent.SilentMs}, nil
 }
 
 func newest(ctx context.Context, store Store, topic, after string) (platform.Page, error) {
