--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -115,33 +115,33 @@
 		size += platform.RecordSize(progress)
 		b.visible[id] = visible{phase: en.job.Phase, started: en.job.Started}
 	}
-	if b.learned {
-		record, err := statelog.LearnedRecord(e.learned(nil))
-		if err == nil {
-			records = append(records, record)
-		} else {
-			events.StateAppendRetried.LogError(err, "record", "interference")
+	records = append(records, e.encodeBeside(b)...)
+	for _, id := range b.forget {
+		records = append(records, statelog.ForgetRecords(id)...)
+	}
+	return records
+}
+
+// encodeBeside returns the records of a batch that are not of jobs. One that cannot be
+// encoded is left out: it is written again with the next change.
+func (e *Engine) encodeBeside(b *batch) []platform.Record {
+	var records []platform.Record
+	add := func(record platform.Record, err error) {
+		if err != nil {
+			events.RecordNotEncoded.LogError(err, "key", record.Key)
+			return
 		}
+		records = append(records, record)
+	}
+	if b.learned {
+		add(statelog.LearnedRecord(e.learned(nil)))
 	}
 	e.silence.writing = b.silent
 	if b.silent != nil {
-		record, err := statelog.SilentRecord(b.silent)
-		if err == nil {
-			records = append(records, record)
-		} else {
-			events.StateAppendRetried.LogError(err, "record", "silent agents")
-		}
+		add(statelog.SilentRecord(b.silent))
 	}
 	for name, w := range b.waves {
-		record, err := statelog.WaveRecord(w.progress(name))
-		if err == nil {
-			records = append(records, record)
-		} else {
-			events.StateAppendRetried.LogError(err, "record", "wave", "wave", name)
-		}
-	}
-	for _, id := range b.forget {
-		records = append(records, statelog.ForgetRecords(id)...)
+		add(statelog.WaveRecord(w.progress(name)))
 	}
 	return records
 }
--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -81,9 +81,12 @@
 // processors.
 func (n *node) fillShares(milli func(*held) uint32) map[string]float64 {
 	out := map[string]float64{}
-	whole := float64(n.capacity().CPUMilli)
+	if n.worker == nil || n.worker.CpuMilli == 0 {
+		return out // it has not said what it offers
+	}
+	whole := float64(n.worker.CpuMilli)
 	for _, h := range n.runs {
-		if used := milli(h); h.step.Fills && used > 0 && whole > 0 {
+		if used := milli(h); h.step.Fills && used > 0 {
 			out[h.step.Image] += float64(used) / whole
 		}
 	}
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -110,8 +110,8 @@
 		return
 	}
 	begin, announce, completed := e.stepWave(name, asked, listed)
-	if announce {
-		e.announce(ctx, name, completed)
+	if announce && e.announce(ctx, name, completed) {
+		e.announced(name, completed)
 	}
 	for _, machine := range begin {
 		e.beginUpkeep(ctx, name, asked, machine)
@@ -139,18 +139,7 @@
 		}
 	}
 	e.empty(now)
-	switch {
-	case d.Completed:
-		w.completed = true
-		e.batch.waves[name] = w
-		e.wake()
-		events.WaveCompleted.Log("wave", name, "machines", len(asked.Machines))
-		return nil, true, true
-	case !w.announced:
-		w.announced = true
-		return d.Begin, true, false
-	}
-	return d.Begin, false, false
+	return d.Begin, d.Completed || !w.announced, d.Completed
 }
 
 // waveMachines describes the machines of a wave.
@@ -265,13 +254,26 @@
 }
 
 // announce tells how the wave goes; it is told again with the next step if that fails.
-func (e *Engine) announce(ctx context.Context, name string, completed bool) {
+func (e *Engine) announce(ctx context.Context, name string, completed bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
 	if err := e.settings.Machines.Announce(ctx, name, completed); err != nil {
 		events.UpkeepRejected.LogError(err, "wave", name, "step", "announce", "completed", completed)
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.waves[name].announced, e.waves[name].completed = false, false
+		return false
+	}
+	return true
+}
+
+// announced notes what was told of the wave. Its end is stored only now, so that the next
+// owner tells it if this one could not.
+func (e *Engine) announced(name string, completed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.waves[name]
+	w.announced, w.completed = true, completed
+	if completed {
+		e.batch.waves[name] = w
+		e.wake()
+		events.WaveCompleted.Log("wave", name, "machines", len(w.begun))
 	}
 }
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -46,6 +46,7 @@
 
 // Events of agents and workers.
 var (
+	RecordNotEncoded  = define(7019, Warning, "record cannot be encoded")
 	WaveBegun         = define(7106, Info, "maintenance wave begun")
 	MachineEmptied    = define(7107, Info, "machine is emptied for its upkeep")
 	UpkeepOrdered     = define(7108, Info, "upkeep of a machine ordered")
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -131,16 +131,6 @@
 	return 0
 }
 
-// KnowsAll reports whether the harm of all filling images to a serving one was learned.
-func (m *Model) KnowsAll(serving string, use map[string]float64) bool {
-	for filling := range use {
-		if _, ok := m.slope[Pair{serving, filling}]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
 // Set replaces what is known of a pair.
 func (m *Model) Set(p Pair, slope float64) {
 	m.slope[p] = slope
--- a/internal/sidecar/agent.go
+++ b/internal/sidecar/agent.go
@@ -145,6 +145,7 @@
 		clear(a.info)
 		clear(a.paced)
 		clear(a.watches)
+		a.lastUse = nil
 	}
 	if l.id == "" {
 		l.id, l.born = h.WorkerID, h.BornUnixMs
