--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -146,20 +146,6 @@
 	}
 }
 
-func workerLink(agent int) string { return fmt.Sprintf("worker-%d", agent) }
-
-// through returns the address of a proxy before the target, or the target on a site
-// without proxies.
-func (s *site) through(link, target string) string {
-	if !s.proxied {
-		return target
-	}
-	p, err := proxy.Listen(target)
-	assert.NilError(s.t, err)
-	s.links[link] = p
-	return p.Address()
-}
-
 func (s *site) ip(machine int) string { return fmt.Sprintf("127.77.%d.%d", s.number, machine) }
 
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
@@ -261,10 +247,6 @@
 	s.t.Logf("log of %s:\n%s", p.name, strings.Join(all[max(0, len(all)-lines):], "\n"))
 }
 
-// clockRates are the rates of the workers' clocks: true, and slow and fast by the 2 %
-// that the platform allows.
-var clockRates = []float64{0, 0.98, 1.02}
-
 // startWorker starts a life of a worker beside agent i.
 func (s *site) startWorker(i int) {
 	ip := s.ip(i + 1)
