Do not query an outcome after the request's deadline

Cause: TestOthersKeepTheConnection failed when the agent's gRPC server cancelled the stream at the request's deadline and the cancellation arrived before the entry's own context was done (log of the one failure: "code = DeadlineExceeded desc = stream terminated by RST_STREAM with error code: CANCEL" on an entry whose context was still alive). The entry then opened a connection to query an outcome for which no time was left.

Ruled out: a dropped shared connection (the third request got its answer over it), and the cancelled request (its context is done, so that nothing is queried).

Change: resolve queries only while the request has time left. The new test passes the deadline without ending the context; it failed before (1 new connection instead of 0).

--- a/internal/request/send/resolve.go
+++ b/internal/request/send/resolve.go
@@ -36,11 +36,12 @@
 // resolve queries the target for the outcome of the request. The query also makes the
 // target reject the request if it arrives later. After a query without a reply, resolve
 // gives up on a repeatable request at once, and on any other at the deadline or when
-// the target has been unreachable for unreachableLimit.
+// the target has been unreachable for unreachableLimit. At the deadline the agent cancels
+// the call too, and the cancellation may arrive before ctx is done; nothing is queried then.
 func (s *Stage) resolve(ctx context.Context, r *request.Request, start time.Time, cause error) (*request.Answer, error) {
 	events.RequestOutcomeUnknown.LogError(cause, "request", r.ID, "peer", r.Target.Endpoint.Agent)
 	connRefusedSince := time.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && r.Remaining(time.Now()) > 0 {
 		reply, result := resolveOnce(ctx, r, start)
 		if result == answered && reply.Outcome != pb.Outcome_OUTCOME_RUNNING {
 			events.RequestOutcomeResolved.Log("request", r.ID, "peer", r.Target.Endpoint.Agent, "outcome", reply.Outcome.String())
