Do not extend leases that no agent can renew, and inherit every silence

Change: - An agent that knows no worker and is refused at the worker's address twice reports a gone worker without an id: the runs are dropped at once. - The owner grants a lease only to an agent that has listed its worker's runs. Any other node's leases run out. - The record of unreachable agents also names agents that reported to this owner and fell silent, after 1 s instead of 2, twice a second; so the next owner waits for the rest only.

An older owner drops the runs of a gone worker without an id as well; an older agent reports no worker and is granted nothing.

--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -37,8 +37,12 @@
 	name       string
 	session    *session
 	lastReport boottime.Instant
-	// leaseUntil is when the last lease that this owner granted ends at the latest.
-	leaseUntil  boottime.Instant
+	// lastGrant is when this owner last granted a lease, leaseUntil when that lease ends at
+	// the latest; both are 0 if it never did.
+	lastGrant, leaseUntil boottime.Instant
+	// leasable is set if the agent can renew leases, since it has a list of the worker's
+	// runs.
+	leasable    bool
 	worker      *chervilv2.Worker
 	key         jobstate.WorkerKey
 	runs        map[runKey]*trackedRun
@@ -91,7 +95,10 @@
 func (n *node) leasesExpireAt(e *Engine) boottime.Instant {
 	lease := e.settings.Bounds.MaxLease + e.settings.Bounds.MaxLease/50 + leaseExpiryMargin
 	inherited := e.epochStart.Add(MaxConfirmationAge + lease - e.unreachableAgents.inheritedTime(n.name))
-	return max(inherited, n.leaseUntil.Add(e.settings.Bounds.MaxLease/50+leaseExpiryMargin))
+	if n.lastGrant == 0 {
+		return inherited
+	}
+	return max(inherited, n.lastGrant.Add(lease))
 }
 
 func stepKey(r jobstate.TaskRef) plan.StepKey {
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -207,10 +207,14 @@
 
 // attach connects an agent whose worker has the given CPU.
 func (r *rig) attach(node string, cpuMilli uint32) *testAgent {
-	a := &testAgent{
-		t: r.t, node: node, reports: make(chan *chervilv2.AgentReport), closed: make(chan struct{}),
-		worker: &chervilv2.Worker{Id: "worker-" + node, BornUnixMs: 1, Service: testService, Zone: "pnw-a", CpuMilli: cpuMilli, MemoryMb: 64000, Listed: true},
-	}
+	return r.attachWith(node, &chervilv2.Worker{
+		Id: "worker-" + node, BornUnixMs: 1, Service: testService, Zone: "pnw-a", CpuMilli: cpuMilli, MemoryMb: 64000, Listed: true,
+	})
+}
+
+// attachWith connects an agent that reports the worker; nil if it knows none.
+func (r *rig) attachWith(node string, worker *chervilv2.Worker) *testAgent {
+	a := &testAgent{t: r.t, node: node, reports: make(chan *chervilv2.AgentReport), closed: make(chan struct{}), worker: worker}
 	engine := r.engine
 	go func() { _ = engine.Attach(a, func() []string { return nil }) }()
 	r.t.Cleanup(func() { a.detach() })
@@ -218,6 +222,29 @@
 	return a
 }
 
+// disconnect closes the agent's connection and waits until the engine has handled all its
+// reports.
+func (r *rig) disconnect(a *testAgent) {
+	r.t.Helper()
+	a.detach()
+	eventually(r.t, "agent detached", func() bool {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return r.engine.nodes[a.node].session == nil
+	})
+}
+
+// grantLease sends reports of the agent until one is granted a lease at the present time.
+func (r *rig) grantLease(a *testAgent) {
+	r.t.Helper()
+	eventually(r.t, "lease granted", func() bool {
+		a.report(&chervilv2.AgentReport{Full: true})
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return r.engine.nodes[a.node].leaseUntil == r.clock.read().Add(r.engine.settings.Bounds.MaxLease)
+	})
+}
+
 func (a *testAgent) detach() {
 	select {
 	case <-a.closed:
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -149,17 +149,20 @@
 		n.session = nil
 	}
 	lease := time.Duration(0)
-	if e.writer.SinceConfirmed() < MaxConfirmationAge && !e.removeUnreachable(n) {
+	if n.leasable && e.writer.SinceConfirmed() < MaxConfirmationAge && !e.removeUnreachable(n) {
 		lease = e.settings.Bounds.MaxLease
-		n.leaseUntil = e.clock().Add(lease)
+		n.lastGrant = e.clock()
+		n.leaseUntil = n.lastGrant.Add(lease)
 	}
 	s.update(func(next *chervilv2.OwnerOrders) { next.Report, next.HoldMs = r.Sequence, lease.Milliseconds() })
 }
 
 // updateWorker records a worker's description. A new incarnation means that the runs of
-// the previous one have ended.
+// the previous one have ended. An agent that knows no worker renews no leases.
 func (e *Engine) updateWorker(n *node, w *chervilv2.Worker) {
-	if w == nil || w.Id == "" {
+	n.leasable = w.GetListed() && !w.GetGone()
+	if w.GetId() == "" {
+		n.worker = nil
 		return
 	}
 	key := jobstate.WorkerKey{Node: n.name, ID: w.Id, BornUnixMs: w.BornUnixMs}
--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -11,11 +11,11 @@
 const (
 	// unreachableInterval is the minimum interval between two records of unreachable
 	// agents.
-	unreachableInterval = time.Second
-	// unreachableAfter is how long an owner waits before it records the agents that have
-	// not attached. Live agents attach within a second, and one that is on the record
-	// gets its lease one report later.
-	unreachableAfter = 2 * time.Second
+	unreachableInterval = 500 * time.Millisecond
+	// unreachableAfter is how long an agent may be silent before it is recorded. Live
+	// agents attach within a second, and one that is on the record gets its lease one
+	// report later.
+	unreachableAfter = time.Second
 )
 
 // unreachableAgents tracks for how long agents have been granted nothing, across owners.
@@ -24,6 +24,9 @@
 // machine would not be restarted for all that time. The times are therefore stored, in the
 // record of unreachable agents. A node stays on the record as long as it is granted
 // nothing; before an owner grants it a lease, it stores the record without the node.
+//
+// A recorded time is the age of the confirmation of ownership that the last lease may
+// rest on, at least. The lease was granted at most MaxConfirmationAge after it.
 type unreachableAgents struct {
 	// All three map node names to ms: inherited is what earlier owners stored, stored the
 	// record now in the store, and appending the record in the append in flight, or nil
@@ -37,16 +40,32 @@
 	return time.Duration(u.inherited[node]) * time.Millisecond
 }
 
-// recordUnreachable periodically stores the record of unreachable agents: those with runs
-// that this owner inherited and that have not reported to it.
+// ungrantedTime returns the time to record for a node.
+func (e *Engine) ungrantedTime(n *node, now boottime.Instant) time.Duration {
+	sinceEpochStart := e.unreachableAgents.inheritedTime(n.name) + now.Sub(e.epochStart)
+	if n.lastGrant == 0 {
+		return sinceEpochStart
+	}
+	return min(now.Sub(n.lastGrant)+MaxConfirmationAge, sinceEpochStart)
+}
+
+// unreachable reports whether a node has been granted nothing for unreachableAfter since
+// its agent is silent or has no worker. While the store is down no agent is granted
+// anything, which does not count.
+func (e *Engine) unreachable(n *node, now boottime.Instant) bool {
+	ungranted, silent := now.Sub(max(e.epochStart, n.lastGrant)), now.Sub(max(e.epochStart, n.lastReport))
+	return ungranted >= unreachableAfter && (silent >= unreachableAfter || !n.leasable)
+}
+
+// recordUnreachable periodically stores the record of unreachable agents with runs.
 func (e *Engine) recordUnreachable(now boottime.Instant) {
-	if now.Sub(e.epochStart) < unreachableAfter || now.Sub(e.unreachableAgents.recordedAt) < unreachableInterval || e.batch.unreachable != nil {
+	if now.Sub(e.unreachableAgents.recordedAt) < unreachableInterval || e.batch.unreachable != nil {
 		return
 	}
 	unreachable := map[string]int64{}
 	for name, n := range e.nodes {
-		if n.lastReport == 0 && len(n.runs) > 0 {
-			unreachable[name] = (e.unreachableAgents.inheritedTime(name) + now.Sub(e.epochStart)).Milliseconds()
+		if len(n.runs) > 0 && e.unreachable(n, now) {
+			unreachable[name] = e.ungrantedTime(n, now).Milliseconds()
 		}
 	}
 	if len(unreachable) == 0 && len(e.unreachableAgents.stored) == 0 {
--- a/internal/schedulestore/state.go
+++ b/internal/schedulestore/state.go
@@ -34,8 +34,8 @@
 	Interference []*chervilv2.Interference
 	// Waves holds the maintenance waves that have begun, by name.
 	Waves map[string]*chervilv2.WaveProgress
-	// UngrantedMs is a lower bound of the time since an owner granted a node a lease, in
-	// milliseconds by node name.
+	// UngrantedMs is a lower bound of the age of the confirmation of ownership that a node's
+	// last lease may rest on, in milliseconds by node name.
 	UngrantedMs map[string]int64
 }
 
--- a/internal/workeragent/agent_test.go
+++ b/internal/workeragent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -198,6 +199,25 @@
 	h.waitFor("gone", func(r *chervilv2.AgentReport) bool { return r.Worker.Gone })
 }
 
+// A restarted agent whose worker does not come back must release the runs that the owner
+// still counts there.
+func TestRestartedAgentReportsThatNoWorkerListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	h := &harness{t: t, agent: NewAgent(&platform.NodeSettings{Name: "side-1"}, platform.NewWorkerClient(address), boottime.Now)}
+	assert.Assert(t, h.agent.buildReport().Worker == nil, "nothing is known yet")
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go h.agent.RenewLeases(ctx)
+	h.waitFor("gone", func(r *chervilv2.AgentReport) bool { return r.Worker.GetGone() })
+	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, Service: "desk", Sequence: 1})
+	r := h.agent.buildReport()
+	assert.Equal(t, r.Worker.Id, workerID)
+	assert.Assert(t, !r.Worker.Gone)
+}
+
 func TestHeartbeatOfAnEarlierIncarnationIsRejected(t *testing.T) {
 	h := newHarness(t, time.Minute)
 	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: "i-2", BornUnixMs: 1 << 50, Service: "desk", Sequence: 1})
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -280,7 +280,8 @@
 }
 
 // buildReport returns a report of the worker, its unstored run ends and the queued start
-// results, which it takes off the queue. If a full report is requested and the worker has
+// results, which it takes off the queue. If no worker has registered and nothing listens at
+// its address, all runs of earlier incarnations have ended. If a full report is requested and the worker has
 // listed its runs, it includes the list of runs.
 func (a *Agent) buildReport() *chervilv2.AgentReport {
 	a.mu.Lock()
@@ -289,6 +290,9 @@
 	a.startResults = nil
 	inc := a.incarnation
 	if inc == nil || inc.id == "" {
+		if inc != nil && inc.refusedConnections >= maxRefusedConnections {
+			r.Worker = &chervilv2.Worker{Gone: true}
+		}
 		return r
 	}
 	hb := inc.heartbeat
