An agent that stops reports the end of its worker first

The worker had left at 15.55 s, while the owner was dead; its agent found it gone at 15.75 s, got SIGTERM at 16.5 s and was gone before it had found the new owner (claim at 15.75 s). That owner then waited for leases that nobody held.

Change: at a planned stop the agent goes on reporting until the owner has processed a report of the worker's end and stored the ends of its runs, at most until the grace period is nearly over; event 7325 if it gives up. An agent whose worker lives stops at once as before.

--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -58,6 +58,7 @@
 	WorkerRegistered        = define(7303, Info, "worker registered")
 	WorkerDraining          = define(7304, Info, "worker draining")
 	WorkerEnded             = define(7305, Warning, "worker ended or lost")
+	WorkerLossNotReported   = define(7325, Warning, "agent stops before the owner has confirmed that the worker ended")
 	HeartbeatRejected       = define(7306, Warning, "worker heartbeat rejected")
 	OwnerAttached           = define(7307, Info, "attached to the owner")
 	OwnerDetached           = define(7308, Warning, "connection to the owner lost")
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -227,3 +227,37 @@
 			strings.Contains(text, `chervil_events{event="7201"}`)
 	})
 }
+
+// Guards against a wait for leases that nobody holds: a worker left and its agent was
+// stopped while no owner was reachable, so that the owner after that didn't learn that the
+// worker's runs had ended. Seen on a trial day with a lost data centre, leaving workers and
+// a change of owners.
+func TestLeavingAgentReportsLostRunsToTheNextOwner(t *testing.T) {
+	const (
+		tasks = 4
+		// noticed is the time in which an agent notices that its worker is gone, ownerless
+		// exceeds the time in which it shuts down otherwise.
+		noticed, ownerless = 600 * time.Millisecond, 1500 * time.Millisecond
+		// maxRecovery is far less than the 9 s for which a new owner waits for leases.
+		maxRecovery = 5 * time.Second
+	)
+	s := startSite(t, 1, 2)
+	s.taskDuration.Store(int64(time.Minute))
+	s.submit(0, tasks)
+	s.eventually("tasks run", func() bool { return s.countRunning() == tasks })
+	used := 0
+	if s.startsOnWorker(1) > 0 {
+		used = 1
+	}
+	s.kill(s.owner())
+	s.crashWorker(used)
+	time.Sleep(noticed)
+	s.signal(s.agentName(used), syscall.SIGTERM)
+	time.Sleep(ownerless)
+	s.startProgram(entryName(0))
+	began := time.Now()
+	s.eventually("all tasks run elsewhere", func() bool { return s.countRunning() == tasks })
+	assert.Assert(t, time.Since(began) < maxRecovery, "took %v", time.Since(began))
+	s.waitExit(s.agentName(used))
+	assert.Equal(t, len(s.journal.Violations()), 0, s.journal.Violations())
+}
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -79,6 +79,7 @@
 	gone          bool // nothing runs on it any more, and it is not expected to return
 	goneAt        boottime.Instant
 	leasesExpired bool // all leases expired while it was unreachable
+	lossConfirmed bool // the owner knows that it is gone
 	listed        bool // runs is the list that a hold call returned, and is still valid
 	// workerClock is the newest reading of the worker's clock, which the agent received
 	// at workerClockAt on its own clock. The reading may be older than that, so the
@@ -361,7 +362,7 @@
 func (a *Agent) markGone(inc *incarnation, reason string) {
 	events.WorkerEnded.Log("worker", inc.id, "born", inc.bornUnixMs, "reason", reason, "runs", len(inc.runs), "ends", len(inc.pendingEnds), "silent", a.clock().Sub(inc.lastAnswer))
 	inc.runs = map[runKey]platform.Run{}
-	inc.gone, inc.listed, inc.goneAt = true, false, a.clock()
+	inc.gone, inc.listed, inc.goneAt, inc.lossConfirmed = true, false, a.clock(), false
 	a.reportAllRuns = true
 }
 
--- a/internal/workeragent/module.go
+++ b/internal/workeragent/module.go
@@ -92,6 +92,9 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
+			releaseCtx, release := context.WithTimeout(stopCtx, n.Bounds.TerminationGrace-shutdownTimeout-stopMargin)
+			defer release()
+			a.awaitRelease(releaseCtx)
 			stopCtx, stop := context.WithTimeout(stopCtx, shutdownTimeout)
 			defer stop()
 			err := server.Shutdown(stopCtx)
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -200,6 +200,7 @@
 		r := l.agent.buildReport()
 		r.Node, r.Incarnation, r.Address = l.node.Name, l.incarnation, jobentry.InternalAddress(l.node)
 		r.Sequence = tracker.nextSequence()
+		tracker.trackLoss(r)
 		if err := stream.Send(r); err != nil {
 			l.agent.restoreResults(r)
 			cancel(err)
@@ -224,6 +225,9 @@
 	sentAt    map[uint64]boottime.Instant
 	lastReply boottime.Instant
 	attached  bool
+	// lossSequence is the first report in which lostWorker was gone.
+	lossSequence uint64
+	lostWorker   string
 }
 
 // nextSequence returns the number of the next report and records its time.
@@ -262,7 +266,13 @@
 	if first {
 		events.OwnerAttached.Log("epoch", o.Epoch)
 	}
-	return t.agent.HandleOrders(context.Background(), o, sentAt)
+	if !t.agent.HandleOrders(context.Background(), o, sentAt) {
+		return false
+	}
+	if lost := t.confirmedLoss(o.Report); lost != "" {
+		t.agent.confirmLoss(lost)
+	}
+	return true
 }
 
 // requestFullReport makes the next report include the list of runs.
