Ask some entries instead of all of them

Cause (read, and counted in tests): after a change of owners each of 240 agents pinged all 55 entries several times a second; a call that found no owner was relayed through all 54 peers in turn, and again 60 ms later; while the store turned calls away every entry asked all others for the operator's records each 150 ms, and each of them sent its whole configuration. These costs grow with the square of the entries.

An entry asks eight for the owner, relays through three, asks four how new their records are and gets them from one. Agents receive the list of live entries when it changes instead of with each message, and drop entries that are no longer on it.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -586,3 +586,27 @@
 		return err == nil && restored.UngrantedMs["side-1"] == (unreachableAfter+unreachableInterval).Milliseconds()
 	})
 }
+
+// Each of some hundred agents gets several messages a second, and the list of entries is the
+// largest part of most of them.
+func TestEntriesAreSentOnlyWhenTheyChange(t *testing.T) {
+	r := newRig(t)
+	r.setEntries("10.0.0.1:7720")
+	a := r.attach("side-1", 1000)
+	replies := func(n int) {
+		for range n {
+			a.report(&chervilv2.AgentReport{})
+		}
+	}
+	replies(20)
+	lists := func() [][]string {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.entryLists
+	}
+	eventually(t, "list sent", func() bool { return len(lists()) == 1 })
+	r.setEntries("10.0.0.1:7720", "10.0.0.2:7720")
+	replies(20)
+	eventually(t, "changed list sent", func() bool { return len(lists()) == 2 })
+	assert.DeepEqual(t, lists(), [][]string{{"10.0.0.1:7720"}, {"10.0.0.1:7720", "10.0.0.2:7720"}})
+}
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -26,6 +26,7 @@
 	records map[string][]byte
 	blocked chan struct{} // appends wait until it is closed; nil lets them pass
 	fenced  bool
+	epoch   uint64 // the highest seen; appends of lower ones are rejected
 	appends int
 }
 
@@ -44,9 +45,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fenced {
+	if s.fenced || a.Producer.Epoch < s.epoch {
 		return 0, &platform.Error{Kind: platform.Fenced}
 	}
+	s.epoch = a.Producer.Epoch
 	s.appends++
 	for _, r := range a.Records {
 		if r.Value == nil {
@@ -110,6 +112,21 @@
 	// advisor is the placement policy; nil if there is none.
 	advisor  Advisor
 	machines *testMachines
+
+	entriesMu sync.Mutex
+	entries   []string // that agents are sent
+}
+
+func (r *rig) liveEntries() []string {
+	r.entriesMu.Lock()
+	defer r.entriesMu.Unlock()
+	return r.entries
+}
+
+func (r *rig) setEntries(entries ...string) {
+	r.entriesMu.Lock()
+	defer r.entriesMu.Unlock()
+	r.entries = entries
 }
 
 const (
@@ -180,8 +197,10 @@
 	stops    []*chervilv2.StopOrder
 	ackedEnd int64
 	leases   int
-	sequence uint64
-	closed   chan struct{}
+	// entryLists are the lists of live entries received.
+	entryLists [][]string
+	sequence   uint64
+	closed     chan struct{}
 }
 
 func (a *testAgent) Send(o *chervilv2.OwnerOrders) error {
@@ -190,6 +209,9 @@
 	a.starts = append(a.starts, o.Starts...)
 	a.stops = append(a.stops, o.Stops...)
 	a.ackedEnd = max(a.ackedEnd, o.StoredEnd)
+	if len(o.Entries) > 0 {
+		a.entryLists = append(a.entryLists, o.Entries)
+	}
 	if o.HoldMs > 0 {
 		a.leases++
 	}
@@ -216,7 +238,7 @@
 func (r *rig) attachWith(node string, worker *chervilv2.Worker) *testAgent {
 	a := &testAgent{t: r.t, node: node, reports: make(chan *chervilv2.AgentReport), closed: make(chan struct{}), worker: worker}
 	engine := r.engine
-	go func() { _ = engine.Attach(a, func() []string { return nil }) }()
+	go func() { _ = engine.Attach(a, r.liveEntries) }()
 	r.t.Cleanup(func() { a.detach() })
 	a.report(&chervilv2.AgentReport{Full: true})
 	return a
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -65,17 +66,21 @@
 }
 
 // Attach serves an agent until its connection or the epoch ends. It calls entries for the
-// addresses of the live entries, which each message to the agent carries.
+// sorted addresses of the live entries; a message to the agent carries them if they changed.
 func (e *Engine) Attach(stream AgentStream, entries func() []string) error {
 	s := newSession()
 	defer s.close()
 	received := make(chan error, 1)
 	go func() { received <- e.receive(stream, s) }()
+	var sentEntries []string
 	for {
 		select {
 		case <-s.wakeCh:
 			out := s.takePending()
-			out.Epoch, out.Entries = e.Epoch(), entries()
+			out.Epoch = e.Epoch()
+			if live := entries(); !slices.Equal(live, sentEntries) {
+				out.Entries, sentEntries = live, live
+			}
 			if err := stream.Send(out); err != nil {
 				return err
 			}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -56,13 +56,17 @@
 	noAgentsTimeout = 2500 * time.Millisecond
 	standDownTime   = 4 * time.Second
 	releaseTimeout  = 1500 * time.Millisecond
+	// peerSample is how many other entries are asked for the owner at a time.
+	peerSample = 8
 )
 
 // Peers calls the other entries.
 type Peers interface {
 	Ping(ctx context.Context, address string, known *chervilv2.OwnerRecord) (*chervilv2.PingReply, error)
-	// Entries returns the known addresses of the other entries.
+	// Entries returns the known addresses of the other entries, Sample up to n of them at
+	// random.
 	Entries() []string
+	Sample(n int) []string
 }
 
 // Identity describes this entry: its name and address for other entries, and its
@@ -201,7 +205,7 @@
 		e.Observe(owner)
 		return
 	}
-	e.askPeersForOwner(ctx, e.peers.Entries(), e.Owner())
+	e.askPeersForOwner(ctx, e.Owner())
 }
 
 // checkOwnEpoch abandons the epoch of this process if a newer owner is known, and
@@ -213,11 +217,10 @@
 		engine.Abandon()
 		return
 	}
-	entries := e.peers.Entries()
 	if engine.ConfirmationAge() > maxStoreOutage {
-		e.askPeersForOwner(ctx, entries, owner)
+		e.askPeersForOwner(ctx, owner)
 	}
-	if engine.TimeWithoutAgents() < noAgentsTimeout || len(entries) == 0 {
+	if engine.TimeWithoutAgents() < noAgentsTimeout || len(e.peers.Entries()) == 0 {
 		return
 	}
 	e.mu.Lock()
@@ -226,13 +229,13 @@
 	e.release(engine)
 }
 
-// askPeersForOwner asks the other entries for a newer owner. While the store is
+// askPeersForOwner asks some other entries for a newer owner. While the store is
 // unreachable, this is how this process learns that it was replaced.
-func (e *Elector) askPeersForOwner(ctx context.Context, entries []string, owner *chervilv2.OwnerRecord) {
+func (e *Elector) askPeersForOwner(ctx context.Context, owner *chervilv2.OwnerRecord) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, address := range entries {
+	for _, address := range e.peers.Sample(peerSample) {
 		wg.Go(func() {
 			if reply, err := e.peers.Ping(ctx, address, owner); err == nil {
 				e.Observe(reply.Owner)
@@ -271,7 +274,7 @@
 func (e *Elector) tryClaim(ctx context.Context, cutOff bool) {
 	owner, end, err := schedulestore.ReadOwner(ctx, e.store)
 	if err != nil { // no claim is possible without the store, but a peer may know a newer owner
-		e.askPeersForOwner(ctx, e.peers.Entries(), e.Owner())
+		e.askPeersForOwner(ctx, e.Owner())
 		return
 	}
 	e.mu.Lock()
@@ -291,13 +294,13 @@
 	}
 }
 
-// peerReachesOwner reports whether a peer recently reached this owner or a newer one.
+// peerReachesOwner reports whether one of some peers recently reached this owner or a newer one.
 // Then only the connection of this process is broken, and replacing the owner would not
 // help.
 func (e *Elector) peerReachesOwner(ctx context.Context, owner *chervilv2.OwnerRecord) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	entries := e.peers.Entries()
+	entries := e.peers.Sample(peerSample)
 	reached := make(chan bool, len(entries))
 	for _, address := range entries {
 		go func() {
--- a/internal/jobentry/peers.go
+++ b/internal/jobentry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -17,8 +18,10 @@
 const (
 	// peerExpiry is how long an entry stays in the list of peers after it was last seen.
 	peerExpiry = 20 * time.Second
-	// operatorTimeout limits a query of all peers for the operator's records.
+	// operatorTimeout limits a query of peers for the operator's records.
 	operatorTimeout = 500 * time.Millisecond
+	// operatorSample is how many peers are asked whether they have newer records.
+	operatorSample = 4
 )
 
 // errNoPeer means that no call was sent, or that no peer sent a usable reply.
@@ -92,6 +95,14 @@
 	return out
 }
 
+// Sample returns up to n other entries at random. Asking all of them would cost calls in
+// proportion to the square of their number when all of them need something at once.
+func (p *Peers) Sample(n int) []string {
+	entries := p.Entries()
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries[:min(n, len(entries))]
+}
+
 // LiveEntries returns the sorted addresses of the entries seen recently, including this
 // one. Only Entries removes those that were not seen for peerExpiry.
 func (p *Peers) LiveEntries() []string {
@@ -136,31 +147,45 @@
 	return reply, nil
 }
 
-// FetchOperatorRecords asks all peers for the operator's records and returns the first
-// reply that is newer than the known offset.
+// FetchOperatorRecords gets the operator's records after the known offset from a peer. It
+// first asks some peers how new their records are, since a configuration may be large.
 func (p *Peers) FetchOperatorRecords(ctx context.Context, known int64) (*chervilv2.OperatorReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	entries := p.Entries()
-	replies := make(chan *chervilv2.OperatorReply, len(entries))
-	for _, address := range entries {
+	address := p.peerWithRecords(ctx, known)
+	if address == "" {
+		return nil, errNoPeer
+	}
+	client, err := p.client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Operator(ctx, &chervilv2.OperatorRequest{KnownOffset: known})
+}
+
+// peerWithRecords returns the first of some peers that replies and has newer records than
+// the known offset, or "" if there is none.
+func (p *Peers) peerWithRecords(ctx context.Context, known int64) string {
+	type offer struct {
+		address string
+		offset  int64
+	}
+	sample := p.Sample(operatorSample)
+	offers := make(chan offer, len(sample))
+	for _, address := range sample {
 		go func() {
-			client, err := p.client(address)
+			reply, err := p.Ping(ctx, address, nil)
 			if err != nil {
-				replies <- nil
+				offers <- offer{offset: -1}
 				return
 			}
-			reply, err := client.Operator(ctx, &chervilv2.OperatorRequest{KnownOffset: known})
-			if err != nil {
-				reply = nil
-			}
-			replies <- reply
+			offers <- offer{address, reply.OperatorOffset}
 		}()
 	}
-	for range entries {
-		if reply := <-replies; reply != nil && reply.Offset > known {
-			return reply, nil
+	for range sample {
+		if o := <-offers; o.offset > known {
+			return o.address
 		}
 	}
-	return nil, errNoPeer
+	return ""
 }
--- a/internal/jobentry/router.go
+++ b/internal/jobentry/router.go
@@ -21,6 +21,8 @@
 	// noOwnerTimeout is how long a call is retried if it cannot have reached an owner. It
 	// exceeds the time of a takeover, so that a change of owners rejects no request.
 	noOwnerTimeout = 1800 * time.Millisecond
+	// maxRelays is how many other entries a try is relayed through, one after the other.
+	maxRelays = 3
 )
 
 // Router sends calls about jobs to the owner of the schedule.
@@ -108,7 +110,7 @@
 	if err == nil || tries < relayAfterFailures {
 		return r.dropStale(reply), err != errNoPeer
 	}
-	for _, address := range r.peers.Entries() {
+	for _, address := range r.peers.Sample(maxRelays) {
 		client, err := r.peers.client(address)
 		if err != nil {
 			continue
@@ -170,9 +172,9 @@
 	return 0, false
 }
 
-// countRelayed asks the other entries to forward the query to the owner.
+// countRelayed asks some other entries to forward the query to the owner.
 func (r *Router) countRelayed(ctx context.Context, queue string) *chervilv2.CountReply {
-	for _, address := range r.peers.Entries() {
+	for _, address := range r.peers.Sample(maxRelays) {
 		client, err := r.peers.client(address)
 		if err != nil {
 			continue
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,14 +25,6 @@
 	reportBatchDelay = 4 * time.Millisecond
 	// ownerReplyTimeout is how long the owner may leave reports unanswered.
 	ownerReplyTimeout = 1300 * time.Millisecond
-	// searchTimeout bounds one search for the owner.
-	searchTimeout = 400 * time.Millisecond
-	// maxRelayContactAge is how recently an entry must have reached the owner to serve as
-	// a relay to it.
-	maxRelayContactAge = time.Second
-	// searchInterval, plus a jitter of up to searchJitter, is the pause between searches.
-	searchInterval = 80 * time.Millisecond
-	searchJitter   = 60 * time.Millisecond
 )
 
 var errOwnerUnresponsive = errors.New("the owner does not answer reports")
@@ -73,95 +64,6 @@
 	}
 }
 
-// searchReply is the reply of an entry to a search for the owner. It is empty if the
-// entry did not answer.
-type searchReply struct {
-	address string
-	isOwner bool
-	// reachesOwner is set if the entry is not the owner but recently reached it.
-	reachesOwner bool
-}
-
-// search asks the store and all known entries for the owner. It returns the address to
-// attach to: the owner's if it answers, or else that of an entry that relays to the
-// owner, or else the owner's last known address. It is empty if there is none.
-func (l *OwnerLink) search(ctx context.Context) string {
-	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
-	defer cancel()
-	l.mu.Lock()
-	entries := slices.Clone(l.entries)
-	l.mu.Unlock()
-	replies := make(chan searchReply, len(entries)+1)
-	go func() {
-		owner, _, err := schedulestore.ReadOwner(ctx, l.store)
-		if err == nil {
-			l.observeOwner(owner)
-		}
-		replies <- searchReply{}
-	}()
-	for _, address := range entries {
-		go func() { replies <- l.pingEntry(ctx, address) }()
-	}
-	relay := ""
-	for range len(entries) + 1 {
-		reply := <-replies
-		if reply.isOwner {
-			return reply.address
-		}
-		if reply.reachesOwner {
-			relay = reply.address
-		}
-	}
-	if relay != "" {
-		return relay
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.owner == nil || l.owner.Released {
-		return ""
-	}
-	return l.owner.Address
-}
-
-// pingEntry asks an entry for the owner, and records the owner and entries in its reply.
-func (l *OwnerLink) pingEntry(ctx context.Context, address string) searchReply {
-	conn, err := l.pool.Get(address)
-	if err != nil {
-		return searchReply{}
-	}
-	reply, err := chervilv2.NewSchedulerClient(conn).Ping(ctx, &chervilv2.PingRequest{Node: l.node.Name})
-	if err != nil {
-		return searchReply{}
-	}
-	l.observeOwner(reply.Owner)
-	l.addEntries(reply.Entries)
-	reachesOwner := reply.OwnerSeenMs >= 0 && reply.OwnerSeenMs < maxRelayContactAge.Milliseconds()
-	return searchReply{address: address, isOwner: reply.Leads, reachesOwner: reachesOwner && !reply.Leads}
-}
-
-// observeOwner records the owner if it is newer than the known one.
-func (l *OwnerLink) observeOwner(owner *chervilv2.OwnerRecord) {
-	if owner == nil {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.owner == nil || owner.Epoch > l.owner.Epoch || owner.Epoch == l.owner.Epoch && owner.Released {
-		l.owner = owner
-	}
-}
-
-// addEntries adds the addresses to the known entries.
-func (l *OwnerLink) addEntries(entries []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, e := range entries {
-		if !slices.Contains(l.entries, e) {
-			l.entries = append(l.entries, e)
-		}
-	}
-}
-
 // attach sends reports to the owner, or to a relay, until the connection fails, the owner
 // leaves reports unanswered for ownerReplyTimeout, or orders of an older epoch arrive. It
 // returns the cause.
@@ -185,7 +87,7 @@
 				cancel(err)
 				return
 			}
-			l.addEntries(orders.Entries)
+			l.replaceEntries(orders.Entries)
 			if !tracker.handleOrders(orders) {
 				cancel(errors.New("orders of an earlier epoch received"))
 				return
