Reject new jobs as soon as the store has certainly not stored them

From 18.0 to 22 s the store resets all connections (7001 "no answer ... connection reset", 7009).

Cause: a job waited for its batch, whatever the store had said. Jobs that no append had contained waited behind the one in flight; jobs of a batch whose every attempt had been answered with "nothing done" waited as well.

Ruled out: a takeover (the store turned all entries away).

Change: - Writer.Try makes one attempt and tells whether anything may be stored. An append that is not answered within four times the usual latency (60 to 400 ms) is sent again over another connection; its sequence number makes the copy harmless. Before, one lost answer held all jobs for 1.2 s. - After 250 ms of failed attempts (900 ms of silence) the owner takes new jobs out that were never sent, and those of the batch in flight if the store has answered every attempt, and rejects them with Retry-After. - When the epoch ends, jobs that are certainly not stored go to the next owner instead of being answered as unknown. An entry knows that a call that opened no stream has not left. - Replies wait for a change of the job instead of a batch. So a job that is postponed to the next append is no longer acknowledged early, and one that cannot be encoded is rejected instead of acknowledged. A planned stop no longer waits for an empty batch.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -5,6 +5,7 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/events"
+	"chervilridge/internal/jobstate"
 	"chervilridge/internal/schedulestore"
 	"chervilridge/platform"
 )
@@ -22,13 +23,13 @@
 	unreachable map[string]int64
 	orders      []order
 	jobStatus   map[string]jobStatus
-	done        chan struct{}
-	err         error
 }
 
+// jobStatus is the state of a job in the records of a batch.
 type jobStatus struct {
 	phase   chervilv2.JobPhase
 	started bool
+	changes uint64
 }
 
 // order is sent to the agent of a node once its batch is stored. It starts a run, stops a
@@ -45,26 +46,16 @@
 }
 
 func newBatch() *batch {
-	return &batch{newJobs: map[string]bool{}, changedJobs: map[string]bool{}, waves: map[string]*wave{}, jobStatus: map[string]jobStatus{}, done: make(chan struct{})}
+	return &batch{newJobs: map[string]bool{}, changedJobs: map[string]bool{}, waves: map[string]*wave{}, jobStatus: map[string]jobStatus{}}
 }
 
 func (b *batch) empty() bool {
 	return !b.modelChanged && b.unreachable == nil && len(b.waves) == 0 && len(b.newJobs) == 0 && len(b.changedJobs) == 0 && len(b.deletedJobs) == 0 && len(b.orders) == 0
 }
 
-// complete sets the outcome of the batch and wakes its waiters. Only the first call has
-// an effect.
-func (b *batch) complete(err error) {
-	select {
-	case <-b.done:
-	default:
-		b.err = err
-		close(b.done)
-	}
-}
-
 // markDirty stores the job's progress with the next batch.
 func (e *Engine) markDirty(id string, en *jobEntry) {
+	en.changes++
 	e.batch.changedJobs[id] = true
 	e.updateActive(id, en)
 	e.wake()
@@ -100,24 +91,24 @@
 			continue
 		}
 		if size > schedulestore.MaxBatchBytes {
-			e.postpone(b, id, en)
+			e.postpone(b, id)
 			continue
 		}
-		progress, err := schedulestore.ProgressRecord(en.job)
-		if err == nil && b.newJobs[id] {
-			var spec platform.Record
-			if spec, err = schedulestore.SpecRecord(en.job.Spec); err == nil {
-				records = append(records, spec)
-				size += platform.RecordSize(spec)
-			}
-		}
+		jobRecords, err := encodeJob(en.job, b.newJobs[id])
 		if err != nil {
-			events.JobRejected.LogError(err, "job", id)
+			events.RecordNotEncoded.LogError(err, "job", id, "new", b.newJobs[id])
+			if b.newJobs[id] {
+				e.rejectJob(b, id, e.reject(id, "the job cannot be stored: "+err.Error(), 0))
+				e.notifySettled()
+			}
 			continue
 		}
-		records = append(records, progress)
-		size += platform.RecordSize(progress)
-		b.jobStatus[id] = jobStatus{phase: en.job.Phase, started: en.job.Started}
+		for _, r := range jobRecords {
+			size += platform.RecordSize(r)
+		}
+		records = append(records, jobRecords...)
+		en.appended = true
+		b.jobStatus[id] = jobStatus{phase: en.job.Phase, started: en.job.Started, changes: en.changes}
 	}
 	records = append(records, e.encodeSharedRecords(b)...)
 	for _, id := range b.deletedJobs {
@@ -126,6 +117,16 @@
 	return records
 }
 
+// encodeJob returns the record of a job's progress, and that of a new job's specification.
+func encodeJob(job *jobstate.Job, isNew bool) ([]platform.Record, error) {
+	progress, err := schedulestore.ProgressRecord(job)
+	if err != nil || !isNew {
+		return []platform.Record{progress}, err
+	}
+	spec, err := schedulestore.SpecRecord(job.Spec)
+	return []platform.Record{spec, progress}, err
+}
+
 // encodeSharedRecords returns the records of a batch that do not belong to a job. One
 // that fails to encode is logged and skipped; it is written again with the next change.
 func (e *Engine) encodeSharedRecords(b *batch) []platform.Record {
@@ -151,11 +152,12 @@
 }
 
 // postpone moves a job and all orders of the batch to the next one.
-func (e *Engine) postpone(b *batch, id string, en *jobEntry) {
+func (e *Engine) postpone(b *batch, id string) {
 	e.batch.changedJobs[id] = true
+	delete(b.changedJobs, id)
 	if b.newJobs[id] {
 		e.batch.newJobs[id] = true
-		en.pendingBatch = e.batch
+		delete(b.newJobs, id)
 	}
 	e.batch.orders = append(b.orders, e.batch.orders...)
 	b.orders = nil
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -40,8 +40,10 @@
 	// leaseExpiryMargin is added to a lease for message delays, besides the 2 % by which a
 	// worker's clock may be slow.
 	leaseExpiryMargin = 400 * time.Millisecond
-	// storeUnresponsiveAfter is how long an append may take before new jobs are rejected.
+	// storeUnresponsiveAfter is how long an append may take before new jobs are rejected;
+	// storeFailingAfter replaces it once an attempt has failed.
 	storeUnresponsiveAfter = 900 * time.Millisecond
+	storeFailingAfter      = 250 * time.Millisecond
 	// extraRetention is how long an ended job is kept beyond the platform's retention, so
 	// that a late retry of its submission is recognized as a duplicate.
 	extraRetention = 3 * time.Minute
@@ -66,19 +68,23 @@
 	wall         func() time.Time
 	epochStart   boottime.Instant
 
-	mu          sync.Mutex
-	jobs        map[string]*jobEntry
-	activeJobs  map[string]*jobEntry // jobs that have not ended or still have runs
-	nodes       map[string]*node
-	batch       *batch
-	planDue     bool
-	closed      bool
-	appendStart boottime.Instant // of the append in flight; 0 if there is none
+	mu         sync.Mutex
+	jobs       map[string]*jobEntry
+	activeJobs map[string]*jobEntry // jobs that have not ended or still have runs
+	nodes      map[string]*node
+	batch      *batch
+	planDue    bool
+	closed     bool
+	// appendStart is when the append in flight began; 0 if there is none. appendFailed is
+	// set once an attempt of it has failed.
+	appendStart  boottime.Instant
+	appendFailed bool
 	// confirmRequested is set while a caller waits for the store to confirm ownership.
-	// appended is closed and replaced after each successful append. appendsBegun counts
-	// the appends begun; appendsDone is the number of the last one that succeeded.
+	// settled is closed and replaced after each successful append, and when jobs are
+	// rejected. appendsBegun counts the appends begun; appendsDone is the number of the
+	// last one that succeeded.
 	confirmRequested          bool
-	appended                  chan struct{}
+	settled                   chan struct{}
 	appendsBegun, appendsDone uint64
 
 	waves             map[string]*wave
@@ -110,8 +116,12 @@
 	// only these.
 	storedPhase   chervilv2.JobPhase
 	storedStarted bool
-	// pendingBatch is the batch that will store the job; nil once it is stored.
-	pendingBatch *batch
+	// changes counts the changes of the job, storedChanges those that are stored; 0 while
+	// the job itself is not. appended is set once an append with the job has begun.
+	changes, storedChanges uint64
+	appended               bool
+	// rejected is the reply to the job's callers if it was rejected before it was stored.
+	rejected *chervilv2.JobReply
 	// failedOn holds the IDs of the workers on which each task has failed.
 	failedOn map[jobstate.TaskRef]map[string]bool
 	// idleSince is when the job was first seen with waiting tasks and no run; 0
@@ -128,13 +138,13 @@
 		settings: settings, writer: writer, operatorView: operatorView, clock: clock, wall: time.Now, epochStart: clock(),
 		waves: map[string]*wave{}, jobs: map[string]*jobEntry{}, activeJobs: map[string]*jobEntry{}, nodes: map[string]*node{},
 		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurationEstimator(),
-		placementAdvice: map[plan.StepKey]*placementAdvice{}, wakeCh: make(chan struct{}, 1), ended: make(chan struct{}), stop: make(chan struct{}), appended: make(chan struct{}),
+		placementAdvice: map[plan.StepKey]*placementAdvice{}, wakeCh: make(chan struct{}, 1), ended: make(chan struct{}), stop: make(chan struct{}), settled: make(chan struct{}),
 	}
 	e.restoreModel(restored.Interference)
 	e.restoreWaves(restored.Waves)
 	e.unreachableAgents.inherited, e.unreachableAgents.stored = restored.UngrantedMs, maps.Clone(restored.UngrantedMs)
 	for id, job := range restored.Jobs {
-		en := &jobEntry{job: job, storedPhase: job.Phase, storedStarted: job.Started}
+		en := &jobEntry{job: job, storedPhase: job.Phase, storedStarted: job.Started, changes: 1, storedChanges: 1}
 		e.jobs[id] = en
 		if !job.Ended() {
 			en.nextDueUnixMs = job.OpenDueOccurrences(e.wall().UnixMilli())
@@ -194,12 +204,11 @@
 	e.shutDown(err)
 }
 
-// shutDown fails the pending batch and detaches all agents.
+// shutDown ends the epoch, detaches all agents and wakes all waiting callers.
 func (e *Engine) shutDown(err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.closed = true
-	e.batch.complete(err)
 	for _, n := range e.nodes {
 		if n.session != nil {
 			n.session.close()
@@ -222,105 +231,6 @@
 	e.wake()
 }
 
-func (e *Engine) commitLoop(ctx context.Context) error {
-	for {
-		select {
-		case <-e.wakeCh:
-		case <-time.After(confirmInterval):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		b, records := e.nextBatch()
-		if b == nil && !e.takeConfirmRequest() && e.writer.SinceConfirmed() < confirmInterval {
-			continue
-		}
-		if err := e.commit(ctx, b, records); err != nil {
-			return err
-		}
-		select {
-		case <-time.After(minCommitInterval):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-func (e *Engine) commit(ctx context.Context, b *batch, records []platform.Record) error {
-	e.beginAppend()
-	err := e.writer.Append(ctx, records)
-	e.endAppend()
-	if err == nil {
-		e.notifyAppended()
-	}
-	if b == nil {
-		return err
-	}
-	if err != nil {
-		b.complete(err)
-		return err
-	}
-	e.publish(b)
-	return nil
-}
-
-// takeConfirmRequest reports whether a confirmation was requested, and clears the
-// request.
-func (e *Engine) takeConfirmRequest() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	requested := e.confirmRequested
-	e.confirmRequested = false
-	return requested
-}
-
-// notifyAppended records that the last append succeeded and wakes those waiting for it.
-func (e *Engine) notifyAppended() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.appendsDone = e.appendsBegun
-	close(e.appended)
-	e.appended = make(chan struct{})
-}
-
-func (e *Engine) beginAppend() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.appendStart = e.clock()
-	e.appendsBegun++
-}
-
-func (e *Engine) endAppend() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.appendStart = 0
-}
-
-// storeUnresponsive reports whether the append in flight is overdue.
-func (e *Engine) storeUnresponsive() bool {
-	return e.appendStart != 0 && e.clock().Sub(e.appendStart) > storeUnresponsiveAfter
-}
-
-// publish makes the job phases of a stored batch visible to clients and sends its orders.
-func (e *Engine) publish(b *batch) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for id, v := range b.jobStatus {
-		if en, ok := e.jobs[id]; ok {
-			en.storedPhase, en.storedStarted = v.phase, v.started
-			if en.pendingBatch == b {
-				en.pendingBatch = nil
-			}
-		}
-	}
-	for _, o := range b.orders {
-		e.sendOrder(o)
-	}
-	if b.unreachable != nil {
-		e.unreachableAgents.stored, e.unreachableAgents.appending = b.unreachable, nil
-	}
-	b.complete(nil)
-}
-
 // sendOrder queues a stored order for its agent. A start whose run was dropped while the
 // append was in flight is discarded: the task may have been granted to another worker
 // since.
@@ -368,6 +278,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock()
+	if e.storeUnresponsive() {
+		e.rejectNewJobs(e.batch)
+	}
 	for _, n := range e.nodes {
 		if len(n.runs) > 0 && now.After(n.leasesExpireAt(e)) {
 			e.dropRuns(n, nil, "agent unreachable until its leases expired")
@@ -414,16 +327,13 @@
 // Stop waits until pending changes are stored, then ends the epoch.
 func (e *Engine) Stop(ctx context.Context) {
 	e.mu.Lock()
-	current := e.batch
-	pending := !current.empty() || e.appendStart != 0
+	last := e.appendsBegun
+	if !e.batch.empty() {
+		last++
+	}
 	e.mu.Unlock()
-	if pending {
-		e.wake()
-		select {
-		case <-current.done:
-		case <-ctx.Done():
-		case <-e.ended:
-		}
+	if err := e.awaitAppend(ctx, last); err != nil {
+		events.ChangesNotStored.LogError(err, "epoch", e.Epoch(), "node", e.settings.Node)
 	}
 	e.Abandon()
 	select {
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
@@ -13,8 +14,9 @@
 // Outages shorter than a second are over by then.
 const storeRetryAfter = time.Second
 
-// Submit adds a job and returns once it is stored. It is idempotent: a job with a known
-// ID is not added again. The outcome is unknown if the append fails or ctx ends first.
+// Submit adds a job and returns once it is stored, or certainly is not. It is idempotent: a
+// job with a known ID is not added again. The outcome is unknown if the store may have
+// stored the job when the epoch or ctx ends.
 func (e *Engine) Submit(ctx context.Context, spec *chervilv2.JobSpec) *chervilv2.JobReply {
 	e.mu.Lock()
 	if e.closed {
@@ -24,14 +26,14 @@
 	en, known := e.jobs[spec.Id]
 	if !known {
 		if e.storeUnresponsive() {
+			reply := e.reject(spec.Id, "the store does not answer", storeRetryAfter)
 			e.mu.Unlock()
-			return e.reject(spec.Id, "the store does not answer", storeRetryAfter)
+			return reply
 		}
 		en = e.addJob(spec)
 	}
-	b := en.pendingBatch
 	e.mu.Unlock()
-	reply := e.awaitStored(ctx, b)
+	reply := e.awaitStored(ctx, en, 1)
 	if !known && reply.Outcome == chervilv2.Outcome_OUTCOME_OK {
 		events.JobStored.Log("job", spec.Id, "queue", spec.Queue, "steps", len(spec.Steps), "epoch", e.Epoch())
 	}
@@ -48,7 +50,7 @@
 // addJob adds a new job to the schedule and to the next batch.
 func (e *Engine) addJob(spec *chervilv2.JobSpec) *jobEntry {
 	spec.AcceptedUnixMs = e.wall().UnixMilli()
-	en := &jobEntry{job: jobstate.NewJob(spec), pendingBatch: e.batch}
+	en := &jobEntry{job: jobstate.NewJob(spec)}
 	e.jobs[spec.Id] = en
 	e.batch.newJobs[spec.Id] = true
 	e.markDirty(spec.Id, en)
@@ -56,21 +58,37 @@
 	return en
 }
 
-// awaitStored waits until the batch is stored; a nil batch is stored already.
-func (e *Engine) awaitStored(ctx context.Context, b *batch) *chervilv2.JobReply {
-	reply := &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_OK, Epoch: e.Epoch()}
-	if b == nil {
-		return reply
-	}
-	select {
-	case <-b.done:
-		if b.err != nil {
-			reply.Outcome = chervilv2.Outcome_OUTCOME_UNKNOWN
+// awaitStored waits until the given number of changes of the job is stored, or the job is
+// rejected. If the epoch ends before any append with the job, the next owner may be asked.
+func (e *Engine) awaitStored(ctx context.Context, en *jobEntry, changes uint64) *chervilv2.JobReply {
+	for {
+		e.mu.Lock()
+		stored, rejected, settled := en.storedChanges >= changes, en.rejected, e.settled
+		e.mu.Unlock()
+		if rejected != nil {
+			return rejected
+		}
+		if stored {
+			return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_OK, Epoch: e.Epoch()}
+		}
+		select {
+		case <-settled:
+		case <-e.ended:
+			return e.outcomeAfterEpoch(en)
+		case <-ctx.Done():
+			return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_UNKNOWN, Epoch: e.Epoch()}
 		}
-	case <-ctx.Done():
-		reply.Outcome = chervilv2.Outcome_OUTCOME_UNKNOWN
 	}
-	return reply
+}
+
+// outcomeAfterEpoch returns the reply for a change that was not stored when the epoch ended.
+func (e *Engine) outcomeAfterEpoch(en *jobEntry) *chervilv2.JobReply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if en.appended {
+		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_UNKNOWN, Epoch: e.Epoch()}
+	}
+	return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}
 }
 
 // Cancel ends a job and returns once the cancellation is stored.
@@ -85,18 +103,14 @@
 		e.mu.Unlock()
 		return e.confirmNoSuchJob(ctx)
 	}
-	b := en.pendingBatch
 	if effect := en.job.Cancel(e.wall().UnixMilli()); effect.Changed {
 		e.orderStops(effect.RunsToStop, "job cancelled")
 		e.markDirty(id, en)
 		events.JobEnded.Log("job", id, "phase", en.job.Phase, "runs", len(effect.RunsToStop))
-		b = e.batch
-	} else if en.storedPhase != en.job.Phase {
-		b = e.batch // the end is in an earlier batch; wait for the one after it
-		e.markDirty(id, en)
 	}
+	changes := en.changes // the end is among them
 	e.mu.Unlock()
-	return e.awaitStored(ctx, b)
+	return e.awaitStored(ctx, en, changes)
 }
 
 // Lookup returns the stored phase of a job.
@@ -123,27 +137,15 @@
 func (e *Engine) confirmNoSuchJob(ctx context.Context) *chervilv2.JobReply {
 	reply := &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NO_SUCH_JOB, Epoch: e.Epoch()}
 	e.mu.Lock()
-	needed := e.appendsBegun + 1 // the first append that begins after this call
+	next := e.appendsBegun + 1 // the first append that begins after this call
 	e.mu.Unlock()
-	for {
-		e.mu.Lock()
-		confirmed, stored := e.appendsDone >= needed, e.appended
-		e.confirmRequested = e.confirmRequested || !confirmed
-		e.mu.Unlock()
-		if confirmed {
-			return reply
-		}
-		e.wake()
-		select {
-		case <-stored:
-		case <-e.ended:
-			reply.Outcome = chervilv2.Outcome_OUTCOME_NOT_OWNER
-			return reply
-		case <-ctx.Done():
-			reply.Outcome = chervilv2.Outcome_OUTCOME_UNKNOWN
-			return reply
-		}
+	switch err := e.awaitAppend(ctx, next); {
+	case errors.Is(err, errNotOwner):
+		reply.Outcome = chervilv2.Outcome_OUTCOME_NOT_OWNER
+	case err != nil:
+		reply.Outcome = chervilv2.Outcome_OUTCOME_UNKNOWN
 	}
+	return reply
 }
 
 // CountPending returns the number of accepted jobs in the queue that have not started.
@@ -155,7 +157,7 @@
 		reply.Outcome = chervilv2.Outcome_OUTCOME_NOT_OWNER
 	}
 	for _, en := range e.activeJobs {
-		if en.job.Spec.Queue == queue && !en.storedStarted && en.pendingBatch == nil && !en.job.Ended() {
+		if en.job.Spec.Queue == queue && !en.storedStarted && en.storedChanges > 0 && !en.job.Ended() {
 			reply.Pending++
 		}
 	}
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -28,6 +28,9 @@
 	fenced  bool
 	epoch   uint64 // the highest seen; appends of lower ones are rejected
 	appends int
+	// failure is the answer to appends with records that does not store them; empty stores
+	// them.
+	failure platform.ErrorKind
 }
 
 func newTestStore() *testStore { return &testStore{records: map[string][]byte{}} }
@@ -49,6 +52,9 @@
 		return 0, &platform.Error{Kind: platform.Fenced}
 	}
 	s.epoch = a.Producer.Epoch
+	if s.failure != "" && len(a.Records) > 0 {
+		return 0, &platform.Error{Kind: s.failure}
+	}
 	s.appends++
 	for _, r := range a.Records {
 		if r.Value == nil {
@@ -70,6 +76,21 @@
 	return page, nil
 }
 
+// fail makes appends with records fail, or succeed again if the kind is empty.
+func (s *testStore) fail(kind platform.ErrorKind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = kind
+}
+
+// holds reports whether the store holds a record.
+func (s *testStore) holds(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.records[key]
+	return ok
+}
+
 // block makes appends wait until the returned function is called.
 func (s *testStore) block() (release func()) {
 	s.mu.Lock()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -353,7 +353,7 @@
 // repeatOrder sends a start or stop again; workers recognize duplicates by the attempt.
 func (e *Engine) repeatOrder(n *node, tr *trackedRun, now boottime.Instant) {
 	en, ok := e.jobs[tr.run.Ref.Job]
-	if !ok || en.pendingBatch != nil {
+	if !ok || en.storedChanges == 0 {
 		return
 	}
 	tr.orderedAt = now
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -40,6 +40,7 @@
 	RunUnknown          = define(7211, Warning, "worker reported an unknown run")
 	ScheduleSummary     = define(7213, Info, "summary of the schedule")
 	RunMoved            = define(7214, Info, "slowed best-effort run stopped to move it to another worker")
+	ChangesNotStored    = define(7216, Warning, "epoch ended before pending changes were stored")
 	StaleOrderDiscarded = define(7215, Warning, "start order discarded, its run is no longer granted")
 	OrderRepeated       = define(7212, Warning, "unconfirmed start or stop order repeated")
 )
--- a/internal/jobentry/router.go
+++ b/internal/jobentry/router.go
@@ -7,6 +7,7 @@
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/dispatch"
 	"chervilridge/internal/election"
+	"chervilridge/internal/peer"
 )
 
 const (
@@ -107,19 +108,18 @@
 		return c.local(ctx, engine), true
 	}
 	reply, err := r.callOwner(ctx, c, false)
+	sent = err != errNoPeer
 	if err == nil || tries < relayAfterFailures {
-		return r.dropStale(reply), err != errNoPeer
+		return r.dropStale(reply), sent
 	}
 	for _, address := range r.peers.Sample(maxRelays) {
-		client, err := r.peers.client(address)
-		if err != nil {
-			continue
-		}
-		if reply, err = c.remote(ctx, client, false); err == nil && reply.Outcome != chervilv2.Outcome_OUTCOME_NOT_OWNER {
+		reply, err = r.callEntry(ctx, address, c, false)
+		sent = sent || err != errNoPeer && reply.GetOutcome() != chervilv2.Outcome_OUTCOME_NOT_OWNER
+		if err == nil && reply.Outcome != chervilv2.Outcome_OUTCOME_NOT_OWNER {
 			return r.dropStale(reply), true
 		}
 	}
-	return nil, true
+	return nil, sent
 }
 
 // dropStale returns nil for a reply from an owner whose epoch is lower than that of the
@@ -139,11 +139,21 @@
 	if owner == nil || owner.Released || owner.Address == r.peers.self {
 		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
-	client, err := r.peers.client(owner.Address)
+	return r.callEntry(ctx, owner.Address, c, relayed)
+}
+
+// callEntry sends a call to another entry. The error is errNoPeer if nothing was sent.
+func (r *Router) callEntry(ctx context.Context, address string, c jobCall, relayed bool) (*chervilv2.JobReply, error) {
+	client, err := r.peers.client(address)
 	if err != nil {
 		return nil, errNoPeer
 	}
-	return c.remote(ctx, client, relayed)
+	tracked, call := peer.TrackCall(ctx)
+	reply, err := c.remote(tracked, client, relayed)
+	if err != nil && !call.StreamOpened() {
+		return nil, errNoPeer
+	}
+	return reply, err
 }
 
 // CountPending returns the number of jobs in a queue that have not started; false if no
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -50,7 +51,11 @@
 	if relayed {
 		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
-	return s.router.callOwner(ctx, c, true)
+	reply, err := s.router.callOwner(ctx, c, true)
+	if errors.Is(err, errNoPeer) { // the call has not left this entry
+		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	return reply, err
 }
 
 // CountPending returns the number of jobs in a queue that have not started.
--- a/internal/schedulestore/writer.go
+++ b/internal/schedulestore/writer.go
@@ -11,6 +11,7 @@
 
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
+	"chervilridge/internal/wait"
 	"chervilridge/platform"
 )
 
@@ -19,9 +20,15 @@
 	// appendTimeout limits one attempt of an append; a healthy store answers within some
 	// milliseconds.
 	appendTimeout = 1200 * time.Millisecond
-	// The pause between attempts starts at initialBackoff and doubles up to maxBackoff.
-	initialBackoff = 20 * time.Millisecond
-	maxBackoff     = 250 * time.Millisecond
+	// maxCopies is how many copies of an append are sent in one attempt. A copy is sent after
+	// slowAppendFactor times the usual latency, then after twice that time, within
+	// minCopyDelay and maxCopyDelay.
+	maxCopies        = 3
+	slowAppendFactor = 4.0
+	minCopyDelay     = 60 * time.Millisecond
+	maxCopyDelay     = 400 * time.Millisecond
+	// latencyGain is the weight of the latest append in the smoothed latency.
+	latencyGain = 0.2
 	// MaxBatchBytes is the most that one append may carry; the store accepts 2 MiB.
 	MaxBatchBytes = 1 << 20
 )
@@ -42,7 +49,11 @@
 	epoch         uint64
 	sequence      uint64
 	sequenceKnown bool // set once the store accepted an append
-	clock         boottime.Clock
+	// uncertain is set while an earlier attempt of the current append may be stored.
+	uncertain bool
+	// latency is the smoothed time until an append is answered, in nanoseconds.
+	latency float64
+	clock   boottime.Clock
 	// lastConfirmed is the boottime.Instant at which the last confirmed append was sent. The
 	// epoch was in force until then.
 	lastConfirmed atomic.Int64
@@ -65,53 +76,149 @@
 // Fence makes the store reject appends with older epochs.
 func (w *Writer) Fence(ctx context.Context) error { return w.Append(ctx, nil) }
 
+// RetryError is returned by Try after a failed attempt that may be repeated.
+type RetryError struct {
+	// NothingStored is set if the store has answered all attempts to append these records,
+	// so that they are certainly not stored. The next attempt may then be of other records.
+	NothingStored bool
+	Cause         error
+}
+
+// Error implements error.
+func (e *RetryError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns Cause.
+func (e *RetryError) Unwrap() error { return e.Cause }
+
 // Append stores the records, retrying until the outcome is known or ctx is done. Without
-// records it only confirms the epoch. It returns ErrFenced after a newer owner has fenced
-// the writer, and the store's error if the store is full or rejects the records as invalid.
+// records it only confirms the epoch. It returns the errors of Try, except for RetryError.
 func (w *Writer) Append(ctx context.Context, records []platform.Record) error {
-	pause := initialBackoff
-	for try := 1; ; try++ {
-		sent := w.clock()
-		err := w.appendOnce(ctx, records)
-		if err == nil {
-			w.lastConfirmed.Store(int64(sent))
-			return nil
-		}
-		kind := platform.KindOf(err)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case kind == platform.Fenced:
-			return ErrFenced
-		case kind == platform.BadSequence && w.resolveSequence(err):
-			w.lastConfirmed.Store(int64(sent))
-			return nil
-		case kind == platform.Invalid || kind == platform.StoreFull:
+	var pause RetryPause
+	for {
+		err := w.Try(ctx, records)
+		var retry *RetryError
+		if !errors.As(err, &retry) {
 			return err
 		}
-		events.StateAppendRetried.LogError(err, "epoch", w.epoch, "sequence", w.sequence, "records", len(records), "try", try)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if !wait.For(ctx, pause.Next()) {
 			return ctx.Err()
 		}
-		pause = min(2*pause, maxBackoff)
 	}
 }
 
-// appendOnce makes one attempt of an append under the current sequence number.
-func (w *Writer) appendOnce(ctx context.Context, records []platform.Record) error {
+// Try makes one attempt to store the records. After a RetryError the same records must be
+// tried again, unless nothing was stored. It returns ErrFenced after a newer owner has fenced
+// the writer, the store's error if the store is full or rejects the records as invalid, and
+// the context's error once that is done.
+func (w *Writer) Try(ctx context.Context, records []platform.Record) error {
+	sent := w.clock()
+	err, answered := w.appendCopies(ctx, records)
+	w.uncertain = w.uncertain || !answered
+	if err == nil {
+		w.confirm(sent)
+		w.sequence++
+		w.sequenceKnown = true
+		return nil
+	}
+	kind := platform.KindOf(err)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case kind == platform.Fenced:
+		return ErrFenced
+	case kind == platform.BadSequence && w.resolveSequence(err):
+		w.confirm(sent)
+		return nil
+	case kind == platform.Invalid || kind == platform.StoreFull:
+		return err
+	}
+	events.StateAppendRetried.LogError(err, "epoch", w.epoch, "sequence", w.sequence, "records", len(records), "uncertain", w.uncertain)
+	return &RetryError{NothingStored: !w.uncertain, Cause: err}
+}
+
+// Uncertain reports whether records of a failed Try may be stored, or may be stored later.
+func (w *Writer) Uncertain() bool { return w.uncertain }
+
+// confirm records that the store has confirmed the epoch by an append sent at the time.
+func (w *Writer) confirm(sent boottime.Instant) {
+	w.lastConfirmed.Store(int64(sent))
+	w.uncertain = false
+}
+
+// appendCopies makes one attempt of an append under the current sequence number. While no
+// answer comes, it sends copies over further connections: an answer that is lost on one
+// connection arrives on another, since the store answers a repeated append as it did the
+// first. It returns the first success, or the last error. answered is set if the store has
+// answered all copies.
+func (w *Writer) appendCopies(ctx context.Context, records []platform.Record) (err error, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := w.store.Append(ctx, platform.AppendRequest{
+	request := platform.AppendRequest{
 		Topic: platform.StateTopic, Records: records,
 		Producer: &platform.Producer{Name: producerName, Epoch: w.epoch, Sequence: w.sequence},
-	})
+	}
+	type result struct {
+		err  error
+		took time.Duration
+	}
+	results := make(chan result, maxCopies)
+	send := func() {
+		sent := w.clock()
+		_, err := w.store.Append(ctx, request)
+		results <- result{err, w.clock().Sub(sent)}
+	}
+	go send()
+	copies, open, answered := 1, 1, true
+	copyAfter := w.copyDelay()
+	timer := time.NewTimer(copyAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-results:
+			open--
+			if r.err == nil {
+				w.latency += latencyGain * (float64(r.took) - w.latency)
+			}
+			answered = answered && (definite(r.err) || rejected(r.err))
+			if definite(r.err) || open == 0 {
+				return r.err, answered && open == 0
+			}
+		case <-timer.C:
+			if copies < maxCopies {
+				go send()
+				copies++
+				open++
+				copyAfter *= 2
+				timer.Reset(copyAfter)
+			}
+		}
+	}
+}
+
+// copyDelay is how long an append may stay unanswered before a copy of it is sent.
+func (w *Writer) copyDelay() time.Duration {
+	return min(max(time.Duration(slowAppendFactor*w.latency), minCopyDelay), maxCopyDelay)
+}
+
+// definite reports whether the outcome of an append settles its attempt.
+func definite(err error) bool {
 	if err == nil {
-		w.sequenceKnown = true
-		w.sequence++
+		return true
+	}
+	switch platform.KindOf(err) {
+	case platform.Fenced, platform.BadSequence, platform.Invalid, platform.StoreFull:
+		return true
+	}
+	return false
+}
+
+// rejected reports whether the error shows that the store has not executed the call.
+func rejected(err error) bool {
+	switch platform.KindOf(err) {
+	case platform.Unavailable, platform.Throttled, platform.ConnectionRefused:
+		return true
 	}
-	return err
+	return false
 }
 
 // resolveSequence handles a sequence error of the store. It reports whether an earlier
