election: honour a resignation during a claim, and record stored releases

Cause: an entry that was told to stop while it waited before its claim, or while it loaded the state, became the owner all the same and left with the ownership in the store, so that others had to find it dead. The pending changes and the release shared one time limit, so that a slow append left no time to store the release. A release that failed was recorded as done by the entry itself.

Change: resigned is checked after the delay and after the takeover; each of the two steps of a release has its own limit; only a stored release is recorded.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -55,7 +55,9 @@
 	// if other entries are known. It then claims nothing for standDownTime.
 	noAgentsTimeout = 2500 * time.Millisecond
 	standDownTime   = 4 * time.Second
-	releaseTimeout  = 1500 * time.Millisecond
+	// releaseTimeout bounds the time for storing pending changes, and again that for storing
+	// that the ownership is free.
+	releaseTimeout = 1500 * time.Millisecond
 	// peerSample is how many other entries are asked for the owner at a time.
 	peerSample = 8
 )
@@ -289,11 +291,17 @@
 			return
 		}
 	}
-	if e.waitBeforeClaim(ctx, owner == nil) {
+	if e.waitBeforeClaim(ctx, owner == nil) && !e.hasResigned() {
 		e.claim(ctx, owner, end)
 	}
 }
 
+func (e *Elector) hasResigned() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resigned
+}
+
 // peerReachesOwner reports whether one of some peers recently reached this owner or a newer one.
 // Then only the connection of this process is broken, and replacing the owner would not
 // help.
@@ -405,6 +413,7 @@
 	e.mu.Lock()
 	e.updateOwner(record)
 	e.engine = engine
+	resigned := e.resigned
 	e.mu.Unlock()
 	go func() {
 		engine.Run(ctx)
@@ -415,18 +424,21 @@
 			e.ownerSeenAt = e.clock()
 		}
 	}()
+	if resigned { // while the claim was under way
+		e.release(engine)
+	}
 	return nil
 }
 
 // release stops the engine and stores that the ownership is free, so that another entry
 // can claim it at once.
 func (e *Elector) release(engine *dispatch.Engine) {
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), releaseTimeout)
+	engine.Stop(stopCtx)
+	cancelStop()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	engine.Stop(ctx)
-	e.mu.Lock()
-	owner := e.owner
-	e.mu.Unlock()
+	owner := e.Owner()
 	newest, end, err := schedulestore.ReadOwner(ctx, e.store)
 	if err != nil || newest == nil || owner == nil || newest.Nonce != owner.Nonce {
 		return
@@ -434,8 +446,8 @@
 	newest.Released = true
 	if e.writeRecord(ctx, newest, end) {
 		events.OwnershipReleased.Log("epoch", newest.Epoch, "node", e.self.Node)
+		e.Observe(newest)
 	}
-	e.Observe(newest)
 }
 
 // Resign releases the ownership if this process has it, and prevents further claims.
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,150 @@
+package election
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/dispatch"
+	"chervilridge/internal/operatorconfig"
+	"chervilridge/internal/schedulestore"
+	"chervilridge/internal/standin/metastore"
+	"chervilridge/platform"
+)
+
+// testTimeout bounds every wait of these tests.
+const testTimeout = 10 * time.Second
+
+// noPeers is an entry's view if it knows no other entry.
+type noPeers struct{}
+
+func (noPeers) Ping(context.Context, string, *chervilv2.OwnerRecord) (*chervilv2.PingReply, error) {
+	return nil, context.DeadlineExceeded
+}
+func (noPeers) Entries() []string   { return nil }
+func (noPeers) Sample(int) []string { return nil }
+
+// claimStore rejects owner records while rejectClaims is set.
+type claimStore struct {
+	schedulestore.Store
+	rejectClaims atomic.Bool
+}
+
+func (s *claimStore) Append(ctx context.Context, a platform.AppendRequest) (int64, error) {
+	if a.Topic == platform.OwnerTopic && s.rejectClaims.Load() {
+		return 0, &platform.Error{Kind: platform.Unavailable}
+	}
+	return s.Store.Append(ctx, a)
+}
+
+// rig is an elector over the stand-in for the store.
+type rig struct {
+	t       *testing.T
+	state   *metastore.State
+	store   *metastore.Server
+	claims  *claimStore
+	elector *Elector
+}
+
+// newRig returns a rig whose elector waits for a claim according to its CPU share.
+func newRig(t *testing.T, cpuShare float64) *rig {
+	r := &rig{t: t, state: metastore.NewState()}
+	r.store = metastore.NewServer(r.state, 1)
+	server := httptest.NewServer(r.store.Handler("entry-1"))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	r.claims = &claimStore{Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"))}
+	newEngine := func(w *schedulestore.Writer, s *schedulestore.State) *dispatch.Engine {
+		settings := dispatch.Settings{Node: "entry-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second}}
+		return dispatch.New(settings, w, s, func() *operatorconfig.View { return nil }, boottime.Now)
+	}
+	identity := Identity{Node: "entry-1", Address: "127.0.0.1:1", CPUShare: cpuShare, LinkMbps: sufficientLinkMbps}
+	r.elector = New(identity, r.claims, noPeers{}, boottime.Now, func() bool { return true }, newEngine)
+	return r
+}
+
+// run checks the owner until the test ends.
+func (r *rig) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.t.Cleanup(cancel)
+	go r.elector.Run(ctx)
+}
+
+// storedOwner returns the owner record in the store, or nil.
+func (r *rig) storedOwner() *chervilv2.OwnerRecord {
+	value := r.state.Value(platform.OwnerTopic, "owner")
+	if value == nil {
+		return nil
+	}
+	owner := &chervilv2.OwnerRecord{}
+	assert.NilError(r.t, proto.Unmarshal(value, owner))
+	return owner
+}
+
+func (r *rig) eventually(what string, holds func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.t.Fatalf("%s: not within %v", what, testTimeout)
+}
+
+// Guards against an owner that leaves: an entry that was told to stop while it waited before
+// its claim claimed all the same.
+func TestNoClaimAfterResigningDuringTheDelay(t *testing.T) {
+	r := newRig(t, 0)
+	r.run()
+	time.Sleep(maxFirstClaimDelay / 4)
+	r.elector.Resign()
+	time.Sleep(maxFirstClaimDelay + claimJitter)
+	assert.Assert(t, r.storedOwner() == nil, "claimed after resigning")
+}
+
+// An entry that is told to stop while it loads the state has claimed already, and must
+// release the ownership again.
+func TestResigningDuringATakeoverReleasesTheOwnership(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.SetFaults(metastore.Faults{Delay: 200 * time.Millisecond})
+	r.run()
+	r.eventually("claimed", func() bool { return r.storedOwner() != nil })
+	assert.Assert(t, r.elector.Engine() == nil, "the state is being loaded")
+	r.elector.Resign()
+	r.eventually("released", func() bool { return r.storedOwner().Released })
+	r.eventually("stopped", func() bool { return r.elector.Engine() == nil })
+}
+
+// A release that was not stored is not in force: other entries still take this one for the
+// owner until they find that it no longer is.
+func TestFailedReleaseIsNotRecordedLocally(t *testing.T) {
+	r := newRig(t, 1)
+	r.run()
+	r.eventually("owner", func() bool { return r.elector.Engine() != nil })
+	r.claims.rejectClaims.Store(true)
+	r.elector.Resign()
+	assert.Assert(t, r.elector.Engine() == nil)
+	assert.Assert(t, !r.elector.Owner().Released)
+	assert.Assert(t, !r.storedOwner().Released)
+}
+
+func TestReleaseIsStoredWhileAnAppendIsSlow(t *testing.T) {
+	r := newRig(t, 1)
+	r.run()
+	r.eventually("owner", func() bool { return r.elector.Engine() != nil })
+	r.store.SetFaults(metastore.Faults{Delay: 400 * time.Millisecond})
+	began := time.Now()
+	r.elector.Resign()
+	assert.Assert(t, r.storedOwner().Released)
+	assert.Assert(t, time.Since(began) < 2*releaseTimeout, "took %v", time.Since(began))
+}
