Faults found on reading: pace orders, gangs, quarantine, deadlines

- Pace calls of one run were sent side by side, so that an older pace could be executed after a newer one, and a call without an answer may be executed seconds later.
- After one member of a gang had failed, its tasks were grouped by the workers to avoid and each group waited for the rest for good; and a gang had no way back to an avoided worker (10 s without a start).
- The bound on quarantined workers counted those of all services, so that a service could lose all of its own; and a quarantine once doubled never went back (6 s instead of 1.5 s).
- An entry that knows no owner said that it had reached one 0 ms ago, so that agents took it for a relay.
- Deadlines of NaN counted as 110 ms, infinite and huge ones overflowed.
- Two equal listen addresses dropped one of two servers; it is an error now.
Fields of a worker's incarnation were read without the lock when a run was stopped.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -326,6 +326,24 @@
 	eventually(t, "one end counts for all", func() bool { return r.phase(jobID(1)) == chervilv2.JobPhase_JOB_PHASE_COMPLETED })
 }
 
+// Guards against a gang that never starts again: after one member had failed on a worker,
+// the others could be placed there and it could not, so that each part waited for the rest.
+func TestGangStartsAgainAfterAMemberFailed(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 2000)
+	job := spec(jobID(1), 2)
+	job.Steps[0].Gang = true
+	r.submit(job)
+	eventually(t, "gang starts", func() bool { return len(a.started()) == 2 })
+	a.end(1, a.started()[0], failed)
+	a.end(2, a.started()[1], chervilv2.EndKind_END_KIND_BROKEN)
+	eventually(t, "gang starts again on its only worker", func() bool { return len(a.started()) == 4 })
+	b := r.attach("side-2", 2000)
+	a.end(3, a.started()[2], chervilv2.EndKind_END_KIND_BROKEN)
+	a.end(4, a.started()[3], chervilv2.EndKind_END_KIND_BROKEN)
+	eventually(t, "gang starts on the worker without failures", func() bool { return len(b.started()) == 2 })
+}
+
 func TestNewJobsAreRejectedWhileTheStoreIsUnresponsive(t *testing.T) {
 	r := newRig(t)
 	release := r.store.block()
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -15,6 +15,9 @@
 	// worker.
 	quarantineScore = 4.0
 	maxFailureScore = 16.0
+	// soundScore is the failure score below which earlier quarantines no longer count. It
+	// takes seven successes in a row from quarantineScore.
+	soundScore = 0.05
 	// firstQuarantine is how long the first quarantine lasts; each further one lasts
 	// twice as long, up to maxQuarantine.
 	firstQuarantine = 1500 * time.Millisecond
@@ -64,8 +67,14 @@
 	return h.slowness
 }
 
-// recordSuccess halves the failure score after a successful run.
-func (h *health) recordSuccess() { h.failureScore /= 2 }
+// recordSuccess halves the failure score after a successful run. Once the worker counts as
+// sound, its next quarantine is a first one again.
+func (h *health) recordSuccess() {
+	h.failureScore /= 2
+	if h.failureScore < soundScore {
+		h.quarantineTime = 0
+	}
+}
 
 // recordFailure adds a failed run to the score and reports whether that starts a
 // quarantine.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -25,7 +25,7 @@
 // allows. The platform expects a job to run something within 3 s if there is room.
 const forceAfter = 1500 * time.Millisecond
 
-// maxQuarantinedPercent bounds how many of the nodes are quarantined at once.
+// maxQuarantinedPercent bounds how many of a service's workers are quarantined at once.
 const maxQuarantinedPercent = 34
 
 // plan places waiting tasks and grants their runs.
@@ -88,15 +88,21 @@
 	}
 	slices.Sort(names)
 	now := e.clock()
-	quarantined := 0
-	var out []plan.Worker
+	usable := make([]*node, 0, len(names))
+	inService := map[string]int{}
 	for _, name := range names {
 		n := e.nodes[name]
-		if ok, _ := n.usable(view.Evacuated, now); !ok || view.Config.Services[n.worker.Service].Standby {
-			continue
+		if ok, _ := n.usable(view.Evacuated, now); ok && !view.Config.Services[n.worker.Service].Standby {
+			usable = append(usable, n)
+			inService[n.worker.Service]++
 		}
-		if n.health.quarantined(now) && (quarantined+1)*100 <= maxQuarantinedPercent*len(names) {
-			quarantined++
+	}
+	quarantined := map[string]int{}
+	out := make([]plan.Worker, 0, len(usable))
+	for _, n := range usable {
+		service := n.worker.Service
+		if n.health.quarantined(now) && (quarantined[service]+1)*100 <= maxQuarantinedPercent*inService[service] {
+			quarantined[service]++
 			continue
 		}
 		out = append(out, n.plannerWorker(e.model, now))
@@ -147,7 +153,15 @@
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, _ *jobstate.Task) {
 			key := stepKey(ref)
 			for i := first; i < len(out); i++ {
-				if out[i].Key == key && sameSet(out[i].Avoid, en.failedOn[ref]) {
+				if out[i].Key != key {
+					continue
+				}
+				if step.Spec.Gang { // its members are placed together
+					out[i].Indexes = append(out[i].Indexes, ref.Index)
+					out[i].Avoid = union(out[i].Avoid, en.failedOn[ref])
+					return
+				}
+				if sameSet(out[i].Avoid, en.failedOn[ref]) {
 					out[i].Indexes = append(out[i].Indexes, ref.Index)
 					return
 				}
@@ -212,6 +226,16 @@
 	return urgency.Classify(age, total, left, e.durations.Estimate(queue.Name), queue.Stretch, queue.TargetLatency)
 }
 
+// union returns the elements of both sets, which it does not change.
+func union(a, b map[string]bool) map[string]bool {
+	if len(b) == 0 {
+		return a
+	}
+	out := maps.Clone(b)
+	maps.Copy(out, a)
+	return out
+}
+
 func sameSet(a, b map[string]bool) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -128,6 +128,10 @@
 	return e.engine
 }
 
+// ownerNeverSeen is the time since an owner was reached if none is known. It is negative in
+// milliseconds too, in which other processes get it.
+const ownerNeverSeen = -time.Millisecond
+
 // SinceOwnerSeen returns the time since the owner was last reached: 0 if this process is
 // the owner, negative if no owner is known.
 func (e *Elector) SinceOwnerSeen() time.Duration {
@@ -137,7 +141,7 @@
 	case e.engine != nil:
 		return 0
 	case e.owner == nil:
-		return -1
+		return ownerNeverSeen
 	}
 	return e.clock().Sub(e.ownerSeenAt)
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -148,3 +148,9 @@
 	assert.Assert(t, r.storedOwner().Released)
 	assert.Assert(t, time.Since(began) < 2*releaseTimeout, "took %v", time.Since(began))
 }
+
+// Other processes get the time in milliseconds and take an entry that has just reached the
+// owner for a relay to it.
+func TestUnknownOwnerIsNotReportedAsJustReached(t *testing.T) {
+	assert.Assert(t, newRig(t, 1).elector.SinceOwnerSeen().Milliseconds() < 0)
+}
--- a/internal/jobentry/clients.go
+++ b/internal/jobentry/clients.go
@@ -25,8 +25,10 @@
 	defaultDeadline = 3 * time.Second
 	// replyMargin is the part of a deadline that is reserved for sending the response.
 	replyMargin = 60 * time.Millisecond
-	// minDeadline is the least time for processing a request, without replyMargin.
+	// minDeadline is the least time for processing a request, without replyMargin, and
+	// maxDeadline the most.
 	minDeadline = 50 * time.Millisecond
+	maxDeadline = time.Minute
 	// noConfigRetryAfter and noOwnerRetryAfter are sent to clients as Retry-After.
 	noConfigRetryAfter = time.Second
 	noOwnerRetryAfter  = time.Second
@@ -122,9 +124,10 @@
 // clientDeadline returns how long the client waits for the response.
 func clientDeadline(r *http.Request) time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get(platform.HeaderDeadline), 64)
-	if err != nil || ms <= 0 {
+	if err != nil || !(ms > 0) { // NaN is not
 		return defaultDeadline
 	}
+	ms = min(ms, float64(maxDeadline/time.Millisecond))
 	return max(time.Duration(ms*float64(time.Millisecond)), minDeadline+replyMargin)
 }
 
--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -185,16 +185,22 @@
 		return fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, InternalAddress(e.node), "cannot listen for calls from peers")
 	}
 	go func() { _ = e.peerServer.Serve(peerListener) }()
-	for address, server := range map[string]*http.Server{e.node.ClientAddress: e.clientServer, e.node.ReadinessAddress: e.readinessServer} {
-		if address == "" {
-			return fault.New(fault.CodeBadSetting, fault.StepSettings, e.node.Name, "listen.front and listen.ready must be set on an entry")
-		}
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, address, "cannot listen for HTTP requests")
-		}
-		go func() { _ = server.Serve(l) }()
+	if e.node.ClientAddress == "" || e.node.ReadinessAddress == "" {
+		return fault.New(fault.CodeBadSetting, fault.StepSettings, e.node.Name, "listen.front and listen.ready must be set on an entry")
+	}
+	if err := serveHTTP(e.clientServer, e.node.ClientAddress); err != nil {
+		return err
+	}
+	return serveHTTP(e.readinessServer, e.node.ReadinessAddress)
+}
+
+// serveHTTP listens on an address and serves requests in the background.
+func serveHTTP(server *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeBadSetting, fault.StepSettings, address, "cannot listen for HTTP requests")
 	}
+	go func() { _ = server.Serve(l) }()
 	return nil
 }
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -62,18 +62,28 @@
 }
 
 // placeGang places all tasks of a step or none. If the step asks for one rack and no rack
-// has room for the gang, the tasks are spread over racks.
+// has room for the gang, the tasks are spread over racks. Workers to avoid are accepted if
+// there is no room without them.
 func placeGang(workers []Worker, r *Request, out *Plan) {
+	placed := tryPlaceGangOnRacks(workers, r, out)
+	if !placed && len(r.Avoid) > 0 && !r.StrictAvoid {
+		r.Avoid = nil
+		placed = tryPlaceGangOnRacks(workers, r, out)
+	}
+	if !placed {
+		out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes), Reason: ReasonNoRoom})
+	}
+}
+
+func tryPlaceGangOnRacks(workers []Worker, r *Request, out *Plan) bool {
 	if r.Step.SameRack {
 		for _, rack := range racksByFreeCPU(workers, r) {
 			if tryPlaceGang(workers, r, rack, out) {
-				return
+				return true
 			}
 		}
 	}
-	if !tryPlaceGang(workers, r, "", out) {
-		out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes), Reason: ReasonNoRoom})
-	}
+	return tryPlaceGang(workers, r, "", out)
 }
 
 func tryPlaceGang(workers []Worker, r *Request, rack string, out *Plan) bool {
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -116,7 +116,7 @@
 	// runs confirms that the run is not active.
 	unconfirmedResults []*chervilv2.StartResult
 	runInfos           map[runKey]runInfo
-	sentPaces          map[runKey]uint32
+	paceOrders         map[runKey]*paceOrder
 	pacers             map[string]*pacer // by image of best-effort runs
 	model              *interference.Model
 	servingStates      map[runKey]*servingState
@@ -130,7 +130,7 @@
 // NewAgent returns an agent that knows no worker yet.
 func NewAgent(node *platform.NodeSettings, worker Worker, clock boottime.Clock) *Agent {
 	a := &Agent{
-		node: node, worker: worker, clock: clock, pendingOrders: map[runKey]*pendingOrder{}, sentPaces: map[runKey]uint32{}, runInfos: map[runKey]runInfo{},
+		node: node, worker: worker, clock: clock, pendingOrders: map[runKey]*pendingOrder{}, paceOrders: map[runKey]*paceOrder{}, runInfos: map[runKey]runInfo{},
 		pacers: map[string]*pacer{}, model: interference.New(), servingStates: map[runKey]*servingState{}, rejectedRuns: map[runKey]boottime.Instant{},
 		wakeReport: make(chan struct{}, 1), wakeHold: make(chan struct{}, 1), orderSlots: make(chan struct{}, orderConcurrency),
 	}
@@ -165,7 +165,7 @@
 		inc = &incarnation{runs: map[runKey]platform.Run{}, lastAnswer: a.clock()}
 		a.incarnation = inc
 		clear(a.runInfos)
-		clear(a.sentPaces)
+		clear(a.paceOrders)
 		clear(a.servingStates)
 		a.lastUsage = nil
 	}
@@ -433,7 +433,7 @@
 	for key := range a.runInfos {
 		if _, listed := inc.runs[key]; !listed && a.pendingOrders[key] == nil && a.clock().Sub(a.runInfos[key].updatedAt) > runInfoTTL {
 			delete(a.runInfos, key)
-			delete(a.sentPaces, key)
+			delete(a.paceOrders, key)
 			delete(a.servingStates, key)
 		}
 	}
--- a/internal/workeragent/colocation_test.go
+++ b/internal/workeragent/colocation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	bestEffort map[runKey]*simBestEffort
 
 	longestHarm, targetMissed, workDone, workAtFullPace time.Duration
+	agentClock                                          atomic.Int64 // now, for the agent's goroutines
 }
 
 type simServing struct {
@@ -88,7 +90,8 @@
 
 func newSimulation(seed uint64, k modelKnowledge) *simulation {
 	sim := &simulation{rng: rand.New(rand.NewPCG(seed, seed)), now: boottime.Instant(time.Hour), trueSlopes: map[interference.Pair]float64{}, bestEffort: map[runKey]*simBestEffort{}}
-	sim.agent = NewAgent(&platform.NodeSettings{Name: "side-1"}, noopWorker{}, func() boottime.Instant { return sim.now })
+	sim.agent = NewAgent(&platform.NodeSettings{Name: "side-1"}, noopWorker{}, func() boottime.Instant { return boottime.Instant(sim.agentClock.Load()) })
+	sim.agentClock.Store(int64(sim.now))
 	sim.incarnation = &incarnation{id: workerID, runs: map[runKey]platform.Run{}}
 	sim.incarnation.heartbeat.CPUMilli = simCores * 1000
 	sim.agent.incarnation = sim.incarnation
@@ -146,6 +149,7 @@
 // computes the headroom of the serving runs.
 func (sim *simulation) advance() {
 	sim.now = sim.now.Add(simStep)
+	sim.agentClock.Store(int64(sim.now))
 	if len(sim.bestEffort) < 6 && sim.rng.Float64() < 0.15 {
 		key := runKey{fmt.Sprintf("fill.0.0.%d", sim.rng.IntN(1<<30)), 1}
 		cores := 2 + 3*sim.rng.Float64()
@@ -170,7 +174,7 @@
 		if f.workLeft <= 0 {
 			delete(sim.bestEffort, key)
 			delete(sim.agent.runInfos, key)
-			delete(sim.agent.sentPaces, key)
+			delete(sim.agent.paceOrders, key)
 		}
 	}
 	for _, s := range sim.serving {
@@ -233,8 +237,8 @@
 	sim.agent.mu.Lock()
 	sim.agent.adjustPaces(context.Background(), sim.incarnation)
 	paces := map[runKey]uint32{}
-	for key, pace := range sim.agent.sentPaces {
-		paces[key] = pace
+	for key, o := range sim.agent.paceOrders {
+		paces[key] = o.percent
 	}
 	sim.agent.mu.Unlock()
 	for key, f := range sim.bestEffort {
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -224,15 +224,13 @@
 // has ended, is ending, or can never start.
 func (a *Agent) fenceOff(ctx context.Context, key runKey) {
 	for ctx.Err() == nil {
-		a.mu.Lock()
-		inc, ownerEpoch := a.incarnation, a.ownerEpoch
-		a.mu.Unlock()
-		if inc == nil || inc.id == "" || inc.gone || inc.leasesExpired {
+		workerID, ownerEpoch := a.stopTarget()
+		if workerID == "" {
 			a.recordOutcome(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
-		_, err := a.worker.Stop(callCtx, inc.id, key.task, key.attempt, ownerEpoch)
+		_, err := a.worker.Stop(callCtx, workerID, key.task, key.attempt, ownerEpoch)
 		cancel()
 		kind := platform.ErrorKind("")
 		if err != nil {
@@ -242,7 +240,19 @@
 			a.recordOutcome(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 			return
 		}
-		events.StopUnconfirmed.LogError(err, "task", key.task, "attempt", key.attempt, "worker", inc.id)
+		events.StopUnconfirmed.LogError(err, "task", key.task, "attempt", key.attempt, "worker", workerID)
 		time.Sleep(orderRetryInterval)
 	}
 }
+
+// stopTarget returns the ID of the worker to stop runs on, or "" if nothing can run, and the
+// owner's epoch.
+func (a *Agent) stopTarget() (workerID string, ownerEpoch uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	inc := a.incarnation
+	if inc == nil || inc.gone || inc.leasesExpired {
+		return "", a.ownerEpoch
+	}
+	return inc.id, a.ownerEpoch
+}
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -221,10 +221,11 @@
 	}
 	a.reportAllRuns, r.Full = false, true
 	for key, run := range inc.runs {
-		pace, paced := a.sentPaces[key]
-		r.Runs = append(r.Runs, &chervilv2.Run{
-			Paced: paced, Task: run.Task, Attempt: run.Attempt, Percent: run.Percent, Checkpoint: run.Checkpoint, Gauge: run.Gauge, Pace: pace,
-		})
+		reported := &chervilv2.Run{Task: run.Task, Attempt: run.Attempt, Percent: run.Percent, Checkpoint: run.Checkpoint, Gauge: run.Gauge}
+		if o := a.paceOrders[key]; o != nil {
+			reported.Paced, reported.Pace = true, o.percent
+		}
+		r.Runs = append(r.Runs, reported)
 	}
 	for key := range a.pendingOrders {
 		if _, listed := inc.runs[key]; !listed {
--- a/internal/workeragent/pacer.go
+++ b/internal/workeragent/pacer.go
@@ -6,7 +6,6 @@
 
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
-	"chervilridge/platform"
 )
 
 const (
@@ -23,8 +22,6 @@
 	// minHaltTime is the time after the last order to halt before the pace may rise
 	// again.
 	minHaltTime = 1500 * time.Millisecond
-	// paceTimeout bounds one pace call.
-	paceTimeout = 500 * time.Millisecond
 	// runInfoTTL is how long the description of a run that is not listed is kept after
 	// the owner sent it.
 	runInfoTTL = 5 * time.Second
@@ -101,11 +98,9 @@
 				"leastHeadroom", co.leastHeadroom(), "share", co.fullPaceUsage[image], "halt", halt, "fills", len(keys))
 		}
 		for _, key := range keys {
-			if current, ok := a.sentPaces[key]; ok && current == percent || !ok && percent == fullPace {
-				continue
+			if a.paceOrders[key].needed(percent, now) {
+				a.orderPace(ctx, inc, key, percent)
 			}
-			a.sentPaces[key] = percent
-			go a.sendPace(ctx, inc, key, percent)
 		}
 	}
 	for image, p := range a.pacers {
@@ -127,29 +122,5 @@
 	if !info.bestEffort || p == nil || p.percent == fullPace || a.incarnation == nil {
 		return
 	}
-	a.sentPaces[key] = p.percent
-	go a.sendPace(ctx, a.incarnation, key, p.percent)
-}
-
-// sendPace sends the pace of a run to the worker. If that fails, the pace is sent again
-// after a later list of runs.
-func (a *Agent) sendPace(ctx context.Context, inc *incarnation, key runKey, percent uint32) {
-	ctx, cancel := context.WithTimeout(ctx, paceTimeout)
-	defer cancel()
-	a.mu.Lock()
-	ownerEpoch := a.ownerEpoch
-	a.mu.Unlock()
-	err := a.worker.Pace(ctx, inc.id, key.task, key.attempt, percent, ownerEpoch)
-	if err == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if _, listed := inc.runs[key]; !listed {
-		return
-	}
-	events.SetPaceFailed.LogError(err, "task", key.task, "attempt", key.attempt, "percent", percent)
-	if kind := platform.KindOf(err); kind != platform.Superseded {
-		a.sentPaces[key] = fullPace + 1 // not a valid pace, so the next adjustPaces sends it again
-	}
+	a.orderPace(ctx, a.incarnation, key, p.percent)
 }
