plan: evaluate a worker once for all tasks of a request

Cause: each task of a step was placed by evaluating all workers anew, with the headroom of all their serving images, under the lock that the agents' reports need.

Change: a step's tasks are alike, so each worker is evaluated once and again only after a task was assigned to it.

--- /dev/null
+++ b/internal/plan/place_bench_test.go
@@ -0,0 +1,83 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/interference"
+)
+
+// largeFleet returns workers, requests and a model as the owner of the largest deployment
+// so far has them on a busy day: 240 workers in racks of 20, 16 serving and 30 best-effort
+// images.
+func largeFleet(seed uint64, requests int) ([]Worker, []Request, *interference.Model) {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	const workerCount, servingImages, bestEffortImages = 240, 16, 30
+	model := interference.New()
+	for s := range servingImages {
+		for b := range bestEffortImages {
+			slope := 0.3
+			if rng.Float64() < 0.5 {
+				slope = 3 + 10*rng.Float64()
+			}
+			model.SetSlope(interference.Pair{Serving: fmt.Sprint("s", s), BestEffort: fmt.Sprint("b", b)}, slope)
+		}
+	}
+	workers := make([]Worker, workerCount)
+	for i := range workers {
+		w := &workers[i]
+		w.Key.Node, w.Key.ID, w.Service, w.Rack = fmt.Sprintf("side-%03d", i), fmt.Sprint("i-", i), "desk", fmt.Sprint("r", i/20)
+		w.Capacity = Resources{CPUMilli: 32000, MemoryMB: 128000}
+		w.ServingByImage, w.BestEffortShares = map[string]ServingGroup{}, map[string]float64{}
+		for range rng.IntN(3) {
+			w.ServingByImage[fmt.Sprint("s", rng.IntN(servingImages))] = ServingGroup{Tasks: 1 + rng.IntN(3), Headroom: 1 + 3*rng.Float64()}
+			w.ServingTasks++
+			w.ServingCPUMilli += 6400
+		}
+		w.Used = Resources{CPUMilli: w.ServingCPUMilli + int64(rng.IntN(8000)), MemoryMB: int64(rng.IntN(60000))}
+		w.BestEffortLimitMilli = w.Capacity.CPUMilli - w.Used.CPUMilli + w.ServingCPUMilli/2
+		for range rng.IntN(4) {
+			w.BestEffortShares[fmt.Sprint("b", rng.IntN(bestEffortImages))] += 0.1
+			w.BestEffortCPUMilli += 3500
+		}
+		if rng.IntN(10) == 0 {
+			w.Suspicion = 2 + rng.Float64()
+		}
+	}
+	out := make([]Request, requests)
+	for i := range out {
+		step := &chervilv2.Step{Tasks: 1 + rng.Uint32N(30), CpuMilli: 500 + rng.Uint32N(4000), MemoryMb: 1000 + rng.Uint32N(6000)}
+		switch rng.IntN(6) {
+		case 0:
+			step.TargetLatencyMs, step.Image, step.CpuMilli = 50, fmt.Sprint("s", rng.IntN(servingImages)), 6400
+		case 1, 2, 3:
+			step.Fills, step.Image = true, fmt.Sprint("b", rng.IntN(bestEffortImages))
+		case 4:
+			step.MaxPerWorker = 1
+		}
+		if rng.IntN(8) == 0 {
+			step.DataRack = fmt.Sprint("r", rng.IntN(12))
+		}
+		r := Request{Key: StepKey{Job: fmt.Sprintf("%016x", i)}, Step: step, Service: "desk", Priority: rng.IntN(3)}
+		if rng.IntN(6) == 0 {
+			r.Avoid = map[string]bool{fmt.Sprint("i-", rng.IntN(workerCount)): true}
+		}
+		for index := range step.Tasks {
+			r.Indexes = append(r.Indexes, index)
+		}
+		out[i] = r
+	}
+	return workers, out, model
+}
+
+// BenchmarkPlaceOnLargeFleet places the tasks that wait after a second of traffic.
+func BenchmarkPlaceOnLargeFleet(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		workers, requests, model := largeFleet(1, 25)
+		b.StartTimer()
+		Place(workers, requests, model)
+	}
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -50,13 +50,14 @@
 }
 
 func placeTasks(workers []Worker, r *Request, out *Plan) {
+	c := newCandidates(workers, r, "")
 	for n, index := range r.Indexes {
-		best := chooseWorker(workers, r)
+		best := c.choose()
 		if best < 0 {
 			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes) - n, Reason: ReasonNoRoom})
 			return
 		}
-		workers[best].assign(r)
+		c.assign(best)
 		out.Grants = append(out.Grants, Grant{Key: r.Key, Index: index, Worker: best})
 	}
 }
@@ -93,18 +94,14 @@
 		trial[i].ServingByImage = maps.Clone(trial[i].ServingByImage)
 		trial[i].BestEffortShares = maps.Clone(trial[i].BestEffortShares)
 	}
+	c := newCandidates(trial, r, rack)
 	grants := make([]Grant, 0, len(r.Indexes))
 	for _, index := range r.Indexes {
-		best := -1
-		for i := range trial {
-			if (rack == "" || trial[i].Rack == rack) && trial[i].admits(r) && (best < 0 || trial[i].preferredTo(&trial[best], r.Step)) {
-				best = i
-			}
-		}
+		best := c.best()
 		if best < 0 {
 			return false
 		}
-		trial[best].assign(r)
+		c.assign(best)
 		grants = append(grants, Grant{Key: r.Key, Index: index, Worker: best})
 	}
 	copy(workers, trial)
@@ -128,27 +125,6 @@
 	return out
 }
 
-func chooseWorker(workers []Worker, r *Request) int {
-	best := -1
-	if r.Step.TargetLatencyMs > 0 {
-		mixImages := shouldMixImages(workers, r)
-		for i := range workers {
-			workers[i].mixImages = mixImages
-		}
-	}
-	for i := range workers {
-		if workers[i].admits(r) && (best < 0 || workers[i].preferredTo(&workers[best], r.Step)) {
-			best = i
-		}
-	}
-	if best >= 0 || len(r.Avoid) == 0 || r.StrictAvoid {
-		return best
-	}
-	// No other worker has room, so a worker on which the task failed before is accepted.
-	r.Avoid = nil
-	return chooseWorker(workers, r)
-}
-
 // shouldMixImages reports whether a serving task may share a worker with other serving
 // images rather than take an empty worker. It may if there are few workers for each image,
 // since one image a worker would leave no worker empty, or if many workers serve and still
@@ -218,24 +194,6 @@
 	}
 }
 
-// preferredTo reports whether w is preferred to o for a task of the step: by lower
-// suspicion, then on the rack of the data, by co-location score, by free CPU and by name.
-func (w *Worker) preferredTo(o *Worker, s *chervilv2.Step) bool {
-	if w.Suspicion != o.Suspicion {
-		return w.Suspicion < o.Suspicion
-	}
-	if s.DataRack != "" && (w.Rack == s.DataRack) != (o.Rack == s.DataRack) {
-		return w.Rack == s.DataRack
-	}
-	if a, b := w.colocationScore(s), o.colocationScore(s); a != b {
-		return a > b
-	}
-	if a, b := w.freeCPUMilli(s), o.freeCPUMilli(s); a != b {
-		return a > b
-	}
-	return w.Key.Node < o.Key.Node
-}
-
 // colocationScore ranks a worker by the tasks on it; the highest is preferred. Best-effort
 // tasks of some images slow down serving tasks of some others. Serving tasks are therefore
 // packed on few workers, tasks with reserved CPU go beside them, and best-effort tasks go
