dispatch: a test waits for the agent's first report

Cause of the run of internal/dispatch that did not end: with the seed of scheduling of that moment TestQuarantineLeavesWorkersOfEachService reached for a node whose first report was not processed yet, panicked with the engine's lock held, and the clean-up waited for that lock (stack of the second occurrence, 1 in 13 runs four at a time: health_test.go:43, then Engine.shutDown in Mutex.Lock). A fault of the test, not of the plan.

--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -39,6 +39,7 @@
 		r.attachWith(node, &chervilv2.Worker{Id: "worker-" + node, BornUnixMs: 1, Service: "other", Zone: "pnw-a", CpuMilli: 1000, MemoryMb: 1000, Listed: true})
 	}
 	a := r.attach("side-5", 1000)
+	r.grantLease(a)
 	r.engine.mu.Lock()
 	quarantine(&r.engine.nodes["side-5"].health, r.clock.read())
 	r.engine.mu.Unlock()
