--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -101,8 +101,8 @@
 	assert.Assert(t, r.store.holds("s/"+jobID(1)))
 }
 
-// An owner that is replaced tells callers whose jobs are certainly not stored to ask the
-// next one, and others that the outcome is unknown.
+// When the owner is replaced, callers whose jobs are certainly not stored are sent to the next
+// owner; for the others the outcome is unknown.
 func TestReplyWhenTheOwnerIsReplacedDuringAnAppend(t *testing.T) {
 	cases := []struct {
 		failure platform.ErrorKind
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -101,8 +101,8 @@
 	r.t.Fatalf("%s: not within %v", what, testTimeout)
 }
 
-// Guards against an owner that leaves: an entry that was told to stop while it waited before
-// its claim claimed all the same.
+// Guards against an owner that leaves: an entry that got SIGTERM during the delay before its
+// claim claimed all the same.
 func TestNoClaimAfterResigningDuringTheDelay(t *testing.T) {
 	r := newRig(t, 0)
 	r.run()
@@ -112,8 +112,8 @@
 	assert.Assert(t, r.storedOwner() == nil, "claimed after resigning")
 }
 
-// An entry that is told to stop while it loads the state has claimed already, and must
-// release the ownership again.
+// An entry that gets SIGTERM while it loads the state has claimed already, and must release
+// the ownership again.
 func TestResigningDuringATakeoverReleasesTheOwnership(t *testing.T) {
 	r := newRig(t, 1)
 	r.store.SetFaults(metastore.Faults{Delay: 200 * time.Millisecond})
--- a/internal/plan/reference_test.go
+++ b/internal/plan/reference_test.go
@@ -10,7 +10,7 @@
 	chervilv2 "chervilridge/api/chervil/v2"
 )
 
-// The functions below place tasks by evaluating all workers anew for each task.
+// The functions below place tasks by evaluating all workers again for each task.
 
 func placeOneByOne(workers []Worker, r *Request, out *Plan) {
 	for n, index := range r.Indexes {
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -228,7 +228,7 @@
 	})
 }
 
-// Guards against a wait for leases that nobody holds: a worker left and its agent was
+// Guards against a wait for leases that no agent holds: a worker left and its agent was
 // stopped while no owner was reachable, so that the owner after that didn't learn that the
 // worker's runs had ended. Seen on a trial day with a lost data centre, leaving workers and
 // a change of owners.
