--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// Guards against a start that is sent before its job is stored: the job was rejected and
-// submitted again, and the start order of the first time named the same run.
+// A job that was rejected and submitted again must not be started by the order of the first
+// time, which names the same run. New jobs are rejected until that batch is stored.
 func TestResubmittedJobStartsOnlyOnceStored(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
