--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -13,6 +13,8 @@
 	"chervilridge/platform"
 )
 
+// commitLoop appends pending changes, and confirms the ownership while there are none, until
+// ctx ends or the store rejects an append.
 func (e *Engine) commitLoop(ctx context.Context) error {
 	for {
 		select {
@@ -177,8 +179,8 @@
 	}
 }
 
-// awaitAppend waits until the append with the number has succeeded, counted from the begin
-// of the epoch. It returns errNotOwner if the epoch ends first, or the context's error.
+// awaitAppend waits until the append with the number, counted from the start of the epoch,
+// has succeeded. It returns errNotOwner if the epoch ends first, or the context's error.
 func (e *Engine) awaitAppend(ctx context.Context, number uint64) error {
 	for {
 		e.mu.Lock()
--- a/internal/dispatch/unreachable_test.go
+++ b/internal/dispatch/unreachable_test.go
@@ -74,11 +74,7 @@
 	b := r.attach("side-2", 1000)
 	r.clock.advance(testLease - silentTime - 100*time.Millisecond)
 	r.grantLease(b)
-	time.Sleep(300 * time.Millisecond)
-	assert.Equal(t, len(b.started()), 0, "a lease may still hold the run")
-	r.clock.advance(200 * time.Millisecond)
-	b.report(&chervilv2.AgentReport{Full: true})
-	eventually(t, "task starts on another worker", func() bool { return len(b.started()) == 1 })
+	r.assertStartsShortlyAfter(b)
 }
 
 // An owner may have been granted the last lease by its predecessor's confirmation, so that
@@ -121,11 +117,7 @@
 	b := r.attach("side-2", 1000)
 	r.clock.advance(MaxConfirmationAge + lease - unreachableTime - 100*time.Millisecond)
 	b.report(&chervilv2.AgentReport{Full: true})
-	time.Sleep(300 * time.Millisecond)
-	assert.Equal(t, len(b.started()), 0, "a lease may still hold the run")
-	r.clock.advance(200 * time.Millisecond)
-	b.report(&chervilv2.AgentReport{Full: true})
-	eventually(t, "task starts on another worker", func() bool { return len(b.started()) == 1 })
+	r.assertStartsShortlyAfter(b)
 }
 
 // An agent on the record of unreachable agents must not be granted a lease until the
@@ -161,3 +153,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(restored.UngrantedMs), 0)
 }
+
+// assertStartsShortlyAfter checks that the agent gets its first start between now, 100 ms
+// before all leases have expired, and 100 ms after that.
+func (r *rig) assertStartsShortlyAfter(b *testAgent) {
+	r.t.Helper()
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(r.t, len(b.started()), 0, "a lease may still hold the run")
+	r.clock.advance(200 * time.Millisecond)
+	b.report(&chervilv2.AgentReport{Full: true})
+	eventually(r.t, "task starts on another worker", func() bool { return len(b.started()) == 1 })
+}
--- a/internal/schedulestore/writer.go
+++ b/internal/schedulestore/writer.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// Try makes one attempt to store the records. After a RetryError the same records must be
-// tried again, unless nothing was stored. It returns ErrFenced after a newer owner has fenced
+// Try makes one attempt to store the records. After a RetryError the next attempt must be
+// of the same records, unless nothing was stored. It returns ErrFenced after a newer owner has fenced
 // the writer, the store's error if the store is full or rejects the records as invalid, and
 // the context's error once that is done.
 func (w *Writer) Try(ctx context.Context, records []platform.Record) error {
