Report the crash of a worker with the ages of its runs

Cause of the change: the logs of the incident cannot show which task crashes a worker. "run lost with its worker" is logged alike for a crash, a planned end and a lapsed lease, and does not say how old the run was.

No decision changes.

--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -21,6 +21,20 @@
 
 var planTime, startDelay timer
 
+// counter counts events by a tag; it drops them until RegisterMetrics was called.
+type counter struct {
+	name, tag string
+	scope     atomic.Pointer[tally.Scope]
+}
+
+func (c *counter) increment(value string) {
+	if s := c.scope.Load(); s != nil {
+		(*s).Tagged(map[string]string{c.tag: value}).Counter(c.name).Inc(1)
+	}
+}
+
+var workerCrashes = counter{name: "worker_crashes", tag: "service"}
+
 const (
 	firstBucket  = time.Millisecond
 	bucketFactor = 2
@@ -34,4 +48,7 @@
 		h := scope.Histogram(name, buckets)
 		t.t.Store(&h)
 	}
+	for _, c := range []*counter{&workerCrashes} {
+		c.scope.Store(&scope)
+	}
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -137,10 +137,18 @@
 		e.replan()
 	}
 	n.lastReport = e.clock()
+	for _, crash := range r.Crashes {
+		if crash.WorkerId != r.Worker.GetId() || crash.BornUnixMs != r.Worker.GetBornUnixMs() {
+			e.handleCrash(n, crash)
+		}
+	}
 	e.updateWorker(n, r.Worker)
 	for _, end := range r.Ends {
 		e.handleEnd(n, r.Worker, end)
 	}
+	for _, crash := range r.Crashes { // of this incarnation, whose reported ends take precedence
+		e.handleCrash(n, crash)
+	}
 	for _, result := range r.Results {
 		e.handleResult(n, result)
 	}
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -92,9 +92,19 @@
 	lastAnswer         boottime.Instant
 	unansweredHolds    int // consecutive
 	refusedConnections int // consecutive
-	runs               map[runKey]platform.Run
-	pendingEnds        []platform.RunEnd // not yet stored by the owner, sorted by number
-	storedEnd          int64             // number of the newest run end that the owner has stored
+	// failedAt is the earliest time at which the worker may have crashed, by the first hold
+	// call that failed since its last answer.
+	failedAt boottime.Instant
+	// startedAt is when the agent first sent the start of each recent run.
+	startedAt   map[runKey]boottime.Instant
+	runs        map[runKey]platform.Run
+	pendingEnds []platform.RunEnd // not yet stored by the owner, sorted by number
+	storedEnd   int64             // number of the newest run end that the owner has stored
+}
+
+// newIncarnation returns an incarnation of which nothing is known yet.
+func newIncarnation(now boottime.Instant) *incarnation {
+	return &incarnation{runs: map[runKey]platform.Run{}, startedAt: map[runKey]boottime.Instant{}, lastAnswer: now}
 }
 
 // Agent manages the runs of one worker. It is safe for concurrent use.
@@ -122,6 +132,7 @@
 	servingStates      map[runKey]*servingState
 	lastUsage          map[string]float64 // usage of best-effort runs in the previous list, by image
 	reportAllRuns      bool               // the next report includes the list of runs
+	crashes            []*crashReport     // recent ones, oldest first
 	wakeReport         chan struct{}
 	wakeHold           chan struct{}
 	orderSlots         chan struct{}
@@ -162,7 +173,10 @@
 			return
 		}
 		a.pendingHeartbeat = nil
-		inc = &incarnation{runs: map[runKey]platform.Run{}, lastAnswer: a.clock()}
+		if inc != nil {
+			a.recordCrash(inc)
+		}
+		inc = newIncarnation(a.clock())
 		a.incarnation = inc
 		clear(a.runInfos)
 		clear(a.paceOrders)
@@ -181,6 +195,7 @@
 	}
 	if inc.gone && h.Sequence > inc.heartbeat.Sequence {
 		inc.gone, inc.leasesExpired, inc.refusedConnections = false, true, 0 // it is alive after all, but runs nothing
+		a.retractCrash(h)
 	}
 	if h.Draining && !inc.draining {
 		events.WorkerDraining.Log("worker", h.WorkerID, "remaining", h.DrainRemaining, "sequence", h.Sequence)
@@ -274,7 +289,7 @@
 	a.mu.Lock()
 	inc := a.incarnation
 	if inc == nil {
-		inc = &incarnation{runs: map[runKey]platform.Run{}, lastAnswer: a.clock()}
+		inc = newIncarnation(a.clock())
 		a.incarnation = inc
 	}
 	if inc.gone {
@@ -335,6 +350,7 @@
 // The caller holds mu.
 func (a *Agent) handleHoldError(inc *incarnation, err error) time.Duration {
 	inc.unansweredHolds++
+	inc.recordFailure(err, a.clock())
 	kind := platform.KindOf(err)
 	if inc.unansweredHolds == 2 {
 		events.WorkerUnresponsive.LogError(err, "worker", inc.id, "silent", a.clock().Sub(inc.lastAnswer))
@@ -361,6 +377,7 @@
 // not yet stored are still reported. The caller holds mu.
 func (a *Agent) markGone(inc *incarnation, reason string) {
 	events.WorkerEnded.Log("worker", inc.id, "born", inc.bornUnixMs, "reason", reason, "runs", len(inc.runs), "ends", len(inc.pendingEnds), "silent", a.clock().Sub(inc.lastAnswer))
+	a.recordCrash(inc)
 	inc.runs = map[runKey]platform.Run{}
 	inc.gone, inc.listed, inc.goneAt, inc.lossConfirmed = true, false, a.clock(), false
 	a.reportAllRuns = true
@@ -400,6 +417,7 @@
 		wake(a.wakeReport)
 	}
 	inc.pendingEnds = fresh
+	inc.pruneStarts(now)
 	a.confirmResults(inc, unconfirmed)
 	a.pruneRunInfos(inc)
 	a.adjustPaces(ctx, inc)
--- /dev/null
+++ b/internal/workeragent/crash.go
@@ -0,0 +1,159 @@
+package workeragent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/platform"
+)
+
+const (
+	// crashReportTTL is how long a crash is reported to each new owner.
+	crashReportTTL = 30 * time.Second
+	// maxRunAge caps the ages of runs in crash reports.
+	maxRunAge = 10 * time.Second
+	// unlistedStartTTL is how long before the worker's last answer a run may have been
+	// started to be reported as crashed although the worker did not list it.
+	unlistedStartTTL = time.Second
+)
+
+// crashReport is a crash to report to the owner.
+type crashReport struct {
+	message *chervilv2.WorkerCrash
+	at      boottime.Instant
+	// sentIn is the sequence of the first report to the present owner with the crash; 0 if
+	// there is none. confirmed is set once that owner has replied to it.
+	sentIn    uint64
+	confirmed bool
+}
+
+// recordFailure records the first failed hold call since the worker's last answer. A call
+// that fails other than by a timeout fails at the moment of the crash.
+func (inc *incarnation) recordFailure(err error, now boottime.Instant) {
+	if inc.unansweredHolds > 1 {
+		return
+	}
+	inc.failedAt = now
+	if errors.Is(err, context.DeadlineExceeded) {
+		inc.failedAt = inc.lastAnswer
+	}
+}
+
+// earliestCrash returns the earliest time at which the incarnation may have crashed.
+func (inc *incarnation) earliestCrash() boottime.Instant { return max(inc.failedAt, inc.lastAnswer) }
+
+// recordCrash adds the end of an incarnation to the crashes to report, unless its end was
+// planned or nothing ran on it any more. The caller holds mu.
+func (a *Agent) recordCrash(inc *incarnation) {
+	if inc.id == "" || inc.gone || inc.draining || inc.deregistered || inc.leasesExpired {
+		return
+	}
+	crash := &chervilv2.WorkerCrash{WorkerId: inc.id, BornUnixMs: inc.bornUnixMs}
+	for _, key := range inc.crashedRuns() {
+		crash.Runs = append(crash.Runs, &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt, AgeMs: inc.runAge(key).Milliseconds()})
+	}
+	a.crashes = append(a.crashes, &crashReport{message: crash, at: a.clock()})
+}
+
+// crashedRuns returns the runs that the crash may have ended: those that the worker listed
+// and those started since.
+func (inc *incarnation) crashedRuns() []runKey {
+	ended := map[runKey]bool{}
+	for _, e := range inc.pendingEnds {
+		ended[runKey{e.Task, e.Attempt}] = true
+	}
+	var out []runKey
+	for key := range inc.runs {
+		if !ended[key] {
+			out = append(out, key)
+		}
+	}
+	for key, startedAt := range inc.startedAt {
+		if _, listed := inc.runs[key]; !listed && !ended[key] && inc.lastAnswer.Sub(startedAt) < unlistedStartTTL {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// runAge returns the time from the first start call of a run to the crash, at most
+// maxRunAge.
+func (inc *incarnation) runAge(key runKey) time.Duration {
+	startedAt, known := inc.startedAt[key]
+	if !known {
+		return maxRunAge
+	}
+	return min(max(inc.earliestCrash().Sub(startedAt), 0), maxRunAge)
+}
+
+// pruneStarts forgets the start times that crash reports no longer need.
+func (inc *incarnation) pruneStarts(now boottime.Instant) {
+	for key, startedAt := range inc.startedAt {
+		if now.Sub(startedAt) > maxRunAge {
+			delete(inc.startedAt, key)
+		}
+	}
+}
+
+// unconfirmedCrashes returns the crashes to report and drops outdated ones. The caller holds
+// mu.
+func (a *Agent) unconfirmedCrashes() []*chervilv2.WorkerCrash {
+	now := a.clock()
+	for len(a.crashes) > 0 && now.Sub(a.crashes[0].at) > crashReportTTL {
+		a.crashes = a.crashes[1:]
+	}
+	var out []*chervilv2.WorkerCrash
+	for _, c := range a.crashes {
+		if !c.confirmed {
+			out = append(out, c.message)
+		}
+	}
+	return out
+}
+
+// resendCrashes makes the reports to a new owner include all recent crashes, since the
+// previous owner may not have stored what it did about them.
+func (a *Agent) resendCrashes() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.crashes {
+		c.sentIn, c.confirmed = 0, false
+	}
+}
+
+// markCrashesSent records the report with which crashes are sent.
+func (a *Agent) markCrashesSent(r *chervilv2.AgentReport) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.crashes {
+		for _, sent := range r.Crashes {
+			if c.message == sent && c.sentIn == 0 {
+				c.sentIn = r.Sequence
+			}
+		}
+	}
+}
+
+// confirmCrashes stops the reporting of crashes that the owner has learned by the report.
+func (a *Agent) confirmCrashes(report uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.crashes {
+		c.confirmed = c.confirmed || c.sentIn > 0 && c.sentIn <= report
+	}
+}
+
+// retractCrash drops the report of a crash of a worker that lives after all. The caller
+// holds mu.
+func (a *Agent) retractCrash(h platform.Heartbeat) {
+	kept := a.crashes[:0]
+	for _, c := range a.crashes {
+		if c.message.WorkerId != h.WorkerID || c.message.BornUnixMs != h.BornUnixMs {
+			kept = append(kept, c)
+		}
+	}
+	a.crashes = kept
+}
--- /dev/null
+++ b/internal/workeragent/crash_test.go
@@ -0,0 +1,122 @@
+package workeragent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/platform"
+)
+
+const task2 = "0000000000000002.0.0.0"
+
+// crashWorker makes the worker refuse all connections, after its runs have ended.
+func (h *harness) crashWorker() {
+	h.worker.Close()
+	h.server.Listener.Close()
+	h.server.CloseClientConnections()
+}
+
+func (h *harness) waitRunning(tasks int) {
+	h.waitFor("runs listed", func(r *chervilv2.AgentReport) bool {
+		started := 0
+		for _, run := range r.Runs {
+			if !run.Starting {
+				started++
+			}
+		}
+		return started == tasks
+	})
+}
+
+func hasCrash(r *chervilv2.AgentReport) bool { return len(r.Crashes) > 0 }
+
+func TestCrashIsReportedWithTheAgesOfItsRuns(t *testing.T) {
+	const between = 400 * time.Millisecond
+	h := newHarness(t, time.Minute)
+	h.waitListed()
+	h.start(task1, 1)
+	h.waitRunning(1)
+	time.Sleep(between)
+	h.start(task2, 1)
+	h.waitRunning(2)
+	h.crashWorker()
+	r := h.waitFor("crash", hasCrash)
+	assert.Equal(t, len(r.Crashes), 1)
+	ages := map[string]int64{}
+	for _, run := range r.Crashes[0].Runs {
+		ages[run.Task] = run.AgeMs
+	}
+	assert.Equal(t, len(ages), 2)
+	assert.Assert(t, ages[task1]-ages[task2] >= between.Milliseconds()/2, "%v", ages)
+}
+
+// An owner that has replied may have failed before it stored what it did about the crash.
+func TestCrashIsReportedOnceToEachOwner(t *testing.T) {
+	h := newHarness(t, time.Minute)
+	h.waitListed()
+	h.start(task1, 1)
+	h.waitRunning(1)
+	h.crashWorker()
+	h.waitFor("crash", hasCrash)
+	r := h.waitFor("crash repeated without a reply", hasCrash)
+	r.Sequence = 7
+	h.agent.markCrashesSent(r)
+	h.agent.confirmCrashes(6)
+	h.waitFor("crash repeated after the reply to an earlier report", hasCrash)
+	h.agent.confirmCrashes(7)
+	assert.Assert(t, !hasCrash(h.agent.buildReport()))
+	h.agent.resendCrashes()
+	assert.Assert(t, hasCrash(h.agent.buildReport()), "the next owner must learn of the crash")
+}
+
+func TestNewIncarnationIsACrashOfTheLast(t *testing.T) {
+	h := newHarness(t, time.Minute)
+	h.waitListed()
+	h.start(task1, 1)
+	h.waitRunning(1)
+	next := platform.Heartbeat{WorkerID: "i-2", BornUnixMs: time.Now().Add(time.Second).UnixMilli(), Service: "desk", Sequence: 1}
+	h.agent.HandleHeartbeat(next)
+	r := h.agent.buildReport()
+	assert.Equal(t, len(r.Crashes), 1)
+	assert.Equal(t, r.Crashes[0].WorkerId, workerID)
+	assert.Equal(t, r.Worker.Id, "i-2")
+}
+
+func TestPlannedEndOfAWorkerIsNoCrash(t *testing.T) {
+	for name, end := range map[string]func(h *harness){
+		"draining": func(h *harness) {
+			h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, Service: "desk", Sequence: 2, Draining: true})
+		},
+		"deregistered": func(h *harness) { h.agent.Deregister(workerID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, time.Minute)
+			h.waitListed()
+			h.start(task1, 1)
+			h.waitRunning(1)
+			end(h)
+			h.crashWorker()
+			r := h.waitFor("gone", func(r *chervilv2.AgentReport) bool { return r.Worker.GetGone() })
+			assert.Assert(t, !hasCrash(r))
+		})
+	}
+}
+
+// While a worker is silent, it may have crashed at any time since its last answer.
+func TestSilentWorkerMayHaveCrashedSinceItsLastAnswer(t *testing.T) {
+	started := boottime.Instant(time.Hour)
+	inc := newIncarnation(started)
+	key := runKey{task1, 1}
+	inc.startedAt[key] = started
+	inc.lastAnswer = started.Add(100 * time.Millisecond)
+	inc.unansweredHolds = 1
+	inc.recordFailure(&platform.Error{Kind: platform.NoAnswer, Cause: context.DeadlineExceeded}, started.Add(1200*time.Millisecond))
+	assert.Equal(t, inc.runAge(key), 100*time.Millisecond)
+	inc.recordFailure(&platform.Error{Kind: platform.ConnectionRefused}, started.Add(400*time.Millisecond))
+	assert.Equal(t, inc.runAge(key), 400*time.Millisecond)
+}
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -95,6 +95,7 @@
 		}
 	}()
 	l.agent.requestFullReport()
+	l.agent.resendCrashes()
 	for ctx.Err() == nil {
 		if tracker.sinceReply() > ownerReplyTimeout {
 			return errOwnerUnresponsive
@@ -103,6 +104,7 @@
 		r.Node, r.Incarnation, r.Address = l.node.Name, l.incarnation, jobentry.InternalAddress(l.node)
 		r.Sequence = tracker.nextSequence()
 		tracker.trackLoss(r)
+		l.agent.markCrashesSent(r)
 		if err := stream.Send(r); err != nil {
 			l.agent.restoreResults(r)
 			cancel(err)
@@ -171,6 +173,7 @@
 	if !t.agent.HandleOrders(context.Background(), o, sentAt) {
 		return false
 	}
+	t.agent.confirmCrashes(o.Report)
 	if lost := t.confirmedLoss(o.Report); lost != "" {
 		t.agent.confirmLoss(lost)
 	}
@@ -198,7 +201,7 @@
 func (a *Agent) buildReport() *chervilv2.AgentReport {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := &chervilv2.AgentReport{Results: a.startResults}
+	r := &chervilv2.AgentReport{Results: a.startResults, Crashes: a.unconfirmedCrashes()}
 	a.startResults = nil
 	inc := a.incarnation
 	if inc == nil || inc.id == "" {
