--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -96,8 +96,8 @@
 	links      map[string]*proxy.Proxy
 	useProxies bool
 	maxRuns    int // of each worker; 0 is no limit
-	// onTaskStart is called at each start of a task.
-	onTaskStart      func(task string)
+	// onTaskStart is called at each start of a task, with the number of its worker.
+	onTaskStart      func(worker int, task string)
 	heartbeatCancels []context.CancelFunc
 	startCounts      []int // runs started, by worker
 }
@@ -119,7 +119,7 @@
 	s := &site{
 		t: t, number: siteCount.Add(1), state: metastore.NewState(), journal: taskworker.NewJournal(), programs: map[string]*program{},
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, startCounts: make([]int, agents),
-		links: map[string]*proxy.Proxy{}, onTaskStart: func(string) {},
+		links: map[string]*proxy.Proxy{}, onTaskStart: func(int, string) {},
 	}
 	s.taskDuration.Store(int64(taskDuration))
 	s.store = metastore.NewServer(s.state, uint64(s.number))
@@ -268,7 +268,7 @@
 		s.mu.Lock()
 		s.startCounts[i]++
 		s.mu.Unlock()
-		s.onTaskStart(task)
+		s.onTaskStart(i, task)
 		return time.Duration(s.taskDuration.Load())
 	}, s.journal)
 	l, err := net.Listen("tcp", address)
@@ -324,7 +324,9 @@
 		version, strings.Join(routes, ","), serviceName))
 }
 
-func jobPath(i int) string { return fmt.Sprintf("/quotes/%016x", i+1) }
+func jobID(i int) string { return fmt.Sprintf("%016x", i+1) }
+
+func jobPath(i int) string { return "/quotes/" + jobID(i) }
 
 // call sends a request to an entry and returns the status and the body; status 0 is no
 // response.
--- a/internal/sitetest/soak_test.go
+++ b/internal/sitetest/soak_test.go
@@ -153,7 +153,7 @@
 
 // checkTaskStart checks a start of a task on a worker: its job must have been submitted and
 // must not have been cancelled more than cancelBound ago.
-func (k *soak) checkTaskStart(task string) {
+func (k *soak) checkTaskStart(_ int, task string) {
 	id, _, _ := strings.Cut(task, ".")
 	k.mu.Lock()
 	job := k.jobs[id]
