Count worker crashes by task, isolate suspects and give up those that crash alone

Cause: a run that ends with its worker left no trace. Its task waited like one never started, so the next plan granted it at once, by whatever owner. Class: an input that kills its consumer and is redelivered without a count that outlives the consumer.

Ruled out: a count lost at the takeover (there was none; six attempts in 1.2 s under one owner); orders without a grant (each start has one).

Change: each crash that its agent reports counts against the runs that had started within 250 ms before, or, if there is none, against all runs. The count, the suspicion and the isolation of a run are part of the job's stored progress, in the same append as the next grants. A suspect starts on a worker on which nothing else is being started and that gets nothing else until the suspect has outlived its start, at most 40 % of a service at once. It is given up at its second confirmed crash in isolation; any task at its fourth. A start that was never confirmed counts only towards the latter. Crashes of many workers at one moment make no suspects, unless one job has suspects on half of them. Ends of drained workers, lapsed leases and maintenance are no crashes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
 	"chervilridge/internal/jobstate"
 )
@@ -14,14 +15,27 @@
 	// suspectAge is the age at the crash of its worker up to which a run is suspected of
 	// having caused the crash.
 	suspectAge = 250 * time.Millisecond
+	// soundAge is the age from which a long-running task has no part in earlier crashes.
+	soundAge = 10 * time.Second
+	// maxIsolatedPercent bounds the workers of a service with isolated tasks at once, and thus
+	// the loss to a burst of tasks that crash their workers.
+	maxIsolatedPercent = 40
+	// workerReturnTime is how long a crashed worker usually takes to return, at most.
+	workerReturnTime = 5 * time.Second
+	// minCommonCause and commonCausePercent are the number of workers, and the part of a
+	// service, that crash at the same moment if the cause lies outside of them.
+	minCommonCause     = 3
+	commonCausePercent = 10
 	// maxLoggedSuspects bounds the suspects named in a log line.
 	maxLoggedSuspects = 20
 )
 
-// crashedRun is a run that ended with its worker, and its age at the crash.
+// crashedRun is a run that ended with its worker, and its age at the crash. started is set if
+// the worker had confirmed the start.
 type crashedRun struct {
 	tracked *trackedRun
 	age     time.Duration
+	started bool
 }
 
 // crashedRuns returns the runs on the node that ended in the crash, youngest first. A run
@@ -36,7 +50,7 @@
 			continue
 		}
 		if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil && tr.run.Worker == worker {
-			out = append(out, crashedRun{tracked: tr, age: time.Duration(r.AgeMs) * time.Millisecond})
+			out = append(out, crashedRun{tracked: tr, age: time.Duration(r.AgeMs) * time.Millisecond, started: r.Started})
 		}
 	}
 	slices.SortFunc(out, func(a, b crashedRun) int { return cmp.Compare(a.age, b.age) })
@@ -52,16 +66,156 @@
 	return n
 }
 
-// handleCrash processes the crash of a worker, as reported by its agent.
+// handleCrash ends the runs of a crashed worker, as reported by its agent, with what the
+// crash says about their tasks.
 func (e *Engine) handleCrash(n *node, crash *chervilv2.WorkerCrash) {
 	runs := n.crashedRuns(crash)
 	if len(runs) == 0 {
 		return // the crash was reported before, or hit no run
 	}
-	suspects := runs[:suspectCount(runs)]
+	now := e.clock()
+	suspects := suspectCount(runs)
+	record := newCrashRecord(n, runs, suspects, now.Add(-time.Duration(crash.AgoMs)*time.Millisecond))
+	n.isolationCrashedAt = max(n.isolationCrashedAt, isolationCrash(runs, now))
+	e.crashes.add(record, now)
 	workerCrashes.increment(n.serviceName())
 	events.WorkerCrashed.Log("node", n.name, "worker", crash.WorkerId, "born", crash.BornUnixMs, "runs", len(runs),
-		"youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(suspects), "suspectCount", len(suspects))
+		"youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(runs[:suspects]), "suspectCount", suspects)
+	for i, r := range runs {
+		evidence := r.evidence(i < suspects, suspects)
+		if n.drainingSince != 0 { // ended by its maintenance
+			evidence = jobstate.CrashExplained
+		}
+		e.crashRun(n, r, evidence)
+	}
+	e.retractCommonCause(record)
+	e.replan()
+}
+
+// evidence returns what the crash says about the run.
+func (r crashedRun) evidence(suspected bool, suspects int) jobstate.CrashEvidence {
+	switch {
+	case suspected && r.started:
+		return jobstate.CrashSuspected
+	case suspected:
+		return jobstate.CrashUnconfirmed
+	case suspects == 0:
+		return jobstate.CrashUnexplained
+	}
+	return jobstate.CrashExplained
+}
+
+// crashRun ends a run with its worker, and gives up its job if the task is the cause.
+func (e *Engine) crashRun(n *node, r crashedRun, evidence jobstate.CrashEvidence) {
+	run := r.tracked.run
+	n.removeRun(runKey{run.Ref, run.Attempt})
+	en := e.jobs[run.Ref.Job]
+	effect := en.job.CrashRun(run.Ref, run.Attempt, evidence, e.wall().UnixMilli())
+	_, task := en.job.Task(run.Ref)
+	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "cause", "worker crashed",
+		"ageMs", r.age.Milliseconds(), "started", r.started, "isolated", run.Isolated,
+		"crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "suspect", task.Suspect)
+	if task.Suspect {
+		taskSuspects.increment(en.job.Spec.Queue)
+	}
+	e.orderStops(effect.RunsToStop, "job given up")
+	if effect.JobEnded {
+		e.crashes.convict(run.Ref)
+		tasksGivenUp.increment(en.job.Spec.Queue)
+		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes,
+			"node", n.name, "worker", run.Worker.ID, "isolated", run.Isolated)
+		events.JobEnded.Log("job", run.Ref.Job, "phase", en.job.Phase, "queue", en.job.Spec.Queue, "cause", "a task crashed its workers",
+			"tookMs", en.job.EndedUnixMs-en.job.Spec.AcceptedUnixMs)
+	}
+	e.markDirty(run.Ref.Job, en)
+}
+
+// retractCommonCause clears the suspects of workers that crashed at the same moment as the
+// one of the record, if these are so many that a cause outside of them is likely. A job
+// with suspects on most of the workers is such a cause itself, and remains suspected.
+func (e *Engine) retractCommonCause(record *crashRecord) {
+	group := e.crashes.sameMoment(record)
+	if len(group) < max(minCommonCause, e.serviceWorkers(record.service)*commonCausePercent/100) {
+		return
+	}
+	shared := sharedJob(group)
+	for _, c := range group {
+		for _, ref := range c.suspects() {
+			if ref.Job != shared {
+				e.clearSuspect(ref, "many workers crashed at once")
+			}
+		}
+		c.closed = true
+	}
+}
+
+// clearSuspect takes back the suspicion of a task. The crashes that raised it are then
+// counted against the other runs that they ended, once no suspect is left.
+func (e *Engine) clearSuspect(ref jobstate.TaskRef, reason string) {
+	en := e.jobs[ref.Job]
+	if en == nil || !en.job.ClearSuspect(ref) {
+		return
+	}
+	events.SuspectCleared.Log("task", ref.String(), "reason", reason)
+	suspectsCleared.increment(en.job.Spec.Queue)
+	e.markDirty(ref.Job, en)
+	for _, other := range e.crashes.clear(ref) {
+		if en := e.jobs[other.Job]; en != nil && en.job.CountCrash(other) {
+			e.markDirty(other.Job, en)
+		}
+	}
+}
+
+// checkSuspect ends the isolation of a run, and the suspicion of its task, once the worker
+// has outlived the time in which suspects crash. The worker was seen alive at lastSeen.
+func (e *Engine) checkSuspect(tr *trackedRun, lastSeen boottime.Instant) {
+	en := e.jobs[tr.run.Ref.Job]
+	_, task := en.job.Task(tr.run.Ref)
+	if tr.startedAt == 0 || task == nil {
+		return
+	}
+	outlived := lastSeen.Sub(tr.startedAt)
+	if outlived > suspectAge && task.Suspect {
+		e.clearSuspect(tr.run.Ref, "outlived the start")
+	}
+	if tr.step.LongRunning && outlived > soundAge && en.job.ForgetCrashes(tr.run.Ref) {
+		e.markDirty(tr.run.Ref.Job, en)
+	}
+	if tr.run.Isolated && outlived > suspectAge && !task.NeedsIsolation() {
+		tr.run.Isolated = false
+		e.replan()
+	}
+}
+
+// maxIsolated returns the most workers of a service that may have an isolated task, without
+// those that such tasks have crashed and that are not back yet.
+func (e *Engine) maxIsolated(service string, now boottime.Instant) int {
+	limit := max(1, e.serviceWorkers(service)*maxIsolatedPercent/100)
+	for _, n := range e.nodes {
+		if n.serviceName() == service && n.isolationCrashedAt != 0 && now.Sub(n.isolationCrashedAt) < workerReturnTime && !n.worker.Listed {
+			limit--
+		}
+	}
+	return limit
+}
+
+// serviceWorkers returns the number of known workers of a service.
+func (e *Engine) serviceWorkers(service string) int {
+	count := 0
+	for _, n := range e.nodes {
+		if n.worker != nil && n.serviceName() == service {
+			count++
+		}
+	}
+	return count
+}
+
+// isolationCrash returns now if one of the runs was isolated, and 0 otherwise.
+func isolationCrash(runs []crashedRun, now boottime.Instant) boottime.Instant {
+	if slices.ContainsFunc(runs, func(r crashedRun) bool { return r.tracked.run.Isolated }) {
+		return now
+	}
+	return 0
 }
 
 // taskNames returns the names of the tasks, at most maxLoggedSuspects.
--- /dev/null
+++ b/internal/dispatch/crash_log.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/jobstate"
+)
+
+const (
+	// crashRecordTTL is how long suspects are expected to be cleared or to crash again.
+	crashRecordTTL = 30 * time.Second
+	// sameMoment is the time between two crashes with one cause outside the workers, at most.
+	sameMoment = 100 * time.Millisecond
+)
+
+// crashLog holds the recent crashes of workers, oldest first. It is lost with its owner; the
+// counts of the tasks are stored.
+type crashLog struct{ records []*crashRecord }
+
+// crashRecord is a crash whose cause may not be known yet.
+type crashRecord struct {
+	at      boottime.Instant
+	node    string
+	service string
+	// suspected are the runs that had just started and have not been cleared, others those
+	// that had run for longer.
+	suspected map[jobstate.TaskRef]bool
+	others    []jobstate.TaskRef
+	// closed is set once the cause is known.
+	closed bool
+}
+
+// newCrashRecord returns the record of a crash. The first runs are the suspects.
+func newCrashRecord(n *node, runs []crashedRun, suspects int, at boottime.Instant) *crashRecord {
+	c := &crashRecord{at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]bool{}, closed: suspects == 0}
+	for i, r := range runs {
+		if i < suspects {
+			c.suspected[r.tracked.run.Ref] = true
+			continue
+		}
+		c.others = append(c.others, r.tracked.run.Ref)
+	}
+	return c
+}
+
+// suspects returns the suspects that have not been cleared.
+func (c *crashRecord) suspects() []jobstate.TaskRef {
+	out := make([]jobstate.TaskRef, 0, len(c.suspected))
+	for ref := range c.suspected {
+		out = append(out, ref)
+	}
+	return out
+}
+
+// add appends a record and drops those that are outdated.
+func (l *crashLog) add(c *crashRecord, now boottime.Instant) {
+	l.records = slices.DeleteFunc(l.records, func(old *crashRecord) bool { return now.Sub(old.at) > crashRecordTTL })
+	l.records = append(l.records, c)
+}
+
+// convict closes the crashes of which the task was suspected.
+func (l *crashLog) convict(ref jobstate.TaskRef) {
+	for _, c := range l.records {
+		c.closed = c.closed || c.suspected[ref]
+	}
+}
+
+// clear removes a suspect from all crashes. It returns the other runs of the crashes that
+// have no suspect left.
+func (l *crashLog) clear(ref jobstate.TaskRef) []jobstate.TaskRef {
+	var out []jobstate.TaskRef
+	for _, c := range l.records {
+		if c.closed || !c.suspected[ref] {
+			continue
+		}
+		delete(c.suspected, ref)
+		if len(c.suspected) == 0 {
+			c.closed = true
+			out = append(out, c.others...)
+		}
+	}
+	return out
+}
+
+// sameMoment returns the crashes of the service at the moment of the record, with it.
+func (l *crashLog) sameMoment(record *crashRecord) []*crashRecord {
+	var out []*crashRecord
+	for _, c := range l.records {
+		if c.service == record.service && c.at.Sub(record.at).Abs() <= sameMoment {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// sharedJob returns the job with suspects in at least half of the crashes, or "".
+func sharedJob(group []*crashRecord) string {
+	crashes := map[string]int{}
+	for _, c := range group {
+		jobs := map[string]bool{}
+		for ref := range c.suspected {
+			jobs[ref.Job] = true
+		}
+		for job := range jobs {
+			crashes[job]++
+		}
+	}
+	for job, n := range crashes {
+		if 2*n >= len(group) {
+			return job
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,287 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+const (
+	jobFailed    = chervilv2.JobPhase_JOB_PHASE_FAILED
+	jobCompleted = chervilv2.JobPhase_JOB_PHASE_COMPLETED
+	// atStart and long are ages of runs at the crash of their worker.
+	atStart = 10 * time.Millisecond
+	long    = 5 * time.Second
+)
+
+// crashedAt describes a confirmed run that had the age when its worker crashed.
+func crashedAt(start *chervilv2.StartOrder, age time.Duration) *chervilv2.CrashedRun {
+	return &chervilv2.CrashedRun{Task: start.Task, Attempt: start.Attempt, AgeMs: age.Milliseconds(), Started: true}
+}
+
+// crash reports that the worker has crashed with the runs, and then that it is back as
+// another incarnation.
+func (a *testAgent) crash(runs ...*chervilv2.CrashedRun) {
+	crash := &chervilv2.WorkerCrash{WorkerId: a.worker.Id, BornUnixMs: a.worker.BornUnixMs, Runs: runs}
+	next := &chervilv2.Worker{
+		Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs + 1, Service: a.worker.Service, Zone: a.worker.Zone,
+		CpuMilli: a.worker.CpuMilli, MemoryMb: a.worker.MemoryMb, Labels: a.worker.Labels, Listed: true,
+	}
+	gone := &chervilv2.Worker{Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs, Service: a.worker.Service, Gone: true}
+	a.worker = gone
+	a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{crash}})
+	a.worker = next
+	a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{crash}, Full: true})
+}
+
+// startOf returns the agents' newest start order of a job's tasks with an attempt above the
+// given one, and its agent; nil if there is none.
+func startOf(job string, above uint32, agents ...*testAgent) (*chervilv2.StartOrder, *testAgent) {
+	for _, a := range agents {
+		for _, s := range a.started() {
+			if s.Task == job+".0.0.0" && s.Attempt > above {
+				return s, a
+			}
+		}
+	}
+	return nil, nil
+}
+
+// awaitStart waits until the job's task is started with an attempt above the given one.
+func (r *rig) awaitStart(job string, above uint32, agents ...*testAgent) (*chervilv2.StartOrder, *testAgent) {
+	r.t.Helper()
+	var start *chervilv2.StartOrder
+	var agent *testAgent
+	eventually(r.t, fmt.Sprintf("start of %s above attempt %d", job, above), func() bool {
+		for _, a := range agents {
+			a.report(&chervilv2.AgentReport{})
+		}
+		start, agent = startOf(job, above, agents...)
+		return start != nil
+	})
+	return start, agent
+}
+
+// confirm reports that the runs have started and are listed, after the given time.
+func (r *rig) confirm(a *testAgent, after time.Duration, starts ...*chervilv2.StartOrder) {
+	report := &chervilv2.AgentReport{Full: true}
+	for _, s := range starts {
+		report.Results = append(report.Results, &chervilv2.StartResult{Task: s.Task, Attempt: s.Attempt, Answer: chervilv2.StartAnswer_START_ANSWER_STARTED})
+	}
+	a.report(report)
+	a.report(&chervilv2.AgentReport{}) // is received once the first one has been processed
+	r.clock.advance(after)
+	report = &chervilv2.AgentReport{Full: true}
+	for _, s := range starts {
+		report.Runs = append(report.Runs, &chervilv2.Run{Task: s.Task, Attempt: s.Attempt})
+	}
+	a.report(report)
+}
+
+func (r *rig) waitPhase(job string, phase chervilv2.JobPhase) {
+	r.t.Helper()
+	eventually(r.t, fmt.Sprintf("job %s %v", job, phase), func() bool { return r.phase(job) == phase })
+}
+
+// startBoth starts two jobs of one task each on the only worker.
+func startBoth(t *testing.T) (r *rig, a *testAgent, deadly, innocent *chervilv2.StartOrder) {
+	r = newRig(t)
+	a = r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	r.submit(spec(jobID(2), 1))
+	deadly, _ = r.awaitStart(jobID(1), 0, a)
+	innocent, _ = r.awaitStart(jobID(2), 0, a)
+	return r, a, deadly, innocent
+}
+
+func TestSuspectIsGivenUpWhenItCrashesItsWorkerAlone(t *testing.T) {
+	r, a, deadly, innocent := startBoth(t)
+	a.crash(crashedAt(deadly, atStart), crashedAt(innocent, atStart))
+	deadly, _ = r.awaitStart(jobID(1), deadly.Attempt, a) // the one with the lower ID comes first
+	again, _ := startOf(jobID(2), innocent.Attempt, a)
+	assert.Assert(t, again == nil, "two suspects started on one worker")
+	a.crash(crashedAt(deadly, atStart))
+	r.waitPhase(jobID(1), jobFailed)
+	again, _ = r.awaitStart(jobID(2), innocent.Attempt, a)
+	r.confirm(a, 2*suspectAge, again)
+	a.end(1, again, done)
+	r.waitPhase(jobID(2), jobCompleted)
+}
+
+func TestNothingStartsBesideASuspect(t *testing.T) {
+	r, a, deadly, innocent := startBoth(t)
+	a.crash(crashedAt(deadly, atStart), crashedAt(innocent, long))
+	suspect, _ := r.awaitStart(jobID(1), deadly.Attempt, a)
+	assert.Assert(t, !slices.ContainsFunc(a.started(), func(s *chervilv2.StartOrder) bool { return s.Task == innocent.Task && s.Attempt > innocent.Attempt }))
+	r.submit(spec(jobID(3), 1))
+	time.Sleep(100 * time.Millisecond)
+	other, _ := startOf(jobID(3), 0, a)
+	assert.Assert(t, other == nil, "started beside a suspect")
+	r.confirm(a, 2*suspectAge, suspect)
+	r.awaitStart(jobID(3), 0, a)
+}
+
+func TestTakeoverForgetsNoCrash(t *testing.T) {
+	r, a, deadly, _ := startBoth(t)
+	a.crash(crashedAt(deadly, atStart))
+	suspect, _ := r.awaitStart(jobID(1), deadly.Attempt, a)
+	r.engine.Abandon()
+	<-r.engine.Done()
+	r.start(2)
+	next := r.attachWith("side-1", a.worker)
+	next.sequence = 100
+	next.crash(crashedAt(suspect, atStart)) // the previous owner has not heard of it
+	r.waitPhase(jobID(1), jobFailed)
+}
+
+func TestEndsWithoutACrashReportAreNotCounted(t *testing.T) {
+	r, a, first, _ := startBoth(t)
+	for range 6 {
+		a.worker = &chervilv2.Worker{
+			Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs + 1, Service: testService, CpuMilli: 32000, MemoryMb: 64000, Listed: true,
+		}
+		a.report(&chervilv2.AgentReport{Full: true})
+		first, _ = r.awaitStart(jobID(1), first.Attempt, a)
+	}
+	assert.Assert(t, r.phase(jobID(1)) != jobFailed)
+}
+
+// The start may never have reached the worker, so that only one crash came under the task.
+func TestUnconfirmedStartIsNoCrashOfTheTask(t *testing.T) {
+	r, a, deadly, _ := startBoth(t)
+	a.crash(&chervilv2.CrashedRun{Task: deadly.Task, Attempt: deadly.Attempt})
+	suspect, _ := r.awaitStart(jobID(1), deadly.Attempt, a)
+	a.crash(crashedAt(suspect, atStart))
+	again, _ := r.awaitStart(jobID(1), suspect.Attempt, a)
+	assert.Assert(t, r.phase(jobID(1)) != jobFailed, "given up after one crash")
+	a.crash(crashedAt(again, atStart))
+	r.waitPhase(jobID(1), jobFailed)
+}
+
+func TestTaskWhoseStartsAreNeverConfirmedIsGivenUp(t *testing.T) {
+	const maxStarts = 5
+	r, a, deadly, _ := startBoth(t)
+	starts := 1
+	for ; starts <= maxStarts; starts++ {
+		a.crash(&chervilv2.CrashedRun{Task: deadly.Task, Attempt: deadly.Attempt})
+		next, ended := deadly, false
+		eventually(t, "started again or given up", func() bool {
+			a.report(&chervilv2.AgentReport{})
+			next, _ = startOf(jobID(1), deadly.Attempt, a)
+			ended = r.phase(jobID(1)) == jobFailed
+			return ended || next != nil
+		})
+		if ended {
+			break
+		}
+		deadly = next
+	}
+	assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+}
+
+func TestTaskThatCrashesItsWorkersLongAfterItsStartIsGivenUp(t *testing.T) {
+	const maxStarts = 5
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	start, _ := r.awaitStart(jobID(1), 0, a)
+	starts := 1
+	for ; r.phase(jobID(1)) != jobFailed; starts++ {
+		assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+		a.crash(crashedAt(start, long))
+		eventually(t, "started again or given up", func() bool {
+			a.report(&chervilv2.AgentReport{})
+			next, _ := startOf(jobID(1), start.Attempt, a)
+			if next != nil {
+				start = next
+			}
+			return next != nil || r.phase(jobID(1)) == jobFailed
+		})
+	}
+}
+
+// crashes returns the counted crashes of a job's only task, and whether it is suspected.
+func (r *rig) crashes(job string) (int, bool) {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	task := &r.engine.jobs[job].job.Occurrences[0].Steps[0].Tasks[0]
+	return int(task.Crashes), task.Suspect
+}
+
+func TestCrashCountsAgainstOlderRunsOnceItsSuspectsAreCleared(t *testing.T) {
+	r, a, old, young := startBoth(t)
+	a.crash(crashedAt(old, long), crashedAt(young, atStart))
+	count, suspected := r.crashes(jobID(1))
+	assert.Assert(t, count == 0 && !suspected)
+	again, _ := r.awaitStart(jobID(2), young.Attempt, a)
+	r.confirm(a, 2*suspectAge, again)
+	eventually(t, "crash counted against the older run", func() bool {
+		count, suspected = r.crashes(jobID(1))
+		return count == 1 && !suspected
+	})
+	count, suspected = r.crashes(jobID(2))
+	assert.Assert(t, count == 0 && !suspected)
+}
+
+// A rack or data centre that fails makes no task a suspect, but a job whose tasks crash
+// many workers at once is one.
+func TestWorkersCrashingAtOnceMakeASuspectOfASharedJobOnly(t *testing.T) {
+	const workers = 4
+	for name, shared := range map[string]bool{"different jobs": false, "one job": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			agents := make([]*testAgent, workers)
+			for i := range agents {
+				agents[i] = r.attach(fmt.Sprintf("side-%d", i), 2000)
+			}
+			if shared {
+				job := spec(jobID(1), workers)
+				job.Steps[0].CpuMilli = 2000
+				r.submit(job)
+			}
+			for i := range workers {
+				if !shared {
+					job := spec(jobID(i+1), 1)
+					job.Steps[0].CpuMilli = 2000
+					r.submit(job)
+				}
+			}
+			eventually(t, "all run", func() bool {
+				return !slices.ContainsFunc(agents, func(a *testAgent) bool { return len(a.started()) == 0 })
+			})
+			for _, a := range agents {
+				a.crash(crashedAt(a.started()[0], atStart))
+			}
+			r.engine.mu.Lock()
+			defer r.engine.mu.Unlock()
+			suspects := 0
+			for _, en := range r.engine.jobs {
+				for i := range en.job.Occurrences[0].Steps[0].Tasks {
+					if en.job.Occurrences[0].Steps[0].Tasks[i].Suspect {
+						suspects++
+					}
+				}
+			}
+			want := 0
+			if shared {
+				want = workers
+			}
+			assert.Equal(t, suspects, want)
+		})
+	}
+}
+
+func TestCrashDuringMaintenanceIsPlanned(t *testing.T) {
+	r, a, start, _ := startBoth(t)
+	r.engine.mu.Lock()
+	r.engine.nodes["side-1"].drainingSince = r.clock.read()
+	r.engine.mu.Unlock()
+	a.crash(crashedAt(start, atStart))
+	count, suspected := r.crashes(jobID(1))
+	assert.Assert(t, count == 0 && !suspected)
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -88,6 +88,7 @@
 	appendsBegun, appendsDone uint64
 
 	waves             map[string]*wave
+	crashes           crashLog
 	unreachableAgents unreachableAgents
 	placementAdvice   map[plan.StepKey]*placementAdvice
 	pendingAdvice     int // requests in flight
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -33,7 +33,12 @@
 	}
 }
 
-var workerCrashes = counter{name: "worker_crashes", tag: "service"}
+var (
+	workerCrashes   = counter{name: "worker_crashes", tag: "service"}
+	taskSuspects    = counter{name: "crash_suspects", tag: "queue"}
+	suspectsCleared = counter{name: "crash_suspects_cleared", tag: "queue"}
+	tasksGivenUp    = counter{name: "tasks_given_up", tag: "queue"}
+)
 
 const (
 	firstBucket  = time.Millisecond
@@ -48,7 +53,7 @@
 		h := scope.Histogram(name, buckets)
 		t.t.Store(&h)
 	}
-	for _, c := range []*counter{&workerCrashes} {
+	for _, c := range []*counter{&workerCrashes, &taskSuspects, &suspectsCleared, &tasksGivenUp} {
 		c.scope.Store(&scope)
 	}
 }
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -60,6 +60,8 @@
 	drainingSince boottime.Instant
 	// lastBestEffort is the CPU use of best-effort runs in the previous report, by image.
 	lastBestEffort map[string]float64
+	// isolationCrashedAt is when the worker last crashed with an isolated run; 0 if never.
+	isolationCrashedAt boottime.Instant
 }
 
 // trackedRun is a granted run with the owner's bookkeeping.
@@ -67,6 +69,8 @@
 	run       *jobstate.Run
 	step      *chervilv2.Step
 	orderedAt boottime.Instant
+	// startedAt is when this owner learned of the start; 0 if it has not.
+	startedAt boottime.Instant
 	percent   uint32
 	// gauge is the tail latency in ms of a serving run, or the CPU use of a best-effort
 	// run in thousandths.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -130,6 +130,8 @@
 		if tr.step.Fills {
 			w.BestEffortCPUMilli += tr.pacedCPUMilli()
 		}
+		w.Starting = w.Starting || tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge
+		w.Isolated = w.Isolated || tr.run.Isolated
 	}
 	w.Suspicion = n.health.currentSlowness(now)
 	if n.health.failureScore >= quarantineScore {
@@ -150,10 +152,10 @@
 		}
 		first := len(out)
 		class, slack := e.urgency(en, queue, now)
-		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, _ *jobstate.Task) {
-			key := stepKey(ref)
+		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
+			key, isolated := stepKey(ref), task.NeedsIsolation() && !step.Spec.Gang
 			for i := first; i < len(out); i++ {
-				if out[i].Key != key {
+				if out[i].Key != key || out[i].Isolated != isolated {
 					continue
 				}
 				if step.Spec.Gang { // its members are placed together
@@ -169,8 +171,11 @@
 			out = append(out, plan.Request{
 				Key: key, Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
 				Class: class, Slack: slack,
-				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref],
+				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Isolated: isolated,
 			})
+			if isolated {
+				out[len(out)-1].MaxIsolated = e.maxIsolated(queue.Service, e.clock())
+			}
 		})
 		if queue.Advisor != nil && e.settings.Advisor != nil {
 			for i := first; i < len(out); i++ {
@@ -291,14 +296,17 @@
 		runs = en.job.GrantGang(p.key.Occurrence, p.key.Step, keys)
 	} else {
 		ref := jobstate.TaskRef{Job: p.key.Job, Occurrence: p.key.Occurrence, Step: p.key.Step, Index: p.index}
-		runs = []*jobstate.Run{en.job.Grant(ref, workers[p.workers[0]].Key)}
+		run := en.job.Grant(ref, workers[p.workers[0]].Key)
+		_, task := en.job.Task(ref)
+		run.Isolated = task.NeedsIsolation()
+		runs = []*jobstate.Run{run}
 	}
 	for _, r := range runs {
 		n := e.node(r.Worker.Node)
 		tr := n.addRun(e, r)
 		e.batch.orders = append(e.batch.orders, order{node: n.name, run: runKey{r.Ref, r.Attempt}, start: e.startOrder(en, tr)})
 		events.RunGranted.Log("task", r.Ref.String(), "attempt", r.Attempt, "node", n.name, "worker", r.Worker.ID,
-			"cpuMilli", tr.step.CpuMilli, "fills", tr.step.Fills, "usedMilli", n.used.CPUMilli, "fillMilli", n.bestEffortCPUMilli, "epoch", e.Epoch())
+			"cpuMilli", tr.step.CpuMilli, "fills", tr.step.Fills, "usedMilli", n.used.CPUMilli, "fillMilli", n.bestEffortCPUMilli, "isolated", r.Isolated, "epoch", e.Epoch())
 	}
 	e.markDirty(p.key.Job, en)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -279,7 +279,9 @@
 		if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil && !run.Started {
 			startDelay.observe(e.clock().Sub(tr.orderedAt))
 		}
-		run.Started = true
+		if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil {
+			tr.confirmStart(e.clock())
+		}
 		return
 	}
 	if r.Answer == chervilv2.StartAnswer_START_ANSWER_TICKET {
@@ -311,6 +313,7 @@
 			continue
 		}
 		e.updateProgress(tr, run, now)
+		e.checkSuspect(tr, now.Add(-time.Duration(r.Worker.GetSilentMs())*time.Millisecond))
 		if tr.run.Stopping && now.Sub(tr.orderedAt) > repeatOrderAfter {
 			e.repeatOrder(n, tr, now)
 		}
@@ -328,6 +331,14 @@
 	}
 }
 
+// confirmStart records that the run has started.
+func (tr *trackedRun) confirmStart(now boottime.Instant) {
+	tr.run.Started = true
+	if tr.startedAt == 0 {
+		tr.startedAt = now
+	}
+}
+
 func (e *Engine) updateProgress(tr *trackedRun, run *chervilv2.Run, now boottime.Instant) {
 	tr.percent, tr.gauge = run.Percent, run.Gauge
 	tr.paced, tr.pacePercent = run.Paced, run.Pace
@@ -337,7 +348,7 @@
 		tr.slowSince = now
 	}
 	if !run.Starting {
-		tr.run.Started = true
+		tr.confirmStart(now)
 	}
 	if run.Checkpoint != "" {
 		if en, ok := e.jobs[tr.run.Ref.Job]; ok {
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -38,6 +38,8 @@
 	RunLost             = define(7209, Warning, "run lost with its worker")
 	RunStopOrdered      = define(7210, Info, "stop of a run ordered")
 	WorkerCrashed       = define(7217, Warning, "worker crashed with its runs")
+	SuspectCleared      = define(7218, Info, "task no longer suspected of crashing its worker")
+	TaskGivenUp         = define(7219, Warning, "task given up since it crashes its workers")
 	RunUnknown          = define(7211, Warning, "worker reported an unknown run")
 	ScheduleSummary     = define(7213, Info, "summary of the schedule")
 	RunMoved            = define(7214, Info, "slowed best-effort run stopped to move it to another worker")
--- /dev/null
+++ b/internal/jobstate/crash.go
@@ -0,0 +1,108 @@
+package jobstate
+
+import chervilv2 "chervilridge/api/chervil/v2"
+
+const (
+	// crashesToIsolate is the number of crashes from which a task is isolated although none
+	// of them came just after it had started.
+	crashesToIsolate = 3
+	// crashesToFailAlone is the number of crashes at which an isolated task is given up if the
+	// last one came just after it had started.
+	crashesToFailAlone = 2
+	// crashesToFail is the number of crashes at which a task is given up, with those before
+	// the start was confirmed.
+	crashesToFail = 4
+)
+
+// CrashEvidence is what the crash of a worker says about a run that ended with it.
+type CrashEvidence int
+
+// Evidence of a crash.
+const (
+	// CrashExplained means that another run is suspected, or that the crash has a cause
+	// outside the worker.
+	CrashExplained CrashEvidence = iota
+	// CrashUnexplained means that no run had just started, so that each may be the cause.
+	CrashUnexplained
+	// CrashSuspected means that the run had just started.
+	CrashSuspected
+	// CrashUnconfirmed means that the run may just have started, or not at all.
+	CrashUnconfirmed
+)
+
+// NeedsIsolation reports whether no other task may be started beside the task's next run,
+// so that a further crash has only one possible cause.
+func (t *Task) NeedsIsolation() bool { return t.Suspect || t.Crashes >= crashesToIsolate }
+
+// addCrash counts a crash by its evidence.
+func (t *Task) addCrash(evidence CrashEvidence) {
+	switch evidence {
+	case CrashExplained:
+	case CrashUnexplained:
+		t.Crashes++
+	case CrashSuspected:
+		t.Crashes, t.Suspect = t.Crashes+1, true
+	case CrashUnconfirmed:
+		t.UnconfirmedCrashes, t.Suspect = t.UnconfirmedCrashes+1, true
+	}
+}
+
+// CrashRun ends a run whose worker crashed. The job fails if the task has certainly caused
+// crashes: an isolated task by its second one just after a start, any other task by
+// crashesToFail.
+func (j *Job) CrashRun(ref TaskRef, attempt uint32, evidence CrashEvidence, nowUnixMs int64) EndEffect {
+	run := j.FindRun(ref, attempt)
+	if run == nil {
+		return EndEffect{}
+	}
+	_, task := j.Task(ref)
+	task.Runs = removeRun(task.Runs, attempt)
+	out := EndEffect{Changed: true}
+	if evidence == CrashExplained || j.Ended() || task.Done {
+		return out
+	}
+	task.addCrash(evidence)
+	alone := run.Isolated && evidence == CrashSuspected && task.Crashes >= crashesToFailAlone
+	if alone || task.Crashes+task.UnconfirmedCrashes >= crashesToFail {
+		j.endEarly(chervilv2.JobPhase_JOB_PHASE_FAILED, &out, nowUnixMs)
+	}
+	return out
+}
+
+// CountCrash adds a crash of a worker on which a run of the task had been running, once the
+// suspects have turned out not to be its cause. It reports whether that changed the job.
+func (j *Job) CountCrash(ref TaskRef) bool {
+	_, task := j.Task(ref)
+	if task == nil || task.Done || j.Ended() || task.Crashes+1 >= crashesToFail {
+		return false
+	}
+	task.Crashes++
+	return true
+}
+
+// ClearSuspect takes back the suspicion of a task, and the crash that raised it. It reports
+// whether the task was a suspect.
+func (j *Job) ClearSuspect(ref TaskRef) bool {
+	_, task := j.Task(ref)
+	if task == nil || !task.Suspect {
+		return false
+	}
+	task.Suspect = false
+	switch {
+	case task.UnconfirmedCrashes > 0:
+		task.UnconfirmedCrashes--
+	case task.Crashes > 0:
+		task.Crashes--
+	}
+	return true
+}
+
+// ForgetCrashes clears the crashes of a task. It reports whether there were any.
+func (j *Job) ForgetCrashes(ref TaskRef) bool {
+	_, task := j.Task(ref)
+	if task == nil || task.Crashes+task.UnconfirmedCrashes == 0 && !task.Suspect {
+		return false
+	}
+	task.Crashes, task.UnconfirmedCrashes, task.Suspect = 0, 0, false
+	return true
+}
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -64,15 +64,22 @@
 	// Stopping is set once a stop is ordered. It is not stored, so a new owner orders the
 	// stop again.
 	Stopping bool
+	// Isolated is set while no other task may be started on the worker beside this one.
+	Isolated bool
 }
 
 // Task is the progress of one task of a step.
 type Task struct {
-	Done       bool
-	Attempt    uint32 // highest attempt granted
-	Failures   uint32 // number of runs that failed
-	Checkpoint string
-	Runs       []*Run
+	Done     bool
+	Attempt  uint32 // highest attempt granted
+	Failures uint32 // number of runs that failed
+	// Crashes is the number of worker crashes that the task may have caused,
+	// UnconfirmedCrashes that of further ones before its start was confirmed. Suspect is set if
+	// the last one came just after the task had started.
+	Crashes, UnconfirmedCrashes uint32
+	Suspect                     bool
+	Checkpoint                  string
+	Runs                        []*Run
 }
 
 // Waiting reports whether the task is neither done nor has a run.
@@ -294,6 +301,9 @@
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
 	}
+	if e.Kind == chervilv2.EndKind_END_KIND_DONE || e.Kind == chervilv2.EndKind_END_KIND_FAILED {
+		j.ClearSuspect(e.Ref)
+	}
 	switch {
 	case j.Ended():
 	case step.Spec.LongRunning:
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -40,14 +40,15 @@
 				workers[r.Worker] = n
 				out.Workers = append(out.Workers, &chervilv2.WorkerRef{Node: r.Worker.Node, WorkerId: r.Worker.ID, BornUnixMs: r.Worker.BornUnixMs})
 			}
-			record.Placements = append(record.Placements, &chervilv2.Placement{Task: uint32(i), Attempt: r.Attempt, Worker: n, Started: r.Started})
+			record.Placements = append(record.Placements, &chervilv2.Placement{Task: uint32(i), Attempt: r.Attempt, Worker: n, Started: r.Started, Isolated: r.Isolated})
 		}
 		if j.Ended() {
 			continue // only runs to be stopped matter
 		}
-		if (t.Done && !step.Done) || t.Failures > 0 || t.Checkpoint != "" || (t.Attempt > 0 && !t.Done) {
+		if (t.Done && !step.Done) || t.Failures > 0 || t.Crashes > 0 || t.Suspect || t.Checkpoint != "" || (t.Attempt > 0 && !t.Done) {
 			record.Tasks = append(record.Tasks, &chervilv2.TaskRecord{
 				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: t.Checkpoint,
+				Crashes: t.Crashes, UnconfirmedCrashes: t.UnconfirmedCrashes, Suspect: t.Suspect,
 			})
 		}
 	}
@@ -96,6 +97,7 @@
 			step.markDone(task)
 		}
 		task.Attempt, task.Failures, task.Checkpoint = t.Attempt, t.Failures, t.Checkpoint
+		task.Crashes, task.UnconfirmedCrashes, task.Suspect = t.Crashes, t.UnconfirmedCrashes, t.Suspect
 	}
 	for _, p := range r.Placements {
 		if int(p.Task) >= len(step.Tasks) || int(p.Worker) >= len(workers) {
@@ -105,7 +107,7 @@
 		task.Attempt = max(task.Attempt, p.Attempt)
 		task.Runs = append(task.Runs, &Run{
 			Ref:     TaskRef{Job: j.Spec.Id, Occurrence: r.Occurrence, Step: r.Step, Index: p.Task},
-			Attempt: p.Attempt, Started: p.Started,
+			Attempt: p.Attempt, Started: p.Started, Isolated: p.Isolated,
 			Worker: WorkerKey{Node: w.Node, ID: w.WorkerId, BornUnixMs: w.BornUnixMs},
 		})
 	}
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -75,6 +75,11 @@
 	Suspicion float64
 	// RunsPerStep counts the runs of each step that sets MaxPerWorker.
 	RunsPerStep map[StepKey]int
+	// Starting is set while a run on the worker has only just been started, or its start is
+	// not confirmed.
+	Starting bool
+	// Isolated is set while an isolated task runs on the worker, which then gets no other.
+	Isolated bool
 
 	model InterferenceModel
 	// mixImages is set while choosing a worker for a serving task that may share a worker
@@ -121,6 +126,10 @@
 	Avoid map[string]bool
 	// StrictAvoid forbids the workers in Avoid even if no other worker has room.
 	StrictAvoid bool
+	// Isolated is set if no other task may be started beside each of the tasks. MaxIsolated is
+	// the most workers of the service that may have an isolated task at once.
+	Isolated    bool
+	MaxIsolated int
 }
 
 // Grant assigns the task Index of a step to the worker at position Worker in the list of
@@ -145,4 +154,6 @@
 const (
 	ReasonNoWorker Reason = "no worker of the service fits"
 	ReasonNoRoom   Reason = "no room"
+	// ReasonIsolation: no worker is free to run the task without others being started.
+	ReasonIsolation Reason = "no worker for an isolated task"
 )
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -19,7 +19,7 @@
 
 // Place assigns waiting tasks to workers in the order of priority and urgency. It sorts
 // requests and adds each granted task to the worker's use, so that no worker is granted
-// more than its capacity. Without a model (nil), no interference is assumed.
+// more than its capacity. Isolated tasks come before all others. Without a model (nil), no interference is assumed.
 func Place(workers []Worker, requests []Request, model InterferenceModel) Plan {
 	SortRequests(requests)
 	var out Plan
@@ -27,13 +27,20 @@
 		workers[i].model = model
 	}
 
+	for i := range requests { // first, since others would keep all workers starting tasks
+		if requests[i].Isolated {
+			placeIsolated(workers, &requests[i], &out)
+		}
+	}
 	for i := range requests {
 		r := &requests[i]
-		if r.Step.Gang {
+		switch {
+		case r.Isolated:
+		case r.Step.Gang:
 			placeGang(workers, r, &out)
-			continue
+		default:
+			placeTasks(workers, r, &out)
 		}
-		placeTasks(workers, r, &out)
 	}
 	return out
 }
@@ -161,7 +168,7 @@
 // admits reports whether a task of the request may run on the worker and has room there.
 func (w *Worker) admits(r *Request) bool {
 	switch {
-	case w.Service != r.Service,
+	case w.Service != r.Service, w.Isolated,
 		r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel),
 		r.Allowed != nil && !r.Allowed[w.Key.ID],
 		r.Avoid[w.Key.ID],
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -95,7 +95,7 @@
 	// failedAt is the earliest time at which the worker may have crashed, by the first hold
 	// call that failed since its last answer.
 	failedAt boottime.Instant
-	// startedAt is when the agent first sent the start of each recent run.
+	// startedAt is when the agent last sent the start of each recent run.
 	startedAt   map[runKey]boottime.Instant
 	runs        map[runKey]platform.Run
 	pendingEnds []platform.RunEnd // not yet stored by the owner, sorted by number
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
@@ -22,8 +23,11 @@
 
 // crashReport is a crash to report to the owner.
 type crashReport struct {
-	message *chervilv2.WorkerCrash
-	at      boottime.Instant
+	workerID   string
+	bornUnixMs int64
+	runs       []*chervilv2.CrashedRun
+	// at is the earliest time at which the worker may have crashed.
+	at boottime.Instant
 	// sentIn is the sequence of the first report to the present owner with the crash; 0 if
 	// there is none. confirmed is set once that owner has replied to it.
 	sentIn    uint64
@@ -51,11 +55,24 @@
 	if inc.id == "" || inc.gone || inc.draining || inc.deregistered || inc.leasesExpired {
 		return
 	}
-	crash := &chervilv2.WorkerCrash{WorkerId: inc.id, BornUnixMs: inc.bornUnixMs}
+	crash := &crashReport{workerID: inc.id, bornUnixMs: inc.bornUnixMs, at: inc.earliestCrash()}
 	for _, key := range inc.crashedRuns() {
-		crash.Runs = append(crash.Runs, &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt, AgeMs: inc.runAge(key).Milliseconds()})
+		_, listed := inc.runs[key]
+		if _, rejected := a.rejectedRuns[key]; rejected && !listed {
+			continue
+		}
+		run := &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt}
+		if run.Started = listed || !a.startPending(key); run.Started {
+			run.AgeMs = inc.runAge(key).Milliseconds()
+		}
+		crash.runs = append(crash.runs, run)
 	}
-	a.crashes = append(a.crashes, &crashReport{message: crash, at: a.clock()})
+	a.crashes = append(a.crashes, crash)
+}
+
+// is reports whether a message describes this crash.
+func (c *crashReport) is(message *chervilv2.WorkerCrash) bool {
+	return c.workerID == message.WorkerId && c.bornUnixMs == message.BornUnixMs
 }
 
 // crashedRuns returns the runs that the crash may have ended: those that the worker listed
@@ -79,8 +96,14 @@
 	return out
 }
 
-// runAge returns the time from the first start call of a run to the crash, at most
-// maxRunAge.
+// startPending reports whether the worker has not answered the start of a run. The caller
+// holds mu.
+func (a *Agent) startPending(key runKey) bool {
+	order := a.pendingOrders[key]
+	return order != nil && order.start != nil
+}
+
+// runAge returns the time from the last start call of a run to the crash, at most maxRunAge.
 func (inc *incarnation) runAge(key runKey) time.Duration {
 	startedAt, known := inc.startedAt[key]
 	if !known {
@@ -108,7 +131,7 @@
 	var out []*chervilv2.WorkerCrash
 	for _, c := range a.crashes {
 		if !c.confirmed {
-			out = append(out, c.message)
+			out = append(out, &chervilv2.WorkerCrash{WorkerId: c.workerID, BornUnixMs: c.bornUnixMs, Runs: c.runs, AgoMs: now.Sub(c.at).Milliseconds()})
 		}
 	}
 	return out
@@ -130,7 +153,7 @@
 	defer a.mu.Unlock()
 	for _, c := range a.crashes {
 		for _, sent := range r.Crashes {
-			if c.message == sent && c.sentIn == 0 {
+			if c.is(sent) && c.sentIn == 0 {
 				c.sentIn = r.Sequence
 			}
 		}
@@ -149,11 +172,5 @@
 // retractCrash drops the report of a crash of a worker that lives after all. The caller
 // holds mu.
 func (a *Agent) retractCrash(h platform.Heartbeat) {
-	kept := a.crashes[:0]
-	for _, c := range a.crashes {
-		if c.message.WorkerId != h.WorkerID || c.message.BornUnixMs != h.BornUnixMs {
-			kept = append(kept, c)
-		}
-	}
-	a.crashes = kept
+	a.crashes = slices.DeleteFunc(a.crashes, func(c *crashReport) bool { return c.workerID == h.WorkerID && c.bornUnixMs == h.BornUnixMs })
 }
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -186,9 +186,7 @@
 	end := min(a.renewUntil, now.Add(startValidity))
 	until := inc.workerClock + end.Sub(inc.workerClockAt)*minClockRateMilli/1000
 	inc.latestLeaseEnd = max(inc.latestLeaseEnd, until)
-	if _, repeated := inc.startedAt[key]; !repeated {
-		inc.startedAt[key] = now
-	}
+	inc.startedAt[key] = now
 	return platform.StartRequest{
 		Task: key.task, Attempt: key.attempt, Payload: order.start.Payload, LeaseExpiresAt: until, Fence: a.ownerEpoch,
 		Checkpoint: order.start.Checkpoint, Ticket: order.start.Ticket,
