Check the newest capacity before each start

Cause: the owner grants by the capacity that it knows, stores the grant and then orders it; the agent started whatever was ordered.

It shows at the agent: TestStartBeyondAShrunkCapacityIsNotTried failed on CPU, memory and GPUs, and passes.

Change: before each start call the agent adds what the listed runs, those being stopped included, and the starts under way reserve, and reports a start that no longer fits as not started. Orders carry memory and GPUs. Runs that no longer fit stay: only a start may break the rule, and stopping them would lose their work.

--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -201,7 +201,7 @@
 	for key, tr := range n.runs {
 		out = append(out, &chervilv2.RunInfo{
 			Task: key.ref.String(), Attempt: key.attempt, Fills: tr.step.Fills, TargetLatencyMs: tr.step.TargetLatencyMs,
-			Image: tr.step.Image, CpuMilli: tr.step.CpuMilli,
+			Image: tr.step.Image, CpuMilli: tr.step.CpuMilli, MemoryMb: tr.step.MemoryMb, Gpus: tr.step.Gpus,
 		})
 	}
 	return out
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -316,7 +316,7 @@
 	return &chervilv2.StartOrder{
 		Task: tr.run.Ref.String(), Attempt: tr.run.Attempt, Payload: en.job.Spec.Payload, Checkpoint: resumeCheckpoint(en, tr, task),
 		WorkerId: tr.run.Worker.ID, Fills: tr.step.Fills, TargetLatencyMs: tr.step.TargetLatencyMs,
-		Image: tr.step.Image, CpuMilli: tr.step.CpuMilli, Ticket: e.ticketFor(tr.run),
+		Image: tr.step.Image, CpuMilli: tr.step.CpuMilli, MemoryMb: tr.step.MemoryMb, Gpus: tr.step.Gpus, Ticket: e.ticketFor(tr.run),
 	}
 }
 
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -78,10 +78,14 @@
 	// older attempts can't start.
 	closedAttempts map[string]uint32
 	draining       bool
-	heartbeats     int64
-	changed        chan struct{}
-	done           chan struct{}
-	closeOnce      sync.Once
+	// previousMaxRuns is the limit on concurrent runs before the capacity shrank, which is
+	// tolerated until toleratedUntil.
+	previousMaxRuns int
+	toleratedUntil  time.Time
+	heartbeats      int64
+	changed         chan struct{}
+	done            chan struct{}
+	closeOnce       sync.Once
 }
 
 // New returns a worker without runs. Close ends it. Workers that share a journal are
@@ -109,6 +113,24 @@
 	w.draining = true
 }
 
+// SetCapacity changes the capacity that heartbeats report and the limit on concurrent runs; 0
+// is no limit. Starts beyond a limit that has shrunk are violations after the tolerance.
+func (w *Worker) SetCapacity(cpuMilli, memoryMB, maxRuns int, tolerance time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.previousMaxRuns, w.toleratedUntil = w.config.MaxRuns, time.Now().Add(tolerance)
+	w.config.CPUMilli, w.config.MemoryMB, w.config.MaxRuns = cpuMilli, memoryMB, maxRuns
+}
+
+// maxRuns returns the number of concurrent runs above which a start is a violation; 0 is no
+// limit.
+func (w *Worker) maxRuns() int {
+	if time.Now().Before(w.toleratedUntil) && (w.previousMaxRuns == 0 || w.config.MaxRuns > 0 && w.previousMaxRuns > w.config.MaxRuns) {
+		return w.previousMaxRuns
+	}
+	return w.config.MaxRuns
+}
+
 // Close ends this incarnation; its runs end as crashed.
 func (w *Worker) Close() {
 	w.closeOnce.Do(func() { close(w.done) })
@@ -207,7 +229,7 @@
 	}
 	w.running[task] = &run{key: runKey{task, attempt}, endsAt: time.Now().Add(w.runDuration(task)), pace: 100}
 	w.journal.recordStart(w.config.ID, task, attempt)
-	if limit := w.config.MaxRuns; limit > 0 && len(w.running) > limit {
+	if limit := w.maxRuns(); limit > 0 && len(w.running) > limit {
 		w.journal.recordViolation(fmt.Sprintf("worker %s has %d concurrent runs, more than its limit of %d", w.config.ID, len(w.running), limit))
 	}
 	return ""
--- /dev/null
+++ b/internal/workeragent/capacity.go
@@ -0,0 +1,41 @@
+package workeragent
+
+import (
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+// resources is what runs reserve on the worker.
+type resources struct{ cpuMilli, memoryMB, gpus int64 }
+
+// reserved returns what a run reserves. Best-effort runs reserve no CPU.
+func reserved(bestEffort bool, cpuMilli, memoryMB, gpus uint32) resources {
+	if bestEffort {
+		cpuMilli = 0
+	}
+	return resources{int64(cpuMilli), int64(memoryMB), int64(gpus)}
+}
+
+func (r resources) add(o resources) resources {
+	return resources{r.cpuMilli + o.cpuMilli, r.memoryMB + o.memoryMB, r.gpus + o.gpus}
+}
+
+// fits reports whether a start stays within the capacity that the worker last reported. The
+// owner may have granted it before the capacity shrank. Runs being stopped count until the
+// worker lists their end; what the owner has not described counts as nothing. The caller
+// holds mu.
+func (a *Agent) fits(inc *incarnation, key runKey, s *chervilv2.StartOrder) bool {
+	used := reserved(s.Fills, s.CpuMilli, s.MemoryMb, s.Gpus)
+	for run := range inc.runs {
+		if run != key {
+			used = used.add(a.runInfos[run].reserved)
+		}
+	}
+	for run := range a.pendingOrders {
+		_, listed := inc.runs[run]
+		if _, sent := inc.startedAt[run]; sent && a.startPending(run) && !listed && run != key {
+			used = used.add(a.runInfos[run].reserved)
+		}
+	}
+	h := &inc.heartbeat
+	return used.cpuMilli <= int64(h.CPUMilli) && used.memoryMB <= int64(h.MemoryMB) && used.gpus <= int64(h.GPUs)
+}
--- /dev/null
+++ b/internal/workeragent/capacity_test.go
@@ -0,0 +1,55 @@
+package workeragent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/platform"
+)
+
+const task3 = "0000000000000003.0.0.0"
+
+func (h *harness) setCapacity(sequence int64, cpuMilli, memoryMB, gpus uint32) {
+	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, Service: "desk", Sequence: sequence, CPUMilli: cpuMilli, MemoryMB: memoryMB, GPUs: gpus})
+}
+
+func (h *harness) startSized(task string, start *chervilv2.StartOrder) {
+	start.Task, start.Attempt, start.WorkerId = task, 1, workerID
+	h.order(&chervilv2.OwnerOrders{Starts: []*chervilv2.StartOrder{start}})
+}
+
+// The owner granted the run before it learned that the capacity has shrunk.
+func TestStartBeyondAShrunkCapacityIsNotTried(t *testing.T) {
+	small := func() *chervilv2.StartOrder { return &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000, Gpus: 1} }
+	for name, capacity := range map[string][3]uint32{"cpu": {1500, 9000, 9}, "memory": {9000, 1500, 9}, "gpus": {9000, 9000, 1}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, time.Minute)
+			h.setCapacity(2, 9000, 9000, 9)
+			h.waitListed()
+			h.startSized(task1, small())
+			h.waitRunning(1)
+			h.setCapacity(3, capacity[0], capacity[1], capacity[2])
+			h.startSized(task2, small())
+			h.waitFor("not started", func(r *chervilv2.AgentReport) bool {
+				return resultOf(r, task2) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+			})
+			assert.Equal(t, h.worker.Running(), 1)
+			h.setCapacity(4, 9000, 9000, 9)
+			h.startSized(task3, small())
+			h.waitRunning(2)
+		})
+	}
+}
+
+func TestBestEffortRunsTakeNoReservedCPU(t *testing.T) {
+	h := newHarness(t, time.Minute)
+	h.setCapacity(2, 1500, 9000, 0)
+	h.waitListed()
+	h.startSized(task1, &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000, Fills: true})
+	h.startSized(task2, &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000, Fills: true})
+	h.startSized(task3, &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000})
+	h.waitRunning(3)
+}
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -61,7 +61,10 @@
 		a.model.SetSlope(interference.Pair{Serving: i.Serving, BestEffort: i.Filling}, float64(i.SlopeMilli)/1000)
 	}
 	for _, r := range o.Runs {
-		a.runInfos[runKey{r.Task, r.Attempt}] = runInfo{bestEffort: r.Fills, targetMs: r.TargetLatencyMs, image: r.Image, cpuMilli: r.CpuMilli, updatedAt: a.clock()}
+		a.runInfos[runKey{r.Task, r.Attempt}] = runInfo{
+			bestEffort: r.Fills, targetMs: r.TargetLatencyMs, image: r.Image, cpuMilli: r.CpuMilli,
+			reserved: reserved(r.Fills, r.CpuMilli, r.MemoryMb, r.Gpus), updatedAt: a.clock(),
+		}
 	}
 	for _, s := range o.Starts {
 		key := runKey{s.Task, s.Attempt}
@@ -70,7 +73,10 @@
 			wake(a.wakeReport)
 			continue
 		}
-		a.runInfos[key] = runInfo{bestEffort: s.Fills, targetMs: s.TargetLatencyMs, image: s.Image, cpuMilli: s.CpuMilli, updatedAt: a.clock()}
+		a.runInfos[key] = runInfo{
+			bestEffort: s.Fills, targetMs: s.TargetLatencyMs, image: s.Image, cpuMilli: s.CpuMilli,
+			reserved: reserved(s.Fills, s.CpuMilli, s.MemoryMb, s.Gpus), updatedAt: a.clock(),
+		}
 		if a.pendingOrders[key] == nil {
 			order := &pendingOrder{start: s}
 			a.pendingOrders[key] = order
@@ -182,6 +188,8 @@
 		return platform.StartRequest{}, "", "worker is draining"
 	case inc.workerClockAt == 0 || !a.renewUntil.After(now):
 		return platform.StartRequest{}, "", "no valid lease grant of the owner"
+	case !a.fits(inc, key, order.start):
+		return platform.StartRequest{}, "", "beyond the worker's capacity"
 	}
 	end := min(a.renewUntil, now.Add(startValidity))
 	until := inc.workerClock + end.Sub(inc.workerClockAt)*minClockRateMilli/1000
--- a/internal/workeragent/pacer.go
+++ b/internal/workeragent/pacer.go
@@ -33,6 +33,7 @@
 	targetMs   uint32 // latency target; 0 if the run serves no requests
 	image      string
 	cpuMilli   uint32 // requested CPU, in thousandths of a core
+	reserved   resources
 	updatedAt  boottime.Instant
 }
 
