Clear the other suspects of a crash once its cause is known

Change: when a task is given up, suspects of the same crashes are cleared unless another crash of unknown cause suspects them. A task is given up at its second crash only if no other run had just started, also when a late order broke the isolation.

Tried and reverted: isolating many suspects in groups of up to 8.

TestOtherSuspectsAreClearedOnceTheCauseIsKnown.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -95,6 +95,8 @@
 // evidence returns what the crash says about the run.
 func (r crashedRun) evidence(suspected bool, suspects int) jobstate.CrashEvidence {
 	switch {
+	case suspected && r.started && r.tracked.run.Isolated && suspects == 1:
+		return jobstate.CrashAlone
 	case suspected && r.started:
 		return jobstate.CrashSuspected
 	case suspected:
@@ -120,7 +122,9 @@
 	}
 	e.orderStops(effect.RunsToStop, "job given up")
 	if effect.JobEnded {
-		e.crashes.convict(run.Ref)
+		for _, cleared := range e.crashes.convict(run.Ref) {
+			e.clearSuspect(cleared, "another task caused the crash")
+		}
 		tasksGivenUp.increment(en.job.Spec.Queue)
 		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes,
 			"node", n.name, "worker", run.Worker.ID, "isolated", run.Isolated)
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -60,11 +60,24 @@
 	l.records = append(l.records, c)
 }
 
-// convict closes the crashes of which the task was suspected.
-func (l *crashLog) convict(ref jobstate.TaskRef) {
+// convict closes the crashes of which the task was suspected. It returns the other suspects
+// that are suspected of no further crash.
+func (l *crashLog) convict(ref jobstate.TaskRef) []jobstate.TaskRef {
+	var cleared []jobstate.TaskRef
 	for _, c := range l.records {
-		c.closed = c.closed || c.suspected[ref]
+		if c.closed || !c.suspected[ref] {
+			continue
+		}
+		c.closed = true
+		delete(c.suspected, ref)
+		cleared = append(cleared, c.suspects()...)
 	}
+	return slices.DeleteFunc(cleared, l.suspected)
+}
+
+// suspected reports whether the task is a suspect in a crash whose cause is not known.
+func (l *crashLog) suspected(ref jobstate.TaskRef) bool {
+	return slices.ContainsFunc(l.records, func(c *crashRecord) bool { return !c.closed && c.suspected[ref] })
 }
 
 // clear removes a suspect from all crashes. It returns the other runs of the crashes that
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -113,6 +113,18 @@
 	r.waitPhase(jobID(2), jobCompleted)
 }
 
+func TestOtherSuspectsAreClearedOnceTheCauseIsKnown(t *testing.T) {
+	r, a, deadly, innocent := startBoth(t)
+	a.crash(crashedAt(deadly, atStart), crashedAt(innocent, atStart))
+	deadly, _ = r.awaitStart(jobID(1), deadly.Attempt, a)
+	_, suspected := r.crashes(jobID(2))
+	assert.Assert(t, suspected)
+	a.crash(crashedAt(deadly, atStart))
+	r.waitPhase(jobID(1), jobFailed)
+	count, suspected := r.crashes(jobID(2))
+	assert.Assert(t, count == 0 && !suspected)
+}
+
 func TestNothingStartsBesideASuspect(t *testing.T) {
 	r, a, deadly, innocent := startBoth(t)
 	a.crash(crashedAt(deadly, atStart), crashedAt(innocent, long))
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -6,8 +6,8 @@
 	// crashesToIsolate is the number of crashes from which a task is isolated although none
 	// of them came just after it had started.
 	crashesToIsolate = 3
-	// crashesToFailAlone is the number of crashes at which an isolated task is given up if the
-	// last one came just after it had started.
+	// crashesToFailAlone is the number of crashes at which a task is given up if it was alone in
+	// being started at the last one.
 	crashesToFailAlone = 2
 	// crashesToFail is the number of crashes at which a task is given up, with those before
 	// the start was confirmed.
@@ -24,8 +24,10 @@
 	CrashExplained CrashEvidence = iota
 	// CrashUnexplained means that no run had just started, so that each may be the cause.
 	CrashUnexplained
-	// CrashSuspected means that the run had just started.
+	// CrashSuspected means that the run had just started, CrashAlone that besides no other run
+	// had, since the run was isolated.
 	CrashSuspected
+	CrashAlone
 	// CrashUnconfirmed means that the run may just have started, or not at all.
 	CrashUnconfirmed
 )
@@ -40,7 +42,7 @@
 	case CrashExplained:
 	case CrashUnexplained:
 		t.Crashes++
-	case CrashSuspected:
+	case CrashSuspected, CrashAlone:
 		t.Crashes, t.Suspect = t.Crashes+1, true
 	case CrashUnconfirmed:
 		t.UnconfirmedCrashes, t.Suspect = t.UnconfirmedCrashes+1, true
@@ -48,7 +50,7 @@
 }
 
 // CrashRun ends a run whose worker crashed. The job fails if the task has certainly caused
-// crashes: an isolated task by its second one just after a start, any other task by
+// crashes: at the second one if the task was alone in being started, otherwise at
 // crashesToFail.
 func (j *Job) CrashRun(ref TaskRef, attempt uint32, evidence CrashEvidence, nowUnixMs int64) EndEffect {
 	run := j.FindRun(ref, attempt)
@@ -62,7 +64,7 @@
 		return out
 	}
 	task.addCrash(evidence)
-	alone := run.Isolated && evidence == CrashSuspected && task.Crashes >= crashesToFailAlone
+	alone := evidence == CrashAlone && task.Crashes >= crashesToFailAlone
 	if alone || task.Crashes+task.UnconfirmedCrashes >= crashesToFail {
 		j.endEarly(chervilv2.JobPhase_JOB_PHASE_FAILED, &out, nowUnixMs)
 	}
--- a/internal/jobstate/crash_test.go
+++ b/internal/jobstate/crash_test.go
@@ -26,17 +26,12 @@
 	assert.DeepEqual(t, got, want)
 }
 
-func TestOnlyAnIsolatedRunIsGivenUpAtItsSecondCrash(t *testing.T) {
-	for name, isolated := range map[string]bool{"isolated": true, "beside others": false} {
-		t.Run(name, func(t *testing.T) {
-			j, ref := crashJob()
-			for range 2 {
-				run := j.Grant(ref, WorkerKey{})
-				run.Isolated = isolated
-				j.CrashRun(ref, run.Attempt, CrashSuspected, 7)
-			}
-			assert.Equal(t, j.Phase == chervilv2.JobPhase_JOB_PHASE_FAILED, isolated)
-		})
+func TestOnlyARunThatStartedAloneIsGivenUpAtItsSecondCrash(t *testing.T) {
+	for evidence, givenUp := range map[CrashEvidence]bool{CrashAlone: true, CrashSuspected: false, CrashUnconfirmed: false} {
+		j, ref := crashJob()
+		j.CrashRun(ref, j.Grant(ref, WorkerKey{}).Attempt, CrashSuspected, 7)
+		j.CrashRun(ref, j.Grant(ref, WorkerKey{}).Attempt, evidence, 7)
+		assert.Equal(t, j.Phase == chervilv2.JobPhase_JOB_PHASE_FAILED, givenUp, "%d", evidence)
 	}
 }
 
