Leave out stored records that cannot be read, instead of failing each owner

A job, or a wave, whose stored record cannot be decoded, or whose progress does not fit its specification, failed the load of each entry that claimed the schedule, one after the other, for good: nothing ran any more.

Change: the loader logs the record (7002) and leaves it out. An unreadable job neither runs, since a task could run twice, nor is it denied: calls about it get an unknown outcome. A wave begins anew, which repeats only calls that the platform takes as done.

Ruled out elsewhere: service requests (internal/request/retry): the entry that retries counts the attempts and outlives the endpoints. Configurations and operator records that cannot be decoded are ignored with 7102 already.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -71,6 +71,7 @@
 	mu         sync.Mutex
 	jobs       map[string]*jobEntry
 	activeJobs map[string]*jobEntry // jobs that have not ended or still have runs
+	unreadable map[string]bool      // IDs of stored jobs that cannot be read
 	nodes      map[string]*node
 	batch      *batch
 	planDue    bool
@@ -138,7 +139,7 @@
 	e := &Engine{
 		settings: settings, writer: writer, operatorView: operatorView, clock: clock, wall: time.Now, epochStart: clock(),
 		waves: map[string]*wave{}, jobs: map[string]*jobEntry{}, activeJobs: map[string]*jobEntry{}, nodes: map[string]*node{},
-		batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurationEstimator(),
+		unreadable: restored.Unreadable, batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurationEstimator(),
 		placementAdvice: map[plan.StepKey]*placementAdvice{}, wakeCh: make(chan struct{}, 1), ended: make(chan struct{}), stop: make(chan struct{}), settled: make(chan struct{}),
 	}
 	e.restoreModel(restored.Interference)
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -23,6 +23,10 @@
 		e.mu.Unlock()
 		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}
 	}
+	if e.unreadable[spec.Id] {
+		e.mu.Unlock()
+		return e.unknownOutcome()
+	}
 	en, known := e.jobs[spec.Id]
 	if !known {
 		if e.storeUnresponsive() {
@@ -40,6 +44,11 @@
 	return reply
 }
 
+// unknownOutcome returns the reply to calls about a stored job that cannot be read.
+func (e *Engine) unknownOutcome() *chervilv2.JobReply {
+	return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_UNKNOWN, Epoch: e.Epoch()}
+}
+
 func (e *Engine) reject(id, reason string, retryAfter time.Duration) *chervilv2.JobReply {
 	events.JobRejected.Log("job", id, "reason", reason, "retryAfter", retryAfter, "epoch", e.Epoch())
 	return &chervilv2.JobReply{
@@ -98,6 +107,10 @@
 		e.mu.Unlock()
 		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}
 	}
+	if e.unreadable[id] {
+		e.mu.Unlock()
+		return e.unknownOutcome()
+	}
 	en, ok := e.jobs[id]
 	if !ok {
 		e.mu.Unlock()
@@ -121,6 +134,8 @@
 	switch {
 	case e.closed:
 		reply.Outcome = chervilv2.Outcome_OUTCOME_NOT_OWNER
+	case e.unreadable[id]:
+		reply.Outcome = chervilv2.Outcome_OUTCOME_UNKNOWN
 	case !ok:
 		e.mu.Unlock()
 		return e.confirmNoSuchJob(ctx)
--- a/internal/schedulestore/state.go
+++ b/internal/schedulestore/state.go
@@ -30,6 +30,9 @@
 // State is the state of the schedule that a new owner loads.
 type State struct {
 	Jobs map[string]*jobstate.Job
+	// Unreadable holds the IDs of jobs that cannot be read. They must neither run, since a task
+	// could run twice, nor be denied.
+	Unreadable map[string]bool
 	// Interference is nil if no interference was learned.
 	Interference []*chervilv2.Interference
 	// Waves holds the maintenance waves that have begun, by name.
@@ -79,59 +82,102 @@
 	return platform.Record{Key: ungrantedKey, Value: value}, err
 }
 
-// Load reads the newest state. The caller must have fenced older writers. A job or wave that
-// cannot be decoded fails the load, since a task could run twice if the state were guessed.
-// Unreadable interference and lease times are logged and left out.
+// Load reads the newest state. The caller must have fenced older writers. A record that cannot
+// be read is logged and left out, so that it does not stop each owner that loads it: its job
+// is listed as unreadable, its wave begins anew, and interference and lease times are learned
+// again.
 func Load(ctx context.Context, store Store) (*State, error) {
-	learned := &chervilv2.LearnedInterference{}
-	waves := map[string]*chervilv2.WaveProgress{}
-	ungranted := &chervilv2.SilentAgents{}
-	specs := map[string]*chervilv2.JobSpec{}
-	progress := map[string]*chervilv2.JobProgress{}
+	l := newLoader()
 	for after := ""; ; {
 		page, err := readPage(ctx, store, platform.StateTopic, after)
 		if err != nil {
 			return nil, err
 		}
 		for _, r := range page.Records {
-			if r.Key == interferenceKey {
-				if err := proto.Unmarshal(r.Value, learned); err != nil {
-					events.StoreRecordIgnored.LogError(err, "topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
-					learned.Reset() // interference is learned again
-				}
-				continue
-			}
-			if r.Key == ungrantedKey {
-				if err := proto.Unmarshal(r.Value, ungranted); err != nil {
-					events.StoreRecordIgnored.LogError(err, "topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
-					ungranted.Reset() // the owner waits for these leases in full
-				}
-				continue
-			}
-			if name, ok := strings.CutPrefix(r.Key, wavePrefix); ok && len(r.Value) > 0 {
-				waves[name] = &chervilv2.WaveProgress{}
-				if err := proto.Unmarshal(r.Value, waves[name]); err != nil {
-					return nil, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, r.Key, "cannot decode a stored record")
-				}
-				continue
-			}
-			if err := decodeJobRecord(r, specs, progress); err != nil {
-				return nil, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, r.Key, "cannot decode a stored record")
-			}
+			l.add(r)
 		}
 		if after = page.After; after == "" {
-			break
+			return l.state(), nil
 		}
 	}
-	jobs := make(map[string]*jobstate.Job, len(specs))
-	for id, spec := range specs {
-		job, err := jobstate.Restore(spec, progress[id])
+}
+
+// loader collects the records of the state.
+type loader struct {
+	specs      map[string]*chervilv2.JobSpec
+	progress   map[string]*chervilv2.JobProgress
+	waves      map[string]*chervilv2.WaveProgress
+	learned    *chervilv2.LearnedInterference
+	ungranted  *chervilv2.SilentAgents
+	unreadable map[string]bool
+}
+
+func newLoader() *loader {
+	return &loader{
+		specs: map[string]*chervilv2.JobSpec{}, progress: map[string]*chervilv2.JobProgress{}, waves: map[string]*chervilv2.WaveProgress{},
+		learned: &chervilv2.LearnedInterference{}, ungranted: &chervilv2.SilentAgents{}, unreadable: map[string]bool{},
+	}
+}
+
+// add decodes a record. It skips records without a value, which mark deleted keys.
+func (l *loader) add(r platform.Record) {
+	specID, isSpec := strings.CutPrefix(r.Key, specPrefix)
+	progressID, isProgress := strings.CutPrefix(r.Key, progressPrefix)
+	wave, isWave := strings.CutPrefix(r.Key, wavePrefix)
+	switch {
+	case len(r.Value) == 0:
+	case isSpec:
+		if spec := (&chervilv2.JobSpec{}); decode(r, spec) {
+			l.specs[specID] = spec
+		} else {
+			l.unreadable[specID] = true
+		}
+	case isProgress:
+		if progress := (&chervilv2.JobProgress{}); decode(r, progress) {
+			l.progress[progressID] = progress
+		} else {
+			l.unreadable[progressID] = true
+		}
+	case isWave:
+		if progress := (&chervilv2.WaveProgress{}); decode(r, progress) {
+			l.waves[wave] = progress
+		}
+	case r.Key == interferenceKey:
+		decode(r, l.learned)
+	case r.Key == ungrantedKey:
+		decode(r, l.ungranted)
+	default:
+		events.StoreRecordIgnored.Log("topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
+	}
+}
+
+// decode decodes a record into the message. If that fails, it logs the record, clears the
+// message and returns false.
+func decode(r platform.Record, message proto.Message) bool {
+	err := proto.Unmarshal(r.Value, message)
+	if err != nil {
+		events.StoreRecordIgnored.LogError(err, "topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
+		proto.Reset(message)
+	}
+	return err == nil
+}
+
+// state returns the state that the records describe.
+func (l *loader) state() *State {
+	jobs := make(map[string]*jobstate.Job, len(l.specs))
+	for id, spec := range l.specs {
+		if l.unreadable[id] {
+			continue
+		}
+		job, err := jobstate.Restore(spec, l.progress[id])
 		if err != nil {
-			return nil, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, id, "stored progress does not fit the job")
+			events.StoreRecordIgnored.LogError(err, "topic", platform.StateTopic, "key", progressPrefix+id)
+			l.unreadable[id] = true
+			continue
 		}
 		jobs[id] = job
 	}
-	return &State{Jobs: jobs, Interference: learned.Pairs, Waves: waves, UngrantedMs: ungranted.SilentMs}, nil
+	return &State{Jobs: jobs, Unreadable: l.unreadable, Interference: l.learned.Pairs, Waves: l.waves, UngrantedMs: l.ungranted.SilentMs}
 }
 
 // readPage returns a page of the newest record of each key, after the given key.
@@ -141,26 +187,6 @@
 	return store.Newest(ctx, topic, after)
 }
 
-// decodeJobRecord decodes the specification or progress of a job into specs or progress. It
-// skips records without a value, which mark deleted keys, and logs unknown keys.
-func decodeJobRecord(r platform.Record, specs map[string]*chervilv2.JobSpec, progress map[string]*chervilv2.JobProgress) error {
-	if len(r.Value) == 0 {
-		return nil
-	}
-	if id, ok := strings.CutPrefix(r.Key, specPrefix); ok {
-		spec := &chervilv2.JobSpec{}
-		specs[id] = spec
-		return proto.Unmarshal(r.Value, spec)
-	}
-	if id, ok := strings.CutPrefix(r.Key, progressPrefix); ok {
-		p := &chervilv2.JobProgress{}
-		progress[id] = p
-		return proto.Unmarshal(r.Value, p)
-	}
-	events.StoreRecordIgnored.Log("topic", platform.StateTopic, "key", r.Key, "offset", r.Offset)
-	return nil
-}
-
 // ReadOwner returns the newest claim of ownership, or nil if there is none, and the end of
 // the owner topic, which WriteOwner needs.
 func ReadOwner(ctx context.Context, store Store) (*chervilv2.OwnerRecord, int64, error) {
