Bound the starts of a task whose crashes take the agent with them

The crash report comes from the agent. A task that ends its worker and its agent was counted nowhere, and started again without bound (the test started it more than five times).

Change: when a new incarnation of an agent finds that the worker it knew is gone, the end counts against the runs that had just started, as one without a confirmed start. It makes no suspects, since such an end is mostly that of a machine; from the third one the task is isolated, at the fourth it is given up.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -134,6 +134,21 @@
 	e.markDirty(run.Ref.Job, en)
 }
 
+// countLossWithAgent counts the end of a worker whose agent ended with it against the runs
+// that had just started, except for those of the worker keep. Such an end is mostly that of
+// the machine, so that it makes no suspects.
+func (e *Engine) countLossWithAgent(n *node, keep *jobstate.WorkerKey) {
+	if !n.agentRestarted {
+		return
+	}
+	for _, tr := range n.runs {
+		started := tr.startedAt != 0 && n.lastListed.Sub(tr.startedAt) > suspectAge
+		if !started && (keep == nil || tr.run.Worker != *keep) {
+			e.crashRun(n, crashedRun{tracked: tr, started: tr.startedAt != 0}, jobstate.CrashWithAgent)
+		}
+	}
+}
+
 // retractCommonCause clears the suspects of workers that crashed at the same moment as the
 // one of the record, if these are so many that a cause outside of them is likely. A job
 // with suspects on most of the workers is such a cause itself, and remains suspected.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -297,3 +297,24 @@
 	count, suspected := r.crashes(jobID(1))
 	assert.Assert(t, count == 0 && !suspected)
 }
+
+func TestTaskThatEndsItsAgentsTooIsGivenUp(t *testing.T) {
+	const maxStarts = 5
+	r, a, start, _ := startBoth(t)
+	starts := 1
+	for ; r.phase(jobID(1)) != jobFailed; starts++ {
+		assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+		r.disconnect(a)
+		a = r.attachIncarnation("side-1", fmt.Sprint(starts+1), &chervilv2.Worker{
+			Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs + 1, Service: testService, CpuMilli: 32000, MemoryMb: 64000, Listed: true,
+		})
+		eventually(t, "started again or given up", func() bool {
+			a.report(&chervilv2.AgentReport{})
+			next, _ := startOf(jobID(1), start.Attempt, a)
+			if next != nil {
+				start = next
+			}
+			return next != nil || r.phase(jobID(1)) == jobFailed
+		})
+	}
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -60,6 +60,12 @@
 	drainingSince boottime.Instant
 	// lastBestEffort is the CPU use of best-effort runs in the previous report, by image.
 	lastBestEffort map[string]float64
+	// agentIncarnation is that of the agent's last report. agentRestarted is set from the first
+	// report of a new one until it reports whether the worker has survived.
+	agentIncarnation string
+	agentRestarted   bool
+	// lastListed is when a report last showed that the worker lives.
+	lastListed boottime.Instant
 	// isolationCrashedAt is when the worker last crashed with an isolated run; 0 if never.
 	isolationCrashedAt boottime.Instant
 }
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -209,15 +209,17 @@
 
 // testAgent is an agent with one worker; it records all orders it receives.
 type testAgent struct {
-	t        *testing.T
-	node     string
-	worker   *chervilv2.Worker
-	reports  chan *chervilv2.AgentReport
-	mu       sync.Mutex
-	starts   []*chervilv2.StartOrder
-	stops    []*chervilv2.StopOrder
-	ackedEnd int64
-	leases   int
+	t      *testing.T
+	node   string
+	worker *chervilv2.Worker
+	// incarnation is that of the agent, not of its worker.
+	incarnation string
+	reports     chan *chervilv2.AgentReport
+	mu          sync.Mutex
+	starts      []*chervilv2.StartOrder
+	stops       []*chervilv2.StopOrder
+	ackedEnd    int64
+	leases      int
 	// entryLists are the lists of live entries received.
 	entryLists [][]string
 	sequence   uint64
@@ -257,7 +259,12 @@
 
 // attachWith connects an agent that reports the worker; nil if it knows none.
 func (r *rig) attachWith(node string, worker *chervilv2.Worker) *testAgent {
-	a := &testAgent{t: r.t, node: node, reports: make(chan *chervilv2.AgentReport), closed: make(chan struct{}), worker: worker}
+	return r.attachIncarnation(node, "1", worker)
+}
+
+// attachIncarnation is attachWith for an incarnation of the agent.
+func (r *rig) attachIncarnation(node, incarnation string, worker *chervilv2.Worker) *testAgent {
+	a := &testAgent{t: r.t, node: node, incarnation: incarnation, reports: make(chan *chervilv2.AgentReport), closed: make(chan struct{}), worker: worker}
 	engine := r.engine
 	go func() { _ = engine.Attach(a, r.liveEntries) }()
 	r.t.Cleanup(func() { a.detach() })
@@ -298,7 +305,7 @@
 
 func (a *testAgent) report(r *chervilv2.AgentReport) {
 	a.sequence++
-	r.Node, r.Incarnation, r.Worker, r.Sequence = a.node, "1", a.worker, a.sequence
+	r.Node, r.Incarnation, r.Worker, r.Sequence = a.node, a.incarnation, a.worker, a.sequence
 	a.reports <- r
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -137,6 +137,8 @@
 		e.replan()
 	}
 	n.lastReport = e.clock()
+	n.agentRestarted = n.agentRestarted || n.agentIncarnation != "" && n.agentIncarnation != r.Incarnation
+	n.agentIncarnation = r.Incarnation
 	for _, crash := range r.Crashes {
 		if crash.WorkerId != r.Worker.GetId() || crash.BornUnixMs != r.Worker.GetBornUnixMs() {
 			e.handleCrash(n, crash)
@@ -153,6 +155,7 @@
 		e.handleResult(n, result)
 	}
 	if r.Worker.GetGone() && len(n.runs) > 0 { // the reported ends take precedence
+		e.countLossWithAgent(n, nil)
 		e.dropRuns(n, nil, "worker is gone")
 	}
 	if r.Full {
@@ -182,6 +185,7 @@
 	if n.key != key {
 		events.WorkerRegistered.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "service", w.Service, "zone", w.Zone,
 			"cpuMilli", w.CpuMilli, "memoryMB", w.MemoryMb, "labels", w.Labels)
+		e.countLossWithAgent(n, &key)
 		e.dropRuns(n, &key, "worker has a new incarnation")
 		n.key, n.lastEnd, n.storedEnd, n.health, n.drainingSince = key, 0, 0, health{}, 0
 		e.replan()
@@ -190,6 +194,9 @@
 		e.replan()
 	}
 	n.worker = w
+	if n.leasable {
+		n.lastListed, n.agentRestarted = e.clock(), false
+	}
 }
 
 // handleEnd processes the end of a run, and acknowledges it to the agent once it is
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -30,11 +30,16 @@
 	CrashAlone
 	// CrashUnconfirmed means that the run may just have started, or not at all.
 	CrashUnconfirmed
+	// CrashWithAgent means the same of a worker that ended together with its agent, as it does
+	// when its machine fails.
+	CrashWithAgent
 )
 
 // NeedsIsolation reports whether no other task may be started beside the task's next run,
 // so that a further crash has only one possible cause.
-func (t *Task) NeedsIsolation() bool { return t.Suspect || t.Crashes >= crashesToIsolate }
+func (t *Task) NeedsIsolation() bool {
+	return t.Suspect || t.Crashes+t.UnconfirmedCrashes >= crashesToIsolate
+}
 
 // addCrash counts a crash by its evidence.
 func (t *Task) addCrash(evidence CrashEvidence) {
@@ -46,6 +51,8 @@
 		t.Crashes, t.Suspect = t.Crashes+1, true
 	case CrashUnconfirmed:
 		t.UnconfirmedCrashes, t.Suspect = t.UnconfirmedCrashes+1, true
+	case CrashWithAgent:
+		t.UnconfirmedCrashes++
 	}
 }
 
