Soak: jobs whose task crashes its workers

Each twelfth job of one client crashes each worker that starts its first task, among all other faults.

--- a/internal/sitetest/soak_test.go
+++ b/internal/sitetest/soak_test.go
@@ -42,6 +42,8 @@
 	// ample: all leases expire within 6 s, and tasks are short.
 	settleTimeout = 40 * time.Second
 	tasksPerJob   = 3
+	// deadlyInterval is how many jobs of the first client contain one that crashes workers.
+	deadlyInterval = 12
 	// requestDeadline is the deadline that clients send with their requests.
 	requestDeadline = 3 * time.Second
 )
@@ -101,6 +103,7 @@
 	startTime   time.Time
 	clientsDone chan struct{} // closed when fault injection ends, to stop the clients
 	wg          sync.WaitGroup
+	taskCrashes sync.WaitGroup
 
 	mu             sync.Mutex
 	jobs           map[string]*soakJob
@@ -117,8 +120,15 @@
 	accepted, outcomeUnknown, cancelSent bool
 	cancelledAt                          time.Time // when the cancel was acknowledged
 	ended                                bool
+	// deadly is set if the job's first task crashes each worker that starts it, crashes the
+	// number of workers that it has crashed, startsSince the number of starts after the third.
+	deadly               bool
+	crashes, startsSince int
 }
 
+// mayFail reports whether the job may be shown as failed.
+func (j *soakJob) mayFail() bool { return j.deadly && j.crashes >= 2 }
+
 // newSoak starts a site with proxies and checked task starts.
 func newSoak(t *testing.T, seed uint64, entries, agents int) *soak {
 	k := &soak{
@@ -153,10 +163,13 @@
 
 // checkTaskStart checks a start of a task on a worker: its job must have been submitted and
 // must not have been cancelled more than cancelBound ago.
-func (k *soak) checkTaskStart(_ int, task string) {
+func (k *soak) checkTaskStart(worker int, task string) {
 	id, _, _ := strings.Cut(task, ".")
 	k.mu.Lock()
 	job := k.jobs[id]
+	if job != nil && job.deadly && strings.HasSuffix(task, ".0.0.0") {
+		k.taskCrashes.Go(func() { k.crashByTask(job, worker) })
+	}
 	late := job != nil && !job.cancelledAt.IsZero() && k.activeFaults == 0 &&
 		time.Since(k.faultFreeSince) > minFaultFreeTime+cancelBound && time.Since(job.cancelledAt) > cancelBound
 	k.mu.Unlock()
@@ -168,6 +181,27 @@
 	}
 }
 
+// crashByTask crashes a worker on which a deadly task has started, unless another fault uses
+// the worker, and restarts it.
+func (k *soak) crashByTask(job *soakJob, worker int) {
+	k.mu.Lock()
+	if job.crashes >= 3 {
+		job.startsSince++
+	}
+	k.mu.Unlock()
+	if !k.reserve(k.agentName(worker)) {
+		return
+	}
+	k.mu.Lock()
+	job.crashes++
+	k.mu.Unlock()
+	time.Sleep(crashDelay)
+	k.crashWorker(worker)
+	time.Sleep(workerRestart)
+	k.startWorker(worker)
+	k.release(k.agentName(worker))
+}
+
 // runClient submits jobs, cancels some and gets their states, over persistent connections.
 func (k *soak) runClient(number int) {
 	random := rand.New(rand.NewPCG(uint64(number), 77))
@@ -179,7 +213,7 @@
 			return
 		case <-time.After(time.Duration(50+random.IntN(250)) * time.Millisecond):
 		}
-		job := &soakJob{id: fmt.Sprintf("%08x%08x", number+1, n+1)}
+		job := &soakJob{id: fmt.Sprintf("%08x%08x", number+1, n+1), deadly: number == 0 && n%deadlyInterval == deadlyInterval-1}
 		k.mu.Lock()
 		k.jobs[job.id] = job
 		k.mu.Unlock()
@@ -233,7 +267,7 @@
 	status, body, _ := k.callAnyEntry(client, random, http.MethodGet, id, "")
 	k.mu.Lock()
 	job := k.jobs[id]
-	accepted, cancelSent := job.accepted, job.cancelSent
+	accepted, cancelSent, mayFail := job.accepted, job.cancelSent, job.mayFail()
 	k.mu.Unlock()
 	switch {
 	case status == http.StatusGone && accepted:
@@ -241,7 +275,7 @@
 	case status != http.StatusOK:
 	case strings.Contains(body, "completed") && k.journal.DoneTasks(id) < tasksPerJob:
 		k.recordViolation("job %s is shown as completed with %d of %d tasks done", id, k.journal.DoneTasks(id), tasksPerJob)
-	case strings.Contains(body, "cancelled") && !cancelSent, strings.Contains(body, "failed"):
+	case strings.Contains(body, "cancelled") && !cancelSent, strings.Contains(body, "failed") && !mayFail:
 		k.recordViolation("job %s is shown as %s", id, body)
 	}
 }
@@ -481,7 +515,7 @@
 			}
 			open++
 			status, body, _ := k.callAnyEntry(client, random, http.MethodGet, job.id, "")
-			job.ended = status == http.StatusOK && (strings.Contains(body, "completed") || job.cancelSent && strings.Contains(body, "cancelled"))
+			job.ended = status == http.StatusOK && (strings.Contains(body, "completed") || job.cancelSent && strings.Contains(body, "cancelled") || job.deadly && strings.Contains(body, "failed"))
 		}
 		if open == 0 {
 			return
@@ -492,6 +526,7 @@
 // checkInvariants checks that each accepted job has ended, that its tasks are done unless it
 // was cancelled, that no task of a rejected job started, and that no violation was recorded.
 func (k *soak) checkInvariants() {
+	k.taskCrashes.Wait()
 	accepted, rejected := 0, 0
 	for _, job := range k.jobs {
 		switch {
@@ -500,7 +535,10 @@
 			if !job.ended {
 				k.recordViolation("job %s was accepted but has not ended", job.id)
 			}
-			if done := k.journal.DoneTasks(job.id); !job.cancelSent && done != tasksPerJob {
+			if job.startsSince >= 3 {
+				k.recordViolation("job %s was started %d times more after its first task had crashed three workers", job.id, job.startsSince)
+			}
+			if done := k.journal.DoneTasks(job.id); !job.cancelSent && !job.mayFail() && done != tasksPerJob {
 				k.recordViolation("job %s has %d of %d tasks done", job.id, done, tasksPerJob)
 			}
 		case !job.outcomeUnknown:
