Try the youngest suspects of a crash first

Change: suspects are isolated in the order of their age at the crash, the youngest first, since a task that crashes its worker at once is the last one that was started there. Ages from before a takeover are not known and come last.

TestYoungestSuspectsAreIsolatedFirst.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -159,7 +159,7 @@
 	}
 	shared := sharedJob(group)
 	for _, c := range group {
-		for _, ref := range c.suspects() {
+		for _, ref := range c.allSuspects() {
 			if ref.Job != shared {
 				e.clearSuspect(ref, "many workers crashed at once")
 			}
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -24,9 +24,9 @@
 	at      boottime.Instant
 	node    string
 	service string
-	// suspected are the runs that had just started and have not been cleared, others those
-	// that had run for longer.
-	suspected map[jobstate.TaskRef]bool
+	// suspected are the runs that had just started and have not been cleared, with their ages
+	// at the crash, others those that had run for longer.
+	suspected map[jobstate.TaskRef]time.Duration
 	others    []jobstate.TaskRef
 	// closed is set once the cause is known.
 	closed bool
@@ -34,10 +34,10 @@
 
 // newCrashRecord returns the record of a crash. The first runs are the suspects.
 func newCrashRecord(n *node, runs []crashedRun, suspects int, at boottime.Instant) *crashRecord {
-	c := &crashRecord{at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]bool{}, closed: suspects == 0}
+	c := &crashRecord{at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{}, closed: suspects == 0}
 	for i, r := range runs {
 		if i < suspects {
-			c.suspected[r.tracked.run.Ref] = true
+			c.suspected[r.tracked.run.Ref] = r.age
 			continue
 		}
 		c.others = append(c.others, r.tracked.run.Ref)
@@ -45,8 +45,14 @@
 	return c
 }
 
-// suspects returns the suspects that have not been cleared.
-func (c *crashRecord) suspects() []jobstate.TaskRef {
+// suspects reports whether the task is a suspect that has not been cleared.
+func (c *crashRecord) suspects(ref jobstate.TaskRef) bool {
+	_, ok := c.suspected[ref]
+	return ok
+}
+
+// allSuspects returns the suspects that have not been cleared.
+func (c *crashRecord) allSuspects() []jobstate.TaskRef {
 	out := make([]jobstate.TaskRef, 0, len(c.suspected))
 	for ref := range c.suspected {
 		out = append(out, ref)
@@ -65,19 +71,30 @@
 func (l *crashLog) convict(ref jobstate.TaskRef) []jobstate.TaskRef {
 	var cleared []jobstate.TaskRef
 	for _, c := range l.records {
-		if c.closed || !c.suspected[ref] {
+		if c.closed || !c.suspects(ref) {
 			continue
 		}
 		c.closed = true
 		delete(c.suspected, ref)
-		cleared = append(cleared, c.suspects()...)
+		cleared = append(cleared, c.allSuspects()...)
 	}
 	return slices.DeleteFunc(cleared, l.suspected)
 }
 
 // suspected reports whether the task is a suspect in a crash whose cause is not known.
 func (l *crashLog) suspected(ref jobstate.TaskRef) bool {
-	return slices.ContainsFunc(l.records, func(c *crashRecord) bool { return !c.closed && c.suspected[ref] })
+	return slices.ContainsFunc(l.records, func(c *crashRecord) bool { return !c.closed && c.suspects(ref) })
+}
+
+// suspectAge returns the age of the task at the last crash of which it is suspected. For a
+// crash before the owner's time, it returns the most that a suspect can have.
+func (l *crashLog) suspectAge(ref jobstate.TaskRef) time.Duration {
+	for _, c := range slices.Backward(l.records) {
+		if age, ok := c.suspected[ref]; ok && !c.closed {
+			return age
+		}
+	}
+	return suspectAge
 }
 
 // clear removes a suspect from all crashes. It returns the other runs of the crashes that
@@ -85,7 +102,7 @@
 func (l *crashLog) clear(ref jobstate.TaskRef) []jobstate.TaskRef {
 	var out []jobstate.TaskRef
 	for _, c := range l.records {
-		if c.closed || !c.suspected[ref] {
+		if c.closed || !c.suspects(ref) {
 			continue
 		}
 		delete(c.suspected, ref)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -154,8 +154,8 @@
 		class, slack := e.urgency(en, queue, now)
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
 			key, isolated := stepKey(ref), task.NeedsIsolation() && !step.Spec.Gang
-			for i := first; i < len(out); i++ {
-				if out[i].Key != key || out[i].Isolated != isolated {
+			for i := first; i < len(out) && !isolated; i++ {
+				if out[i].Key != key || out[i].Isolated {
 					continue
 				}
 				if step.Spec.Gang { // its members are placed together
@@ -175,6 +175,7 @@
 			})
 			if isolated {
 				out[len(out)-1].MaxIsolated = e.maxIsolated(queue.Service, e.clock())
+				out[len(out)-1].SuspectAge = e.crashes.suspectAge(ref)
 			}
 		})
 		if queue.Advisor != nil && e.settings.Advisor != nil {
--- a/internal/plan/isolate.go
+++ b/internal/plan/isolate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 )
 
@@ -31,6 +32,19 @@
 	}
 }
 
+// isolatedRequests returns the requests whose tasks must be isolated, the most likely causes of
+// crashes first.
+func isolatedRequests(requests []Request) []*Request {
+	var out []*Request
+	for i := range requests {
+		if requests[i].Isolated {
+			out = append(out, &requests[i])
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *Request) int { return cmp.Compare(a.SuspectAge, b.SuspectAge) })
+	return out
+}
+
 // isolatedWorkers returns the number of workers of a service with an isolated task.
 func isolatedWorkers(workers []Worker, service string) int {
 	n := 0
--- a/internal/plan/isolate_test.go
+++ b/internal/plan/isolate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -72,3 +73,12 @@
 	planned := Place(workers, isolationRequests(1, 1), nil)
 	assert.Equal(t, len(planned.Grants), 0)
 }
+
+func TestYoungestSuspectsAreIsolatedFirst(t *testing.T) {
+	workers := isolationWorkers("w1")
+	older, younger := isolationRequests(1, 0)[0], isolationRequests(1, 0)[0]
+	older.Key.Job, older.SuspectAge = "a", 200*time.Millisecond
+	younger.Key.Job, younger.SuspectAge = "b", 10*time.Millisecond
+	got := grantsByWorker(Place(workers, []Request{older, younger}, nil), workers)
+	assert.DeepEqual(t, got, map[string][]string{"w1": {"b"}})
+}
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -130,6 +130,9 @@
 	// the most workers of the service that may have an isolated task at once.
 	Isolated    bool
 	MaxIsolated int
+	// SuspectAge is how long the tasks had been running at the crash of which they are
+	// suspected. The youngest are the most likely cause and come first.
+	SuspectAge time.Duration
 }
 
 // Grant assigns the task Index of a step to the worker at position Worker in the list of
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -27,10 +27,8 @@
 		workers[i].model = model
 	}
 
-	for i := range requests { // first, since others would keep all workers starting tasks
-		if requests[i].Isolated {
-			placeIsolated(workers, &requests[i], &out)
-		}
+	for _, r := range isolatedRequests(requests) { // first, since others would keep all workers starting tasks
+		placeIsolated(workers, r, &out)
 	}
 	for i := range requests {
 		r := &requests[i]
