Give a task up for unconfirmed crashes only if they are many

Found on reading: three crashes before the start was confirmed and one after it gave a task up, although a single crash under it is certain; the platform allows it from two on (LOST). Now it takes two confirmed crashes, or four unconfirmed ones.

TestTaskIsGivenUpForUnconfirmedCrashesOnlyIfTheyAreMany failed before in one of three cases.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -6,7 +6,6 @@
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
-	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
 	"chervilridge/internal/jobstate"
 )
@@ -15,13 +14,6 @@
 	// suspectAge is the age at the crash of its worker up to which a run is suspected of
 	// having caused the crash.
 	suspectAge = 250 * time.Millisecond
-	// soundAge is the age from which a long-running task has no part in earlier crashes.
-	soundAge = 10 * time.Second
-	// maxIsolatedPercent bounds the workers of a service with isolated tasks at once, and thus
-	// the loss to a burst of tasks that crash their workers.
-	maxIsolatedPercent = 40
-	// workerReturnTime is how long a crashed worker usually takes to return, at most.
-	workerReturnTime = 5 * time.Second
 	// minCommonCause and commonCausePercent are the number of workers, and the part of a
 	// service, that crash at the same moment if the cause lies outside of them.
 	minCommonCause     = 3
@@ -73,6 +65,12 @@
 	if len(runs) == 0 {
 		return // the crash was reported before, or hit no run
 	}
+	if n.drainingSince != 0 { // ended by its maintenance
+		for _, r := range runs {
+			e.crashRun(n, r, jobstate.CrashExplained)
+		}
+		return
+	}
 	now := e.clock()
 	suspects := suspectCount(runs)
 	record := newCrashRecord(n, runs, suspects, now.Add(-time.Duration(crash.AgoMs)*time.Millisecond))
@@ -82,11 +80,7 @@
 	events.WorkerCrashed.Log("node", n.name, "worker", crash.WorkerId, "born", crash.BornUnixMs, "runs", len(runs),
 		"youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(runs[:suspects]), "suspectCount", suspects)
 	for i, r := range runs {
-		evidence := r.evidence(i < suspects, suspects)
-		if n.drainingSince != 0 { // ended by its maintenance
-			evidence = jobstate.CrashExplained
-		}
-		e.crashRun(n, r, evidence)
+		e.crashRun(n, r, r.evidence(i < suspects, suspects))
 	}
 	e.retractCommonCause(record)
 	e.replan()
@@ -185,58 +179,6 @@
 	}
 }
 
-// checkSuspect ends the isolation of a run, and the suspicion of its task, once the worker
-// has outlived the time in which suspects crash. The worker was seen alive at lastSeen.
-func (e *Engine) checkSuspect(tr *trackedRun, lastSeen boottime.Instant) {
-	en := e.jobs[tr.run.Ref.Job]
-	_, task := en.job.Task(tr.run.Ref)
-	if tr.startedAt == 0 || task == nil {
-		return
-	}
-	outlived := lastSeen.Sub(tr.startedAt)
-	if outlived > suspectAge && task.Suspect {
-		e.clearSuspect(tr.run.Ref, "outlived the start")
-	}
-	if tr.step.LongRunning && outlived > soundAge && en.job.ForgetCrashes(tr.run.Ref) {
-		e.markDirty(tr.run.Ref.Job, en)
-	}
-	if tr.run.Isolated && outlived > suspectAge && !task.NeedsIsolation() {
-		tr.run.Isolated = false
-		e.replan()
-	}
-}
-
-// maxIsolated returns the most workers of a service that may have an isolated task, without
-// those that such tasks have crashed and that are not back yet.
-func (e *Engine) maxIsolated(service string, now boottime.Instant) int {
-	limit := max(1, e.serviceWorkers(service)*maxIsolatedPercent/100)
-	for _, n := range e.nodes {
-		if n.serviceName() == service && n.isolationCrashedAt != 0 && now.Sub(n.isolationCrashedAt) < workerReturnTime && !n.worker.Listed {
-			limit--
-		}
-	}
-	return limit
-}
-
-// serviceWorkers returns the number of known workers of a service.
-func (e *Engine) serviceWorkers(service string) int {
-	count := 0
-	for _, n := range e.nodes {
-		if n.worker != nil && n.serviceName() == service {
-			count++
-		}
-	}
-	return count
-}
-
-// isolationCrash returns now if one of the runs was isolated, and 0 otherwise.
-func isolationCrash(runs []crashedRun, now boottime.Instant) boottime.Instant {
-	if slices.ContainsFunc(runs, func(r crashedRun) bool { return r.tracked.run.Isolated }) {
-		return now
-	}
-	return 0
-}
-
 // taskNames returns the names of the tasks, at most maxLoggedSuspects.
 func taskNames(runs []crashedRun) []string {
 	out := make([]string, 0, min(len(runs), maxLoggedSuspects))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -153,29 +153,17 @@
 		first := len(out)
 		class, slack := e.urgency(en, queue, now)
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
-			key, isolated := stepKey(ref), task.NeedsIsolation() && !step.Spec.Gang
-			for i := first; i < len(out) && !isolated; i++ {
-				if out[i].Key != key || out[i].Isolated {
-					continue
-				}
-				if step.Spec.Gang { // its members are placed together
-					out[i].Indexes = append(out[i].Indexes, ref.Index)
-					out[i].Avoid = union(out[i].Avoid, en.failedOn[ref])
-					return
-				}
-				if sameSet(out[i].Avoid, en.failedOn[ref]) {
-					out[i].Indexes = append(out[i].Indexes, ref.Index)
-					return
-				}
-			}
-			out = append(out, plan.Request{
-				Key: key, Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
+			request := plan.Request{
+				Key: stepKey(ref), Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
 				Class: class, Slack: slack,
-				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Isolated: isolated,
-			})
-			if isolated {
-				out[len(out)-1].MaxIsolated = e.maxIsolated(queue.Service, e.clock())
-				out[len(out)-1].SuspectAge = e.crashes.suspectAge(ref)
+				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref],
+			}
+			if task.NeedsIsolation() && !step.Spec.Gang {
+				request.Isolated, request.MaxIsolated = true, e.maxIsolated(queue.Service, e.clock())
+				request.SuspectAge = e.crashes.suspectAge(ref)
+			}
+			if !joinRequest(out[first:], request) {
+				out = append(out, request)
 			}
 		})
 		if queue.Advisor != nil && e.settings.Advisor != nil {
@@ -191,6 +179,25 @@
 	return out
 }
 
+// joinRequest adds the task of a request to one of the same step in requests, and reports
+// whether there is one that it may join. Isolated tasks have requests of their own.
+func joinRequest(requests []plan.Request, task plan.Request) bool {
+	for i := range requests {
+		r := &requests[i]
+		if r.Key != task.Key || r.Isolated || task.Isolated {
+			continue
+		}
+		if task.Step.Gang { // its members are placed together
+			r.Avoid = union(r.Avoid, task.Avoid)
+		} else if !sameSet(r.Avoid, task.Avoid) {
+			continue
+		}
+		r.Indexes = append(r.Indexes, task.Indexes...)
+		return true
+	}
+	return false
+}
+
 // forceIdleJob forces the placement of one best-effort task if the job has had nothing
 // running for forceAfter. out[first:] are the job's requests.
 func (e *Engine) forceIdleJob(out []plan.Request, first int, en *jobEntry) []plan.Request {
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -6,12 +6,12 @@
 	// crashesToIsolate is the number of crashes from which a task is isolated although none
 	// of them came just after it had started.
 	crashesToIsolate = 3
-	// crashesToFailAlone is the number of crashes at which a task is given up if it was alone in
-	// being started at the last one.
-	crashesToFailAlone = 2
-	// crashesToFail is the number of crashes at which a task is given up, with those before
-	// the start was confirmed.
-	crashesToFail = 4
+	// minConfirmedCrashes is the number of confirmed crashes from which a task may be given
+	// up. It is if it was alone in being started at the last one.
+	minConfirmedCrashes = 2
+	// maxCrashes is the number of crashes at which a task is given up otherwise: of all, or of
+	// the unconfirmed ones if fewer than minConfirmedCrashes are confirmed.
+	maxCrashes = 4
 )
 
 // CrashEvidence is what the crash of a worker says about a run that ended with it.
@@ -58,7 +58,7 @@
 
 // CrashRun ends a run whose worker crashed. The job fails if the task has certainly caused
 // crashes: at the second one if the task was alone in being started, otherwise at
-// crashesToFail.
+// maxCrashes.
 func (j *Job) CrashRun(ref TaskRef, attempt uint32, evidence CrashEvidence, nowUnixMs int64) EndEffect {
 	run := j.FindRun(ref, attempt)
 	if run == nil {
@@ -71,18 +71,26 @@
 		return out
 	}
 	task.addCrash(evidence)
-	alone := evidence == CrashAlone && task.Crashes >= crashesToFailAlone
-	if alone || task.Crashes+task.UnconfirmedCrashes >= crashesToFail {
+	if task.crashesWorkers(evidence) {
 		j.endEarly(chervilv2.JobPhase_JOB_PHASE_FAILED, &out, nowUnixMs)
 	}
 	return out
 }
 
+// crashesWorkers reports whether the task has certainly caused crashes, the last one with the
+// evidence.
+func (t *Task) crashesWorkers(evidence CrashEvidence) bool {
+	if t.Crashes < minConfirmedCrashes {
+		return t.UnconfirmedCrashes >= maxCrashes
+	}
+	return evidence == CrashAlone || t.Crashes+t.UnconfirmedCrashes >= maxCrashes
+}
+
 // CountCrash adds a crash of a worker on which a run of the task had been running, once the
 // suspects have turned out not to be its cause. It reports whether that changed the job.
 func (j *Job) CountCrash(ref TaskRef) bool {
 	_, task := j.Task(ref)
-	if task == nil || task.Done || j.Ended() || task.Crashes+1 >= crashesToFail {
+	if task == nil || task.Done || j.Ended() || task.Crashes+1 >= maxCrashes {
 		return false
 	}
 	task.Crashes++
--- a/internal/jobstate/crash_test.go
+++ b/internal/jobstate/crash_test.go
@@ -35,6 +35,27 @@
 	}
 }
 
+func TestTaskIsGivenUpForUnconfirmedCrashesOnlyIfTheyAreMany(t *testing.T) {
+	const u, c = CrashUnconfirmed, CrashSuspected
+	for name, test := range map[string]struct {
+		crashes []CrashEvidence
+		givenUp bool
+	}{
+		"one confirmed":  {[]CrashEvidence{u, u, u, c}, false},
+		"two confirmed":  {[]CrashEvidence{u, c, u, c}, true},
+		"none confirmed": {[]CrashEvidence{u, u, u, u}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j, ref := crashJob()
+			for i, evidence := range test.crashes {
+				assert.Assert(t, !j.Ended(), "after %d crashes", i)
+				j.CrashRun(ref, j.Grant(ref, WorkerKey{}).Attempt, evidence, 0)
+			}
+			assert.Equal(t, j.Ended(), test.givenUp)
+		})
+	}
+}
+
 func TestRunThatEndsByItselfIsNoSuspect(t *testing.T) {
 	j, ref := crashJob()
 	j.CrashRun(ref, j.Grant(ref, WorkerKey{}).Attempt, CrashSuspected, 0)
