Count crashes against runs that did not start just before them

A task that crashes its workers later than 250 ms after its start was counted only once all tasks that had started beside it were cleared.

Change: older runs on a crashed worker are exposed to the crash. Exposures are stored with the task and count towards isolation. An exposed task that crashes its worker in isolation is given up at the fourth crash, in any case at the fifth. Once the cause is known, its exposures are taken back; once the suspects are cleared, they become crashes. A run that is isolated for many crashes is isolated for 10 s at most.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -80,25 +80,29 @@
 	events.WorkerCrashed.Log("node", n.name, "worker", crash.WorkerId, "born", crash.BornUnixMs, "runs", len(runs),
 		"youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(runs[:suspects]), "suspectCount", suspects)
 	for i, r := range runs {
-		e.crashRun(n, r, r.evidence(i < suspects, suspects))
+		e.crashRun(n, r, evidence(runs[:suspects], i))
 	}
 	e.retractCommonCause(record)
 	e.replan()
 }
 
-// evidence returns what the crash says about the run.
-func (r crashedRun) evidence(suspected bool, suspects int) jobstate.CrashEvidence {
+// evidence returns what the crash says about the run with the index. The first runs are the
+// suspects.
+func evidence(suspects []crashedRun, index int) jobstate.CrashEvidence {
+	alone := len(suspects) == 1 && suspects[0].started && suspects[0].tracked.run.Isolated
 	switch {
-	case suspected && r.started && r.tracked.run.Isolated && suspects == 1:
+	case len(suspects) == 0:
+		return jobstate.CrashUnexplained
+	case index >= len(suspects) && alone:
+		return jobstate.CrashExplained
+	case index >= len(suspects):
+		return jobstate.CrashExposed
+	case alone:
 		return jobstate.CrashAlone
-	case suspected && r.started:
+	case suspects[index].started:
 		return jobstate.CrashSuspected
-	case suspected:
-		return jobstate.CrashUnconfirmed
-	case suspects == 0:
-		return jobstate.CrashUnexplained
 	}
-	return jobstate.CrashExplained
+	return jobstate.CrashUnconfirmed
 }
 
 // crashRun ends a run with its worker, and gives up its job if the task is the cause.
@@ -110,17 +114,19 @@
 	_, task := en.job.Task(run.Ref)
 	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "cause", "worker crashed",
 		"ageMs", r.age.Milliseconds(), "started", r.started, "isolated", run.Isolated,
-		"crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "suspect", task.Suspect)
+		"crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures, "suspect", task.Suspect)
 	if task.Suspect {
 		taskSuspects.increment(en.job.Spec.Queue)
 	}
 	e.orderStops(effect.RunsToStop, "job given up")
 	if effect.JobEnded {
-		for _, cleared := range e.crashes.convict(run.Ref) {
+		suspects, exposed := e.crashes.convict(run.Ref)
+		for _, cleared := range suspects {
 			e.clearSuspect(cleared, "another task caused the crash")
 		}
+		e.forgetExposures(exposed)
 		tasksGivenUp.increment(en.job.Spec.Queue)
-		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes,
+		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures,
 			"node", n.name, "worker", run.Worker.ID, "isolated", run.Isolated)
 		events.JobEnded.Log("job", run.Ref.Job, "phase", en.job.Phase, "queue", en.job.Spec.Queue, "cause", "a task crashed its workers",
 			"tookMs", en.job.EndedUnixMs-en.job.Spec.AcceptedUnixMs)
@@ -179,6 +185,15 @@
 	}
 }
 
+// forgetExposures takes back a crash to which the tasks were exposed.
+func (e *Engine) forgetExposures(exposed []jobstate.TaskRef) {
+	for _, ref := range exposed {
+		if en := e.jobs[ref.Job]; en != nil && en.job.ForgetExposure(ref) {
+			e.markDirty(ref.Job, en)
+		}
+	}
+}
+
 // taskNames returns the names of the tasks, at most maxLoggedSuspects.
 func taskNames(runs []crashedRun) []string {
 	out := make([]string, 0, min(len(runs), maxLoggedSuspects))
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -25,9 +25,9 @@
 	node    string
 	service string
 	// suspected are the runs that had just started and have not been cleared, with their ages
-	// at the crash, others those that had run for longer.
+	// at the crash, exposed those that had run for longer.
 	suspected map[jobstate.TaskRef]time.Duration
-	others    []jobstate.TaskRef
+	exposed   []jobstate.TaskRef
 	// closed is set once the cause is known.
 	closed bool
 }
@@ -40,7 +40,7 @@
 			c.suspected[r.tracked.run.Ref] = r.age
 			continue
 		}
-		c.others = append(c.others, r.tracked.run.Ref)
+		c.exposed = append(c.exposed, r.tracked.run.Ref)
 	}
 	return c
 }
@@ -67,18 +67,17 @@
 }
 
 // convict closes the crashes of which the task was suspected. It returns the other suspects
-// that are suspected of no further crash.
-func (l *crashLog) convict(ref jobstate.TaskRef) []jobstate.TaskRef {
-	var cleared []jobstate.TaskRef
+// that are suspected of no further crash, and the tasks that were exposed to each.
+func (l *crashLog) convict(ref jobstate.TaskRef) (cleared, exposed []jobstate.TaskRef) {
 	for _, c := range l.records {
 		if c.closed || !c.suspects(ref) {
 			continue
 		}
 		c.closed = true
 		delete(c.suspected, ref)
-		cleared = append(cleared, c.allSuspects()...)
+		cleared, exposed = append(cleared, c.allSuspects()...), append(exposed, c.exposed...)
 	}
-	return slices.DeleteFunc(cleared, l.suspected)
+	return slices.DeleteFunc(cleared, l.suspected), exposed
 }
 
 // suspected reports whether the task is a suspect in a crash whose cause is not known.
@@ -97,8 +96,8 @@
 	return suspectAge
 }
 
-// clear removes a suspect from all crashes. It returns the other runs of the crashes that
-// have no suspect left.
+// clear removes a suspect from all crashes. It returns the tasks that were exposed to those
+// that have no suspect left.
 func (l *crashLog) clear(ref jobstate.TaskRef) []jobstate.TaskRef {
 	var out []jobstate.TaskRef
 	for _, c := range l.records {
@@ -108,7 +107,7 @@
 		delete(c.suspected, ref)
 		if len(c.suspected) == 0 {
 			c.closed = true
-			out = append(out, c.others...)
+			out = append(out, c.exposed...)
 		}
 	}
 	return out
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/jobstate"
 )
 
 const (
@@ -219,10 +220,15 @@
 
 // crashes returns the counted crashes of a job's only task, and whether it is suspected.
 func (r *rig) crashes(job string) (int, bool) {
+	task := r.task(job)
+	return int(task.Crashes), task.Suspect
+}
+
+// task returns a copy of a job's only task.
+func (r *rig) task(job string) jobstate.Task {
 	r.engine.mu.Lock()
 	defer r.engine.mu.Unlock()
-	task := &r.engine.jobs[job].job.Occurrences[0].Steps[0].Tasks[0]
-	return int(task.Crashes), task.Suspect
+	return r.engine.jobs[job].job.Occurrences[0].Steps[0].Tasks[0]
 }
 
 func TestCrashCountsAgainstOlderRunsOnceItsSuspectsAreCleared(t *testing.T) {
@@ -240,6 +246,16 @@
 	assert.Assert(t, count == 0 && !suspected)
 }
 
+func TestExposureEndsOnceTheCauseIsKnown(t *testing.T) {
+	r, a, deadly, innocent := startBoth(t)
+	a.crash(crashedAt(deadly, atStart), crashedAt(innocent, long))
+	assert.Equal(t, r.task(jobID(2)).Exposures, uint32(1))
+	deadly, _ = r.awaitStart(jobID(1), deadly.Attempt, a)
+	a.crash(crashedAt(deadly, atStart))
+	r.waitPhase(jobID(1), jobFailed)
+	assert.Equal(t, r.task(jobID(2)).Exposures, uint32(0))
+}
+
 // A rack or data centre that fails makes no task a suspect, but a job whose tasks crash
 // many workers at once is one.
 func TestWorkersCrashingAtOnceMakeASuspectOfASharedJobOnly(t *testing.T) {
@@ -258,14 +274,10 @@
 			}
 			for i := range workers {
 				if !shared {
-					job := spec(jobID(i+1), 1)
-					job.Steps[0].CpuMilli = 2000
-					r.submit(job)
+					r.submit(jobWithCPU(jobID(i+1), 2000))
 				}
 			}
-			eventually(t, "all run", func() bool {
-				return !slices.ContainsFunc(agents, func(a *testAgent) bool { return len(a.started()) == 0 })
-			})
+			eventually(t, "all run", func() bool { return startsOn(agents, 1) })
 			for _, a := range agents {
 				a.crash(crashedAt(a.started()[0], atStart))
 			}
@@ -288,6 +300,18 @@
 	}
 }
 
+// jobWithCPU returns a job of one task with the CPU.
+func jobWithCPU(id string, cpuMilli uint32) *chervilv2.JobSpec {
+	job := spec(id, 1)
+	job.Steps[0].CpuMilli = cpuMilli
+	return job
+}
+
+// startsOn reports whether each agent was ordered to start the number of runs, at least.
+func startsOn(agents []*testAgent, starts int) bool {
+	return !slices.ContainsFunc(agents, func(a *testAgent) bool { return len(a.started()) < starts })
+}
+
 func TestCrashDuringMaintenanceIsPlanned(t *testing.T) {
 	r, a, start, _ := startBoth(t)
 	r.engine.mu.Lock()
@@ -318,3 +342,58 @@
 		})
 	}
 }
+
+// listRuns reports the runs that the agent was ordered to start, after the first skip orders,
+// as started.
+func (a *testAgent) listRuns(skip int) {
+	report := &chervilv2.AgentReport{Full: true}
+	for _, s := range a.started()[skip:] {
+		report.Runs = append(report.Runs, &chervilv2.Run{Task: s.Task, Attempt: s.Attempt})
+	}
+	a.report(report)
+}
+
+// Each crash comes beside tasks that have just started, before those of the crashes before
+// are cleared.
+func TestTaskThatCrashesBesideStartingTasksIsGivenUp(t *testing.T) {
+	const (
+		workers, maxStarts = 4, 5
+		afterStart         = 2 * suspectAge
+		betweenCrashes     = 2 * sameMoment
+		poll               = 2 * time.Millisecond
+	)
+	r := newRig(t)
+	agents := make([]*testAgent, workers)
+	crashed := map[*testAgent]int{} // number of start orders before the worker's last crash
+	for i := range agents {
+		agents[i] = r.attach(fmt.Sprintf("side-%d", i), 32000)
+	}
+	r.submit(spec(jobID(1), 1))
+	start, a := r.awaitStart(jobID(1), 0, agents...)
+	for starts := 1; r.phase(jobID(1)) != jobFailed; starts++ {
+		assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+		before := len(a.started())
+		r.submit(spec(jobID(1+starts), 2*workers))
+		for range betweenCrashes / poll {
+			time.Sleep(poll)
+			r.clock.advance(poll)
+		}
+		ended := []*chervilv2.CrashedRun{crashedAt(start, afterStart)}
+		for _, s := range a.started()[before:] {
+			ended = append(ended, crashedAt(s, atStart))
+		}
+		crashed[a] = len(a.started())
+		a.crash(ended...)
+		eventually(t, "started again or given up", func() bool {
+			r.clock.advance(poll)
+			for _, other := range agents {
+				other.listRuns(crashed[other])
+			}
+			next, on := startOf(jobID(1), start.Attempt, agents...)
+			if next != nil {
+				start, a = next, on
+			}
+			return next != nil || r.phase(jobID(1)) == jobFailed
+		})
+	}
+}
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// soundAge is the age from which a long-running task has no part in earlier crashes.
+	// soundAge is the age from which a long-running task has no part in earlier crashes, and up
+	// to which a task is isolated because of many crashes.
 	soundAge = 10 * time.Second
 	// maxIsolatedPercent bounds the workers of a service with isolated tasks at once, and thus
 	// the loss to a burst of tasks that crash their workers.
@@ -32,7 +33,7 @@
 	if tr.step.LongRunning && outlived > soundAge && en.job.ForgetCrashes(tr.run.Ref) {
 		e.markDirty(tr.run.Ref.Job, en)
 	}
-	if tr.run.Isolated && outlived > suspectAge && !task.NeedsIsolation() {
+	if tr.run.Isolated && (outlived > soundAge || outlived > suspectAge && !task.NeedsIsolation()) {
 		tr.run.Isolated = false
 		e.replan()
 	}
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -12,6 +12,9 @@
 	// maxCrashes is the number of crashes at which a task is given up otherwise: of all, or of
 	// the unconfirmed ones if fewer than minConfirmedCrashes are confirmed.
 	maxCrashes = 4
+	// maxCrashesAndExposures is the same including the crashes of which others are suspected
+	// more. The platform allows no further start.
+	maxCrashesAndExposures = 5
 )
 
 // CrashEvidence is what the crash of a worker says about a run that ended with it.
@@ -19,9 +22,10 @@
 
 // Evidence of a crash.
 const (
-	// CrashExplained means that another run is suspected, or that the crash has a cause
-	// outside the worker.
+	// CrashExplained means that the cause is known to lie elsewhere.
 	CrashExplained CrashEvidence = iota
+	// CrashExposed means that other runs are suspected, since they had just started.
+	CrashExposed
 	// CrashUnexplained means that no run had just started, so that each may be the cause.
 	CrashUnexplained
 	// CrashSuspected means that the run had just started, CrashAlone that besides no other run
@@ -38,13 +42,19 @@
 // NeedsIsolation reports whether no other task may be started beside the task's next run,
 // so that a further crash has only one possible cause.
 func (t *Task) NeedsIsolation() bool {
-	return t.Suspect || t.Crashes+t.UnconfirmedCrashes >= crashesToIsolate
+	return t.Suspect || t.allCrashes() >= crashesToIsolate
 }
 
+// allCrashes returns the number of crashes that ended a run of the task and whose cause is not
+// known to lie elsewhere.
+func (t *Task) allCrashes() uint32 { return t.Crashes + t.UnconfirmedCrashes + t.Exposures }
+
 // addCrash counts a crash by its evidence.
 func (t *Task) addCrash(evidence CrashEvidence) {
 	switch evidence {
 	case CrashExplained:
+	case CrashExposed:
+		t.Exposures++
 	case CrashUnexplained:
 		t.Crashes++
 	case CrashSuspected, CrashAlone:
@@ -57,8 +67,7 @@
 }
 
 // CrashRun ends a run whose worker crashed. The job fails if the task has certainly caused
-// crashes: at the second one if the task was alone in being started, otherwise at
-// maxCrashes.
+// crashes; see Task.crashesWorkers.
 func (j *Job) CrashRun(ref TaskRef, attempt uint32, evidence CrashEvidence, nowUnixMs int64) EndEffect {
 	run := j.FindRun(ref, attempt)
 	if run == nil {
@@ -71,29 +80,50 @@
 		return out
 	}
 	task.addCrash(evidence)
-	if task.crashesWorkers(evidence) {
+	if task.crashesWorkers(evidence, run.Isolated) {
 		j.endEarly(chervilv2.JobPhase_JOB_PHASE_FAILED, &out, nowUnixMs)
 	}
 	return out
 }
 
 // crashesWorkers reports whether the task has certainly caused crashes, the last one with the
-// evidence.
-func (t *Task) crashesWorkers(evidence CrashEvidence) bool {
-	if t.Crashes < minConfirmedCrashes {
+// evidence: from the second one on if the task was alone in being started at the last,
+// otherwise at maxCrashes. Exposures count if the last run was isolated, so that no other
+// run is suspected, and in any case at maxCrashesAndExposures.
+func (t *Task) crashesWorkers(evidence CrashEvidence, isolated bool) bool {
+	switch {
+	case t.Crashes+t.Exposures < minConfirmedCrashes:
 		return t.UnconfirmedCrashes >= maxCrashes
+	case t.allCrashes() >= maxCrashesAndExposures:
+		return true
+	case isolated && evidence != CrashExposed && t.allCrashes() >= maxCrashes:
+		return true
+	case t.Crashes < minConfirmedCrashes:
+		return false
 	}
 	return evidence == CrashAlone || t.Crashes+t.UnconfirmedCrashes >= maxCrashes
 }
 
-// CountCrash adds a crash of a worker on which a run of the task had been running, once the
-// suspects have turned out not to be its cause. It reports whether that changed the job.
+// CountCrash counts a crash to which the task was exposed as one that it may have caused,
+// once the suspects have turned out not to be its cause. It reports whether that changed the
+// job.
 func (j *Job) CountCrash(ref TaskRef) bool {
+	if !j.ForgetExposure(ref) {
+		return false
+	}
+	_, task := j.Task(ref)
+	task.Crashes = min(task.Crashes+1, maxCrashes-1)
+	return true
+}
+
+// ForgetExposure takes back a crash to which the task was exposed, once its cause is known. It
+// reports whether that changed the job.
+func (j *Job) ForgetExposure(ref TaskRef) bool {
 	_, task := j.Task(ref)
-	if task == nil || task.Done || j.Ended() || task.Crashes+1 >= maxCrashes {
+	if task == nil || task.Done || j.Ended() || task.Exposures == 0 {
 		return false
 	}
-	task.Crashes++
+	task.Exposures--
 	return true
 }
 
@@ -117,9 +147,9 @@
 // ForgetCrashes clears the crashes of a task. It reports whether there were any.
 func (j *Job) ForgetCrashes(ref TaskRef) bool {
 	_, task := j.Task(ref)
-	if task == nil || task.Crashes+task.UnconfirmedCrashes == 0 && !task.Suspect {
+	if task == nil || task.allCrashes() == 0 && !task.Suspect {
 		return false
 	}
-	task.Crashes, task.UnconfirmedCrashes, task.Suspect = 0, 0, false
+	task.Crashes, task.UnconfirmedCrashes, task.Exposures, task.Suspect = 0, 0, 0, false
 	return true
 }
--- a/internal/jobstate/crash_test.go
+++ b/internal/jobstate/crash_test.go
@@ -18,6 +18,7 @@
 	j, ref := crashJob()
 	j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, CrashSuspected, 0)
 	j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, CrashUnconfirmed, 0)
+	j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, CrashExposed, 0)
 	j.Grant(ref, WorkerKey{Node: "n"}).Isolated = true
 	restored, err := Restore(j.Spec, j.Record())
 	assert.NilError(t, err)
@@ -74,3 +75,30 @@
 	_, task := j.Task(ref)
 	assert.Assert(t, !j.Ended() && task.Crashes == 0 && task.Waiting())
 }
+
+func TestExposedTaskIsGivenUpOnceItCrashesAlone(t *testing.T) {
+	const exposed, unexplained = CrashExposed, CrashUnexplained
+	for name, test := range map[string]struct {
+		crashes  []CrashEvidence
+		isolated bool
+		givenUp  bool
+	}{
+		"beside others":           {[]CrashEvidence{exposed, exposed, exposed, exposed}, false, false},
+		"alone":                   {[]CrashEvidence{exposed, exposed, exposed, unexplained}, true, true},
+		"isolation broken":        {[]CrashEvidence{exposed, exposed, exposed, exposed}, true, false},
+		"beside others, too many": {[]CrashEvidence{exposed, exposed, exposed, exposed, exposed}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j, ref := crashJob()
+			for i, evidence := range test.crashes {
+				_, task := j.Task(ref)
+				assert.Equal(t, task.NeedsIsolation(), i >= crashesToIsolate, "after %d crashes", i)
+				run := j.Grant(ref, WorkerKey{})
+				run.Isolated = test.isolated && i >= crashesToIsolate
+				assert.Assert(t, !j.Ended(), "after %d crashes", i)
+				j.CrashRun(ref, run.Attempt, evidence, 0)
+			}
+			assert.Equal(t, j.Ended(), test.givenUp)
+		})
+	}
+}
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -74,12 +74,13 @@
 	Attempt  uint32 // highest attempt granted
 	Failures uint32 // number of runs that failed
 	// Crashes is the number of worker crashes that the task may have caused,
-	// UnconfirmedCrashes that of further ones before its start was confirmed. Suspect is set if
-	// the last one came just after the task had started.
-	Crashes, UnconfirmedCrashes uint32
-	Suspect                     bool
-	Checkpoint                  string
-	Runs                        []*Run
+	// UnconfirmedCrashes that of further ones before its start was confirmed, and Exposures that
+	// of those of which other tasks are suspected more. Suspect is set if the last crash came just after
+	// the task had started.
+	Crashes, UnconfirmedCrashes, Exposures uint32
+	Suspect                                bool
+	Checkpoint                             string
+	Runs                                   []*Run
 }
 
 // Waiting reports whether the task is neither done nor has a run.
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -48,7 +48,7 @@
 		if (t.Done && !step.Done) || t.Failures > 0 || t.Crashes > 0 || t.Suspect || t.Checkpoint != "" || (t.Attempt > 0 && !t.Done) {
 			record.Tasks = append(record.Tasks, &chervilv2.TaskRecord{
 				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: t.Checkpoint,
-				Crashes: t.Crashes, UnconfirmedCrashes: t.UnconfirmedCrashes, Suspect: t.Suspect,
+				Crashes: t.Crashes, UnconfirmedCrashes: t.UnconfirmedCrashes, Exposures: t.Exposures, Suspect: t.Suspect,
 			})
 		}
 	}
@@ -97,7 +97,7 @@
 			step.markDone(task)
 		}
 		task.Attempt, task.Failures, task.Checkpoint = t.Attempt, t.Failures, t.Checkpoint
-		task.Crashes, task.UnconfirmedCrashes, task.Suspect = t.Crashes, t.UnconfirmedCrashes, t.Suspect
+		task.Crashes, task.UnconfirmedCrashes, task.Exposures, task.Suspect = t.Crashes, t.UnconfirmedCrashes, t.Exposures, t.Suspect
 	}
 	for _, p := range r.Placements {
 		if int(p.Task) >= len(step.Tasks) || int(p.Worker) >= len(workers) {
