Count no crash against older runs if many workers crash at once

When many workers crash at one moment, the suspicion of their youngest runs was taken back, but the older runs kept a crash each: at once if no run was young, otherwise because clearing the last suspect counts the crash against the others. Four failures of a rack would have given up an innocent task that ran for long (a caller loses a job that could be done).

Change: the record of such a crash is closed before its suspects are cleared, and what it counts against older runs is taken back. A job that ran on most of the workers keeps its counts, as before.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// retractCommonCause clears the suspects of workers that crashed at the same moment as the
-// one of the record, if these are so many that a cause outside of them is likely. A job
-// with suspects on most of the workers is such a cause itself, and remains suspected.
+// retractCommonCause takes back what the crash of the record and those at the same moment
+// count against their runs, if these crashes are so many that a cause outside of the workers is
+// likely. A job that ran on most of the workers is such a cause itself: its tasks keep theirs.
 func (e *Engine) retractCommonCause(record *crashRecord) {
 	group := e.crashes.sameMoment(record)
 	if len(group) < max(minCommonCause, e.serviceWorkers(record.service)*commonCausePercent/100) {
@@ -159,12 +159,29 @@
 	}
 	shared := sharedJob(group)
 	for _, c := range group {
-		for _, ref := range c.allSuspects() {
-			if ref.Job != shared {
-				e.clearSuspect(ref, "many workers crashed at once")
-			}
+		if !c.retracted {
+			e.retract(c, shared)
+		}
+	}
+}
+
+// retract takes back what a crash counts against its runs, except for those of the job keep.
+func (e *Engine) retract(c *crashRecord, keep string) {
+	c.closed, c.retracted = true, true
+	others := func(refs []jobstate.TaskRef) []jobstate.TaskRef {
+		return slices.DeleteFunc(slices.Clone(refs), func(r jobstate.TaskRef) bool { return r.Job == keep })
+	}
+	for _, ref := range others(c.allSuspects()) {
+		e.clearSuspect(ref, "many workers crashed at once")
+	}
+	if !c.unexplained {
+		e.forgetExposures(others(c.exposed))
+		return
+	}
+	for _, ref := range others(c.exposed) {
+		if en := e.jobs[ref.Job]; en != nil && en.job.RetractCrash(ref) {
+			e.markDirty(ref.Job, en)
 		}
-		c.closed = true
 	}
 }
 
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -28,13 +28,20 @@
 	// at the crash, exposed those that had run for longer.
 	suspected map[jobstate.TaskRef]time.Duration
 	exposed   []jobstate.TaskRef
-	// closed is set once the cause is known.
+	// unexplained is set if no run had just started, so that the crash is counted against all.
+	unexplained bool
+	// retracted is set once the crash counts against no run, since many workers crashed with it.
+	retracted bool
+	// closed is set once the cause is known, or if the crash has no suspects.
 	closed bool
 }
 
 // newCrashRecord returns the record of a crash. The first runs are the suspects.
 func newCrashRecord(n *node, runs []crashedRun, suspects int, at boottime.Instant) *crashRecord {
-	c := &crashRecord{at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{}, closed: suspects == 0}
+	c := &crashRecord{
+		at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{},
+		unexplained: suspects == 0, closed: suspects == 0,
+	}
 	for i, r := range runs {
 		if i < suspects {
 			c.suspected[r.tracked.run.Ref] = r.age
@@ -124,12 +131,21 @@
 	return out
 }
 
-// sharedJob returns the job with suspects in at least half of the crashes, or "".
+// possibleCauses returns the runs that are held to have caused the crash: the suspects, or all
+// runs if no run had just started.
+func (c *crashRecord) possibleCauses() []jobstate.TaskRef {
+	if c.unexplained {
+		return c.exposed
+	}
+	return c.allSuspects()
+}
+
+// sharedJob returns the job with a possible cause of at least half of the crashes, or "".
 func sharedJob(group []*crashRecord) string {
 	crashes := map[string]int{}
 	for _, c := range group {
 		jobs := map[string]bool{}
-		for ref := range c.suspected {
+		for _, ref := range c.possibleCauses() {
 			jobs[ref.Job] = true
 		}
 		for job := range jobs {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -300,6 +300,38 @@
 	}
 }
 
+func TestWorkersCrashingAtOnceCountAgainstNoOlderRun(t *testing.T) {
+	const workers = 4
+	for name, withYoung := range map[string]bool{"only older runs": false, "beside runs that had just started": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			agents := make([]*testAgent, workers)
+			for i := range agents {
+				agents[i] = r.attach(fmt.Sprintf("side-%d", i), 3000)
+				r.submit(jobWithCPU(jobID(i), 2000))
+			}
+			eventually(t, "older runs started", func() bool { return startsOn(agents, 1) })
+			if withYoung {
+				for i := range agents {
+					r.submit(jobWithCPU(jobID(workers+i), 1000))
+				}
+				eventually(t, "younger runs started", func() bool { return startsOn(agents, 2) })
+			}
+			for _, a := range agents {
+				runs := []*chervilv2.CrashedRun{crashedAt(a.started()[0], long)}
+				for _, s := range a.started()[1:] {
+					runs = append(runs, crashedAt(s, atStart))
+				}
+				a.crash(runs...)
+			}
+			for i := range workers {
+				task := r.task(jobID(i))
+				assert.Assert(t, task.Crashes == 0 && task.Exposures == 0, "job %d: %+v", i, task)
+			}
+		})
+	}
+}
+
 // jobWithCPU returns a job of one task with the CPU.
 func jobWithCPU(id string, cpuMilli uint32) *chervilv2.JobSpec {
 	job := spec(id, 1)
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -127,6 +127,16 @@
 	return true
 }
 
+// RetractCrash takes back a crash of unknown cause. It reports whether that changed the job.
+func (j *Job) RetractCrash(ref TaskRef) bool {
+	_, task := j.Task(ref)
+	if task == nil || task.Done || j.Ended() || task.Crashes == 0 {
+		return false
+	}
+	task.Crashes--
+	return true
+}
+
 // ClearSuspect takes back the suspicion of a task, and the crash that raised it. It reports
 // whether the task was a suspect.
 func (j *Job) ClearSuspect(ref TaskRef) bool {
