Reject jobs with too many tasks in all their occurrences

The client gets no answer and sends the job again, through another entry, to the next owner; once stored, each owner loads it.

Change: the limit of 10,000 tasks counts all occurrences. The entry answers 400, the owner rejects what an older entry relays, and a stored job beyond the limit is left out like one that cannot be read.

--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -29,8 +29,7 @@
 	}
 	en, known := e.jobs[spec.Id]
 	if !known {
-		if e.storeUnresponsive() {
-			reply := e.reject(spec.Id, "the store does not answer", storeRetryAfter)
+		if reply := e.checkNewJob(spec); reply != nil {
 			e.mu.Unlock()
 			return reply
 		}
@@ -44,6 +43,17 @@
 	return reply
 }
 
+// checkNewJob returns the reply that rejects a new job, or nil if it may be added.
+func (e *Engine) checkNewJob(spec *chervilv2.JobSpec) *chervilv2.JobReply {
+	if err := jobstate.CheckSize(spec); err != nil {
+		return e.reject(spec.Id, err.Error(), 0)
+	}
+	if e.storeUnresponsive() {
+		return e.reject(spec.Id, "the store does not answer", storeRetryAfter)
+	}
+	return nil
+}
+
 // unknownOutcome returns the reply to calls about a stored job that cannot be read.
 func (e *Engine) unknownOutcome() *chervilv2.JobReply {
 	return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_UNKNOWN, Epoch: e.Epoch()}
--- a/internal/dispatch/unreadable_test.go
+++ b/internal/dispatch/unreadable_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/jobstate"
+	"chervilridge/internal/schedulestore"
 )
 
 // Guards against a stored record that stops each owner that loads it.
@@ -42,3 +44,26 @@
 		})
 	}
 }
+
+// Guards against a stored job that exhausts the memory of each owner that loads it.
+func TestStoredJobWithTooManyOccurrencesStopsNoOwner(t *testing.T) {
+	r := newRig(t)
+	r.submit(spec(jobID(1), 1))
+	r.engine.Abandon()
+	<-r.engine.Done()
+	stored := spec(jobID(2), 1)
+	stored.Occurrences = jobstate.MaxTasks + 1
+	record, err := schedulestore.SpecRecord(stored)
+	assert.NilError(t, err)
+	r.store.mu.Lock()
+	r.store.records[record.Key] = record.Value
+	r.store.mu.Unlock()
+	r.start(2)
+	a := r.attach("side-1", 32000)
+	first, _ := r.awaitStart(jobID(1), 0, a)
+	a.end(1, first, done)
+	r.waitPhase(jobID(1), jobCompleted)
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	assert.Assert(t, r.engine.jobs[jobID(2)] == nil, "the job is in memory")
+}
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -59,8 +59,12 @@
 }
 
 // Restore returns a job from its stored specification and progress; progress may be nil. It
-// fails if the progress refers to a step, task or worker that does not exist.
+// fails if the job is too large, or if the progress refers to a step, task or worker that does
+// not exist.
 func Restore(spec *chervilv2.JobSpec, progress *chervilv2.JobProgress) (*Job, error) {
+	if err := CheckSize(spec); err != nil {
+		return nil, err
+	}
 	j := NewJob(spec)
 	if progress == nil {
 		return j, nil
