Append no record that the store would reject for its size

The store rejects a record above record-bytes. The owner took that as the end of its epoch; the router relayed the submission to the next owner, which ended as well. Where the progress of an accepted job grows beyond the limit (10,000 tasks with checkpoints, or with runs on many workers), each owner would have ended at its first append, and nothing would run any more.

Ruled out: a growing batch (bounded by MaxBatchBytes and postponed), the record of unreachable agents (some 120 kB at 4,400 nodes).

Change: the size is checked before the append. The entry answers 413 to a specification that is too large, the owner rejects it as well. A job has at most 1,000 runs at a time, the checkpoints of done tasks are not stored, and progress that is still too large is stored without checkpoints (7020). If even that is too large, the job fails alone. Shared records beyond the limit are skipped with a log line. platform.record-bytes is read from the settings.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -5,7 +5,6 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/events"
-	"chervilridge/internal/jobstate"
 	"chervilridge/internal/schedulestore"
 	"chervilridge/platform"
 )
@@ -94,13 +93,9 @@
 			e.postpone(b, id)
 			continue
 		}
-		jobRecords, err := encodeJob(en.job, b.newJobs[id])
+		jobRecords, err := e.encodeJob(en.job, b.newJobs[id])
 		if err != nil {
-			events.RecordNotEncoded.LogError(err, "job", id, "new", b.newJobs[id])
-			if b.newJobs[id] {
-				e.rejectJob(b, id, e.reject(id, "the job cannot be stored: "+err.Error(), 0))
-				e.notifySettled()
-			}
+			e.endUnstorableJob(b, id, en, err)
 			continue
 		}
 		for _, r := range jobRecords {
@@ -117,21 +112,14 @@
 	return records
 }
 
-// encodeJob returns the record of a job's progress, and that of a new job's specification.
-func encodeJob(job *jobstate.Job, isNew bool) ([]platform.Record, error) {
-	progress, err := schedulestore.ProgressRecord(job)
-	if err != nil || !isNew {
-		return []platform.Record{progress}, err
-	}
-	spec, err := schedulestore.SpecRecord(job.Spec)
-	return []platform.Record{spec, progress}, err
-}
-
 // encodeSharedRecords returns the records of a batch that do not belong to a job. One
-// that fails to encode is logged and skipped; it is written again with the next change.
+// that cannot be stored is logged and skipped; it is written again with the next change.
 func (e *Engine) encodeSharedRecords(b *batch) []platform.Record {
 	var records []platform.Record
 	add := func(record platform.Record, err error) {
+		if err == nil {
+			err = e.checkRecordSize(record)
+		}
 		if err != nil {
 			events.RecordNotEncoded.LogError(err, "key", record.Key)
 			return
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -55,6 +55,8 @@
 	Bounds platform.Bounds
 	// Advisor is nil if no queue has a placement policy.
 	Advisor Advisor
+	// MaxRecordBytes is the size of a record that the store accepts; 0 is no limit.
+	MaxRecordBytes int
 	// Machines is nil if the platform has no machine API.
 	Machines Machines
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -152,7 +152,13 @@
 		}
 		first := len(out)
 		class, slack := e.urgency(en, queue, now)
+		runs := 0
+		en.job.ForEachRun(func(*jobstate.Run) { runs++ })
+		room := jobstate.MaxRuns - runs
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
+			if room--; room < 0 {
+				return
+			}
 			request := plan.Request{
 				Key: stepKey(ref), Step: step.Spec, Service: queue.Service, Priority: queue.Priority,
 				Class: class, Slack: slack,
@@ -171,7 +177,7 @@
 				out[i].Allowed = e.allowedWorkers(out[i].Key, queue.Advisor, queue.Service)
 			}
 		}
-		out = e.forceIdleJob(out, first, en)
+		out = e.forceIdleJob(out, first, en, runs > 0)
 		out = append(out[:first], slices.DeleteFunc(out[first:], func(r plan.Request) bool {
 			return r.Step.Gang && len(r.Indexes) < int(r.Step.Tasks) // members of the previous attempt still run
 		})...)
@@ -200,9 +206,7 @@
 
 // forceIdleJob forces the placement of one best-effort task if the job has had nothing
 // running for forceAfter. out[first:] are the job's requests.
-func (e *Engine) forceIdleJob(out []plan.Request, first int, en *jobEntry) []plan.Request {
-	running := false
-	en.job.ForEachRun(func(*jobstate.Run) { running = true })
+func (e *Engine) forceIdleJob(out []plan.Request, first int, en *jobEntry, running bool) []plan.Request {
 	now := e.clock()
 	switch {
 	case running || first == len(out):
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -31,6 +31,8 @@
 	// failure is the answer to appends with records that does not store them; empty stores
 	// them.
 	failure platform.ErrorKind
+	// maxRecordBytes is the size from which on records are rejected as invalid; 0 is no limit.
+	maxRecordBytes int
 }
 
 func newTestStore() *testStore { return &testStore{records: map[string][]byte{}} }
@@ -55,6 +57,11 @@
 	if s.failure != "" && len(a.Records) > 0 {
 		return 0, &platform.Error{Kind: s.failure}
 	}
+	for _, r := range a.Records {
+		if s.maxRecordBytes > 0 && platform.RecordSize(r) > s.maxRecordBytes {
+			return 0, &platform.Error{Kind: platform.Invalid}
+		}
+	}
 	s.appends++
 	for _, r := range a.Records {
 		if r.Value == nil {
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -51,6 +51,7 @@
 // Events of maintenance waves, agents, workers and placement policies.
 var (
 	RecordNotEncoded        = define(7019, Warning, "state record could not be encoded, skipped")
+	CheckpointsNotStored    = define(7020, Warning, "progress of a job stored without checkpoints, too large")
 	WaveStarted             = define(7106, Info, "maintenance wave started")
 	MachineDraining         = define(7107, Info, "machine draining for maintenance")
 	MaintenanceOrdered      = define(7108, Info, "maintenance of a machine ordered")
--- a/internal/jobentry/clients.go
+++ b/internal/jobentry/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/events"
@@ -33,21 +35,26 @@
 	noConfigRetryAfter = time.Second
 	noOwnerRetryAfter  = time.Second
 	headerRetryAfter   = "Retry-After"
+	// specRecordOverhead is what a stored specification has more than the submitted one, in
+	// bytes, at most: the key, lengths and the time of acceptance.
+	specRecordOverhead = 64
 )
 
 // ClientAPI serves the HTTP API through which clients submit, query and cancel jobs.
 type ClientAPI struct {
-	operator *operator.Follower
-	router   *Router
-	draining func() bool
-	scope    tally.Scope
+	operator       *operator.Follower
+	router         *Router
+	maxRecordBytes int // of the store
+	draining       func() bool
+	scope          tally.Scope
 }
 
-// NewClientAPI returns the API. It records the number and the latency of requests by
+// NewClientAPI returns the API. It rejects jobs whose specification exceeds a record of the
+// store. It records the number and the latency of requests by
 // method and status. While draining returns true, responses ask clients to close their
 // connections.
-func NewClientAPI(operator *operator.Follower, router *Router, draining func() bool, scope tally.Scope) *ClientAPI {
-	return &ClientAPI{operator: operator, router: router, draining: draining, scope: scope}
+func NewClientAPI(operator *operator.Follower, router *Router, maxRecordBytes int, draining func() bool, scope tally.Scope) *ClientAPI {
+	return &ClientAPI{operator: operator, router: router, maxRecordBytes: maxRecordBytes, draining: draining, scope: scope}
 }
 
 // latencyBuckets range from 1 ms to 8 s, which exceeds every client's deadline.
@@ -170,9 +177,25 @@
 	if decodeErr != nil {
 		return response{status: http.StatusBadRequest, reason: decodeErr.Error()}
 	}
+	if rejection := checkSpecSize(spec, c.maxRecordBytes); rejection != nil {
+		return *rejection
+	}
 	return jobResponse(c.router.Do(ctx, submitCall(spec)), http.MethodPost)
 }
 
+// checkSpecSize returns the response to a job whose specification exceeds a record of the store,
+// or nil.
+func checkSpecSize(spec *chervilv2.JobSpec, maxRecordBytes int) *response {
+	size := proto.Size(spec) + specRecordOverhead
+	if size <= maxRecordBytes {
+		return nil
+	}
+	return &response{
+		status: http.StatusRequestEntityTooLarge,
+		reason: fmt.Sprintf("the job takes %d bytes in the store, at most %d are allowed", size, maxRecordBytes),
+	}
+}
+
 func readBody(r *http.Request, limit int64) ([]byte, *response) {
 	reader := io.Reader(r.Body)
 	if limit > 0 {
--- a/internal/jobentry/clients_test.go
+++ b/internal/jobentry/clients_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/platform"
 )
 
@@ -30,3 +32,15 @@
 		assert.Equal(t, clientDeadline(r), c.want, "header %q", c.header)
 	}
 }
+
+func TestJobThatExceedsARecordIsRejected(t *testing.T) {
+	const recordBytes = 1000
+	for padding, rejected := range map[int]bool{recordBytes / 2: false, recordBytes: true} {
+		spec := &chervilv2.JobSpec{Id: "5c0e7a21d94b36f8", Steps: []*chervilv2.Step{{Tasks: 1, Image: strings.Repeat("x", padding)}}}
+		got := checkSpecSize(spec, recordBytes)
+		assert.Equal(t, got != nil, rejected, "%d bytes", padding)
+		if rejected {
+			assert.Equal(t, got.status, http.StatusRequestEntityTooLarge)
+		}
+	}
+}
--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -114,7 +114,7 @@
 
 func newElector(n *platform.NodeSettings, store *platform.Store, peers *Peers, f *operator.Follower) *election.Elector {
 	identity := election.Identity{Node: n.Name, Address: InternalAddress(n), CPUShare: n.CPUShare, LinkMbps: n.LinkMbps}
-	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds}
+	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds, MaxRecordBytes: n.StoreRecordBytes}
 	if n.AdvisorAddress != "" {
 		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
 	}
@@ -132,7 +132,7 @@
 	e := &Entry{node: n, elector: x, operator: f, router: r, peers: p, peerServer: peer.NewServer()}
 	chervilv2.RegisterSchedulerServer(e.peerServer, s)
 	e.clientServer = &http.Server{
-		Handler: NewClientAPI(f, r, e.draining.Load, t.Scope()).Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: NewClientAPI(f, r, n.StoreRecordBytes, e.draining.Load, t.Scope()).Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReadiness, e.readiness)
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -172,13 +172,15 @@
 	return true
 }
 
-// ForEachWaitingTask calls visit for each waiting task whose step is ready.
+// ForEachWaitingTask calls visit for each waiting task whose step is ready, in the order of
+// occurrences, steps and tasks.
 func (j *Job) ForEachWaitingTask(visit func(ref TaskRef, step *Step, task *Task)) {
 	if j.Ended() {
 		return
 	}
-	for _, o := range j.Occurrences {
-		if o.Done {
+	for k := range j.OccurrenceCount() {
+		o := j.Occurrences[k]
+		if o == nil || o.Done {
 			continue
 		}
 		for s := range o.Steps {
@@ -379,11 +381,20 @@
 
 // Cancel ends the job as cancelled unless it has ended.
 func (j *Job) Cancel(nowUnixMs int64) EndEffect {
+	return j.endUnlessEnded(chervilv2.JobPhase_JOB_PHASE_CANCELLED, nowUnixMs)
+}
+
+// Fail ends the job as failed unless it has ended.
+func (j *Job) Fail(nowUnixMs int64) EndEffect {
+	return j.endUnlessEnded(chervilv2.JobPhase_JOB_PHASE_FAILED, nowUnixMs)
+}
+
+func (j *Job) endUnlessEnded(phase chervilv2.JobPhase, nowUnixMs int64) EndEffect {
 	if j.Ended() {
 		return EndEffect{}
 	}
 	out := EndEffect{Changed: true}
-	j.endEarly(chervilv2.JobPhase_JOB_PHASE_CANCELLED, &out, nowUnixMs)
+	j.endEarly(phase, &out, nowUnixMs)
 	return out
 }
 
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -46,8 +46,12 @@
 			continue // only runs to be stopped matter
 		}
 		if (t.Done && !step.Done) || t.Failures > 0 || t.Crashes > 0 || t.Suspect || t.Checkpoint != "" || (t.Attempt > 0 && !t.Done) {
+			checkpoint := t.Checkpoint
+			if t.Done {
+				checkpoint = ""
+			}
 			record.Tasks = append(record.Tasks, &chervilv2.TaskRecord{
-				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: t.Checkpoint,
+				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: checkpoint,
 				Crashes: t.Crashes, UnconfirmedCrashes: t.UnconfirmedCrashes, Exposures: t.Exposures, Suspect: t.Suspect,
 			})
 		}
@@ -58,6 +62,18 @@
 	return record
 }
 
+// RecordWithoutCheckpoints returns the stored form of the job's progress, from which its tasks
+// begin again instead of resuming.
+func (j *Job) RecordWithoutCheckpoints() *chervilv2.JobProgress {
+	progress := j.Record()
+	for _, s := range progress.Steps {
+		for _, t := range s.Tasks {
+			t.Checkpoint = ""
+		}
+	}
+	return progress
+}
+
 // Restore returns a job from its stored specification and progress; progress may be nil. It
 // fails if the job is too large, or if the progress refers to a step, task or worker that does
 // not exist.
--- a/internal/schedulestore/state.go
+++ b/internal/schedulestore/state.go
@@ -50,13 +50,13 @@
 	return platform.Record{Key: specPrefix + spec.Id, Value: value}, err
 }
 
-// ProgressRecord returns the record of a job's progress.
-func ProgressRecord(job *jobstate.Job) (platform.Record, error) {
-	value, err := proto.Marshal(job.Record())
+// ProgressRecord returns the record of the progress of the job with the ID.
+func ProgressRecord(id string, progress *chervilv2.JobProgress) (platform.Record, error) {
+	value, err := proto.Marshal(progress)
 	if len(value) == 0 {
 		value = []byte{0x08, 0x00} // an explicit default: a record without a value deletes its key
 	}
-	return platform.Record{Key: progressPrefix + job.Spec.Id, Value: value}, err
+	return platform.Record{Key: progressPrefix + id, Value: value}, err
 }
 
 // DeletionRecords returns the records that delete a job's records.
