--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -231,6 +231,8 @@
 	entryLists [][]string
 	sequence   uint64
 	closed     chan struct{}
+	// ended is the number of start orders whose runs endRandomly has ended.
+	ended int
 }
 
 func (a *testAgent) Send(o *chervilv2.OwnerOrders) error {
