Count ends of workers that no agent reports as a crash

A task that ends its machine takes the agent with it.

Change: such an end counts against the runs whose start was not confirmed or that had started within 250 ms before the worker was last seen alive, as an unconfirmed crash: no suspects, isolation from the third, given up at the fourth. Planned ends and workers that this owner has not seen alive count nothing.

TestTaskThatEndsItsMachineForLongIsGivenUp and TestTaskThatSilencesItsWorkerUntilItsLeasesEndIsGivenUp failed before (more than five starts) and pass. TestPlannedEndOfAnAgentIsNoCrash and TestWorkerThatTheOwnerHasNotSeenCountsAgainstNoRun hold the other side.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -18,6 +18,9 @@
 	// atStart and long are ages of runs at the crash of their worker.
 	atStart = 10 * time.Millisecond
 	long    = 5 * time.Second
+	// maxCrashStarts is one less than the starts that break the limit: three crashes and three
+	// more starts.
+	maxCrashStarts = 5
 )
 
 // crashedAt describes a confirmed run that had the age when its worker crashed.
@@ -429,3 +432,76 @@
 		})
 	}
 }
+
+// startsUntilGivenUp restarts the workers by lose, each time the job's task has been started,
+// until the job is given up. It returns the number of starts.
+func (r *rig) startsUntilGivenUp(job string, a *testAgent, lose func(*testAgent) *testAgent) int {
+	r.t.Helper()
+	start, a := r.awaitStart(job, 0, a)
+	for starts := 1; ; starts++ {
+		if starts > maxCrashStarts {
+			r.t.Fatalf("started more than %d times", maxCrashStarts)
+		}
+		a = lose(a)
+		eventually(r.t, "started again or given up", func() bool {
+			a.report(&chervilv2.AgentReport{Full: true})
+			next, _ := startOf(job, start.Attempt, a)
+			if next != nil {
+				start = next
+			}
+			return next != nil || r.phase(job) == jobFailed
+		})
+		if r.phase(job) == jobFailed {
+			return starts
+		}
+	}
+}
+
+func TestTaskThatEndsItsMachineForLongIsGivenUp(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	r.startsUntilGivenUp(jobID(1), a, func(a *testAgent) *testAgent {
+		r.disconnect(a)
+		r.clock.advance(2 * r.engine.settings.Bounds.MaxLease)
+		return r.attach(a.node+"x", 32000)
+	})
+}
+
+func TestTaskThatSilencesItsWorkerUntilItsLeasesEndIsGivenUp(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	r.startsUntilGivenUp(jobID(1), a, func(a *testAgent) *testAgent {
+		silent := 2 * r.engine.settings.Bounds.MaxLease
+		for range silent / time.Second {
+			r.clock.advance(time.Second)
+			a.report(&chervilv2.AgentReport{})
+		}
+		worker := a.worker
+		a.worker = &chervilv2.Worker{Id: worker.Id, BornUnixMs: worker.BornUnixMs, Service: testService, Gone: true, SilentMs: silent.Milliseconds()}
+		a.report(&chervilv2.AgentReport{})
+		a.worker = &chervilv2.Worker{Id: worker.Id, BornUnixMs: worker.BornUnixMs + 1, Service: testService, CpuMilli: 32000, MemoryMb: 64000, Listed: true}
+		return a
+	})
+}
+
+func TestPlannedEndOfAnAgentIsNoCrash(t *testing.T) {
+	r, a, _, _ := startBoth(t)
+	a.report(&chervilv2.AgentReport{Leaving: true})
+	r.disconnect(a)
+	r.clock.advance(2 * r.engine.settings.Bounds.MaxLease)
+	eventually(t, "run dropped", func() bool { return len(r.task(jobID(1)).Runs) == 0 })
+	assert.Equal(t, r.task(jobID(1)).UnconfirmedCrashes, uint32(0))
+}
+
+func TestWorkerThatTheOwnerHasNotSeenCountsAgainstNoRun(t *testing.T) {
+	r, a, start, _ := startBoth(t)
+	r.confirm(a, long, start)
+	r.engine.Abandon()
+	<-r.engine.Done()
+	r.start(2)
+	r.clock.advance(3 * r.engine.settings.Bounds.MaxLease)
+	eventually(t, "run dropped", func() bool { return len(r.task(jobID(1)).Runs) == 0 })
+	assert.Equal(t, r.task(jobID(1)).UnconfirmedCrashes, uint32(0))
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -287,6 +287,7 @@
 	}
 	for _, n := range e.nodes {
 		if len(n.runs) > 0 && now.After(n.leasesExpireAt(e)) {
+			e.countUnreportedEnd(n, nil, n.lastListed)
 			e.dropRuns(n, nil, "agent unreachable until its leases expired")
 		}
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -64,6 +64,8 @@
 	// report of a new one until it reports whether the worker has survived.
 	agentIncarnation string
 	agentRestarted   bool
+	// agentLeft is set while the agent has stopped as planned.
+	agentLeft bool
 	// lastListed is when a report last showed that the worker lives.
 	lastListed boottime.Instant
 	// isolationCrashedAt is when the worker last crashed with an isolated run; 0 if never.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -138,7 +138,7 @@
 	}
 	n.lastReport = e.clock()
 	n.agentRestarted = n.agentRestarted || n.agentIncarnation != "" && n.agentIncarnation != r.Incarnation
-	n.agentIncarnation = r.Incarnation
+	n.agentIncarnation, n.agentLeft = r.Incarnation, r.Leaving
 	for _, crash := range r.Crashes {
 		if crash.WorkerId != r.Worker.GetId() || crash.BornUnixMs != r.Worker.GetBornUnixMs() {
 			e.handleCrash(n, crash)
@@ -155,8 +155,7 @@
 		e.handleResult(n, result)
 	}
 	if r.Worker.GetGone() && len(n.runs) > 0 { // the reported ends take precedence
-		e.countLossWithAgent(n, nil)
-		e.dropRuns(n, nil, "worker is gone")
+		e.loseRuns(n, r)
 	}
 	if r.Full {
 		e.reconcile(n, r)
@@ -185,7 +184,9 @@
 	if n.key != key {
 		events.WorkerRegistered.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "service", w.Service, "zone", w.Zone,
 			"cpuMilli", w.CpuMilli, "memoryMB", w.MemoryMb, "labels", w.Labels)
-		e.countLossWithAgent(n, &key)
+		if n.agentRestarted {
+			e.countUnreportedEnd(n, &key, n.lastListed)
+		}
 		e.dropRuns(n, &key, "worker has a new incarnation")
 		n.key, n.lastEnd, n.storedEnd, n.health, n.drainingSince = key, 0, 0, health{}, 0
 		e.replan()
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -34,9 +34,9 @@
 	CrashAlone
 	// CrashUnconfirmed means that the run may just have started, or not at all.
 	CrashUnconfirmed
-	// CrashWithAgent means the same of a worker that ended together with its agent, as it does
-	// when its machine fails.
-	CrashWithAgent
+	// CrashUnreported means the same of a worker whose agent could not report the crash, as when
+	// the machine of both fails.
+	CrashUnreported
 )
 
 // NeedsIsolation reports whether no other task may be started beside the task's next run,
@@ -61,7 +61,7 @@
 		t.Crashes, t.Suspect = t.Crashes+1, true
 	case CrashUnconfirmed:
 		t.UnconfirmedCrashes, t.Suspect = t.UnconfirmedCrashes+1, true
-	case CrashWithAgent:
+	case CrashUnreported:
 		t.UnconfirmedCrashes++
 	}
 }
