Check specifications where they are added and loaded

Only the entry's HTTP handler checked a submission. A missing specification, a step without predecessor or no steps at all, relayed by a peer of another version or by a fault, made the owner panic: "index out of range [7] with length 1" while it planned. The entry would relay it to the next owner, and a stored one would have ended each owner that loads it.

Ruled out: reports of agents with ends, runs, crashes and results of unknown or impossible tasks (TestMalformedReportEndsNoOwner passed at once); panics in HTTP handlers, which net/http ends with their connection.

Change: jobstate.CheckSpec is applied before a job is added, and when one is restored: an invalid stored job is left out like an unreadable one.

TestMalformedSubmissionEndsNoOwner and TestMalformedStoredJobEndsNoOwner panicked before and pass.

--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -23,11 +23,11 @@
 		e.mu.Unlock()
 		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}
 	}
-	if e.unreadable[spec.Id] {
+	if e.unreadable[spec.GetId()] {
 		e.mu.Unlock()
 		return e.unknownOutcome()
 	}
-	en, known := e.jobs[spec.Id]
+	en, known := e.jobs[spec.GetId()]
 	if !known {
 		if reply := e.checkNewJob(spec); reply != nil {
 			e.mu.Unlock()
@@ -45,8 +45,8 @@
 
 // checkNewJob returns the reply that rejects a new job, or nil if it may be added.
 func (e *Engine) checkNewJob(spec *chervilv2.JobSpec) *chervilv2.JobReply {
-	if err := jobstate.CheckSize(spec); err != nil {
-		return e.reject(spec.Id, err.Error(), 0)
+	if err := jobstate.CheckSpec(spec); err != nil {
+		return e.reject(spec.GetId(), err.Error(), 0)
 	}
 	if e.storeUnresponsive() {
 		return e.reject(spec.Id, "the store does not answer", storeRetryAfter)
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -75,10 +75,10 @@
 }
 
 // Restore returns a job from its stored specification and progress; progress may be nil. It
-// fails if the job is too large, or if the progress refers to a step, task or worker that does
-// not exist.
+// fails if the specification cannot be executed, or if the progress refers to a step, task or
+// worker that does not exist.
 func Restore(spec *chervilv2.JobSpec, progress *chervilv2.JobProgress) (*Job, error) {
-	if err := CheckSize(spec); err != nil {
+	if err := CheckSpec(spec); err != nil {
 		return nil, err
 	}
 	j := NewJob(spec)
