Do not ask a suspected owner whether anybody reaches it

Before a claim, some peers are asked whether they reach the owner; the suspected owner was among them. Without power it does not answer, so that each claim waited for the timeout of 500 ms.

Ruled out: a retry pause that grows during an outage: the election has none.

Change: the suspected owner is left out. TestSuspectedOwnerIsNotAskedAboutItself failed before and took 0.50 s.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -312,12 +313,12 @@
 func (e *Elector) peerReachesOwner(ctx context.Context, owner *chervilv2.OwnerRecord) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	entries := e.peers.Sample(peerSample)
+	entries := slices.DeleteFunc(e.peers.Sample(peerSample), func(address string) bool { return address == owner.Address })
 	reached := make(chan bool, len(entries))
 	for _, address := range entries {
 		go func() {
 			reply, err := e.peers.Ping(ctx, address, owner)
-			reached <- err == nil && address != owner.Address && reply.Owner != nil && reply.Owner.Epoch >= owner.Epoch &&
+			reached <- err == nil && reply.Owner != nil && reply.Owner.Epoch >= owner.Epoch &&
 				reply.OwnerSeenMs >= 0 && reply.OwnerSeenMs < maxPeerContactAge.Milliseconds()
 		}()
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,3 +155,35 @@
 func TestUnknownOwnerIsNotReportedAsJustReached(t *testing.T) {
 	assert.Assert(t, newRig(t, 1).elector.SinceOwnerSeen().Milliseconds() < 0)
 }
+
+// recordingPeers answers for one other entry, which does not reach the owner, and records who
+// was asked. The owner does not answer.
+type recordingPeers struct {
+	noPeers
+	entries []string
+	mu      sync.Mutex
+	asked   []string
+}
+
+func (p *recordingPeers) Sample(int) []string { return p.entries }
+
+func (p *recordingPeers) Ping(ctx context.Context, address string, known *chervilv2.OwnerRecord) (*chervilv2.PingReply, error) {
+	p.mu.Lock()
+	p.asked = append(p.asked, address)
+	p.mu.Unlock()
+	if address == known.Address {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &chervilv2.PingReply{Owner: known, OwnerSeenMs: 2 * maxPeerContactAge.Milliseconds()}, nil
+}
+
+// Guards against claims that wait for an owner without power to answer.
+func TestSuspectedOwnerIsNotAskedAboutItself(t *testing.T) {
+	const owner, other = "127.0.0.1:2", "127.0.0.1:3"
+	r := newRig(t, 1)
+	peers := &recordingPeers{entries: []string{owner, other}}
+	r.elector.peers = peers
+	assert.Assert(t, !r.elector.peerReachesOwner(context.Background(), &chervilv2.OwnerRecord{Epoch: 1, Address: owner}))
+	assert.DeepEqual(t, peers.asked, []string{other})
+}
