--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -152,6 +152,16 @@
 	f.args[name] = append([]string{program}, args...)
 }
 
+// ended reports whether the process has exited.
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *fleet) stopAll() {
 	for name, p := range f.processes {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -118,5 +118,5 @@
 	for range requests {
 		assert.Equal(t, <-errorBodies, "")
 	}
-	f.eventually("agent ended", func() bool { return f.processes["agent-1"].cmd.ProcessState != nil })
+	f.eventually("agent ended", f.processes["agent-1"].ended)
 }
