--- /dev/null
+++ b/internal/dispatch/crash_common_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+// A rack or data centre that fails makes no task a suspect, but a job whose tasks crash
+// many workers at once is one.
+func TestWorkersCrashingAtOnceMakeASuspectOfASharedJobOnly(t *testing.T) {
+	const workers = 4
+	for name, shared := range map[string]bool{"different jobs": false, "one job": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			agents := r.attachMany(workers, 2000)
+			if shared {
+				job := spec(jobID(1), workers)
+				job.Steps[0].CpuMilli = 2000
+				r.submit(job)
+			}
+			for i := range workers {
+				if !shared {
+					r.submit(jobWithCPU(jobID(i+1), 2000))
+				}
+			}
+			eventually(t, "all run", func() bool { return startsOn(agents, 1) })
+			for _, a := range agents {
+				a.crash(crashedAt(a.started()[0], atStart))
+			}
+			r.engine.mu.Lock()
+			defer r.engine.mu.Unlock()
+			suspects := 0
+			for _, en := range r.engine.jobs {
+				for i := range en.job.Occurrences[0].Steps[0].Tasks {
+					if en.job.Occurrences[0].Steps[0].Tasks[i].Suspect {
+						suspects++
+					}
+				}
+			}
+			want := 0
+			if shared {
+				want = workers
+			}
+			assert.Equal(t, suspects, want)
+		})
+	}
+}
+
+func TestWorkersCrashingAtOnceCountAgainstNoOlderRun(t *testing.T) {
+	const workers = 4
+	for name, withYoung := range map[string]bool{"only older runs": false, "beside runs that had just started": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			agents := r.attachMany(workers, 3000)
+			for i := range agents {
+				r.submit(jobWithCPU(jobID(i), 2000))
+			}
+			eventually(t, "older runs started", func() bool { return startsOn(agents, 1) })
+			if withYoung {
+				for i := range agents {
+					r.submit(jobWithCPU(jobID(workers+i), 1000))
+				}
+				eventually(t, "younger runs started", func() bool { return startsOn(agents, 2) })
+			}
+			for _, a := range agents {
+				runs := []*chervilv2.CrashedRun{crashedAt(a.started()[0], long)}
+				for _, s := range a.started()[1:] {
+					runs = append(runs, crashedAt(s, atStart))
+				}
+				a.crash(runs...)
+			}
+			for i := range workers {
+				task := r.task(jobID(i))
+				assert.Assert(t, task.Crashes == 0 && task.Exposures == 0, "job %d: %+v", i, task)
+			}
+		})
+	}
+}
+
+// jobWithCPU returns a job of one task with the CPU.
+func jobWithCPU(id string, cpuMilli uint32) *chervilv2.JobSpec {
+	job := spec(id, 1)
+	job.Steps[0].CpuMilli = cpuMilli
+	return job
+}
+
+// startsOn reports whether each agent was ordered to start the number of runs, at least.
+func startsOn(agents []*testAgent, starts int) bool {
+	return !slices.ContainsFunc(agents, func(a *testAgent) bool { return len(a.started()) < starts })
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -32,10 +32,7 @@
 // another incarnation.
 func (a *testAgent) crash(runs ...*chervilv2.CrashedRun) {
 	crash := &chervilv2.WorkerCrash{WorkerId: a.worker.Id, BornUnixMs: a.worker.BornUnixMs, Runs: runs}
-	next := &chervilv2.Worker{
-		Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs + 1, Service: a.worker.Service, Zone: a.worker.Zone,
-		CpuMilli: a.worker.CpuMilli, MemoryMb: a.worker.MemoryMb, Labels: a.worker.Labels, Listed: true,
-	}
+	next := nextIncarnation(a.worker)
 	gone := &chervilv2.Worker{Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs, Service: a.worker.Service, Gone: true}
 	a.worker = gone
 	a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{crash}})
@@ -92,6 +89,26 @@
 	eventually(r.t, fmt.Sprintf("job %s %v", job, phase), func() bool { return r.phase(job) == phase })
 }
 
+// requireGivenUp calls end each time the job's only task has been started, which ends its
+// worker and returns the agent of the next one. The job must be given up within
+// maxCrashStarts starts.
+func (r *rig) requireGivenUp(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) {
+	r.t.Helper()
+	start, a := r.awaitStart(job, 0, a)
+	for starts := 1; r.phase(job) != jobFailed; starts++ {
+		assert.Assert(r.t, starts <= maxCrashStarts, "started more than %d times", maxCrashStarts)
+		a = end(a, start)
+		eventually(r.t, "started again or given up", func() bool {
+			a.report(&chervilv2.AgentReport{Full: true})
+			next, _ := startOf(job, start.Attempt, a)
+			if next != nil {
+				start = next
+			}
+			return next != nil || r.phase(job) == jobFailed
+		})
+	}
+}
+
 // startBoth starts two jobs of one task each on the only worker.
 func startBoth(t *testing.T) (r *rig, a *testAgent, deadly, innocent *chervilv2.StartOrder) {
 	r = newRig(t)
@@ -151,7 +168,7 @@
 	r.start(2)
 	next := r.attachWith("side-1", a.worker)
 	next.sequence = 100
-	next.crash(crashedAt(suspect, atStart)) // the previous owner has not heard of it
+	next.crash(crashedAt(suspect, atStart)) // the previous owner did not get its report
 	r.waitPhase(jobID(1), jobFailed)
 }
 
@@ -180,45 +197,21 @@
 }
 
 func TestTaskWhoseStartsAreNeverConfirmedIsGivenUp(t *testing.T) {
-	const maxStarts = 5
-	r, a, deadly, _ := startBoth(t)
-	starts := 1
-	for ; starts <= maxStarts; starts++ {
-		a.crash(&chervilv2.CrashedRun{Task: deadly.Task, Attempt: deadly.Attempt})
-		next, ended := deadly, false
-		eventually(t, "started again or given up", func() bool {
-			a.report(&chervilv2.AgentReport{})
-			next, _ = startOf(jobID(1), deadly.Attempt, a)
-			ended = r.phase(jobID(1)) == jobFailed
-			return ended || next != nil
-		})
-		if ended {
-			break
-		}
-		deadly = next
-	}
-	assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+	r, a, _, _ := startBoth(t)
+	r.requireGivenUp(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
+		a.crash(&chervilv2.CrashedRun{Task: start.Task, Attempt: start.Attempt})
+		return a
+	})
 }
 
 func TestTaskThatCrashesItsWorkersLongAfterItsStartIsGivenUp(t *testing.T) {
-	const maxStarts = 5
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
 	r.submit(spec(jobID(1), 1))
-	start, _ := r.awaitStart(jobID(1), 0, a)
-	starts := 1
-	for ; r.phase(jobID(1)) != jobFailed; starts++ {
-		assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+	r.requireGivenUp(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
 		a.crash(crashedAt(start, long))
-		eventually(t, "started again or given up", func() bool {
-			a.report(&chervilv2.AgentReport{})
-			next, _ := startOf(jobID(1), start.Attempt, a)
-			if next != nil {
-				start = next
-			}
-			return next != nil || r.phase(jobID(1)) == jobFailed
-		})
-	}
+		return a
+	})
 }
 
 // crashes returns the counted crashes of a job's only task, and whether it is suspected.
@@ -259,94 +252,6 @@
 	assert.Equal(t, r.task(jobID(2)).Exposures, uint32(0))
 }
 
-// A rack or data centre that fails makes no task a suspect, but a job whose tasks crash
-// many workers at once is one.
-func TestWorkersCrashingAtOnceMakeASuspectOfASharedJobOnly(t *testing.T) {
-	const workers = 4
-	for name, shared := range map[string]bool{"different jobs": false, "one job": true} {
-		t.Run(name, func(t *testing.T) {
-			r := newRig(t)
-			agents := make([]*testAgent, workers)
-			for i := range agents {
-				agents[i] = r.attach(fmt.Sprintf("side-%d", i), 2000)
-			}
-			if shared {
-				job := spec(jobID(1), workers)
-				job.Steps[0].CpuMilli = 2000
-				r.submit(job)
-			}
-			for i := range workers {
-				if !shared {
-					r.submit(jobWithCPU(jobID(i+1), 2000))
-				}
-			}
-			eventually(t, "all run", func() bool { return startsOn(agents, 1) })
-			for _, a := range agents {
-				a.crash(crashedAt(a.started()[0], atStart))
-			}
-			r.engine.mu.Lock()
-			defer r.engine.mu.Unlock()
-			suspects := 0
-			for _, en := range r.engine.jobs {
-				for i := range en.job.Occurrences[0].Steps[0].Tasks {
-					if en.job.Occurrences[0].Steps[0].Tasks[i].Suspect {
-						suspects++
-					}
-				}
-			}
-			want := 0
-			if shared {
-				want = workers
-			}
-			assert.Equal(t, suspects, want)
-		})
-	}
-}
-
-func TestWorkersCrashingAtOnceCountAgainstNoOlderRun(t *testing.T) {
-	const workers = 4
-	for name, withYoung := range map[string]bool{"only older runs": false, "beside runs that had just started": true} {
-		t.Run(name, func(t *testing.T) {
-			r := newRig(t)
-			agents := make([]*testAgent, workers)
-			for i := range agents {
-				agents[i] = r.attach(fmt.Sprintf("side-%d", i), 3000)
-				r.submit(jobWithCPU(jobID(i), 2000))
-			}
-			eventually(t, "older runs started", func() bool { return startsOn(agents, 1) })
-			if withYoung {
-				for i := range agents {
-					r.submit(jobWithCPU(jobID(workers+i), 1000))
-				}
-				eventually(t, "younger runs started", func() bool { return startsOn(agents, 2) })
-			}
-			for _, a := range agents {
-				runs := []*chervilv2.CrashedRun{crashedAt(a.started()[0], long)}
-				for _, s := range a.started()[1:] {
-					runs = append(runs, crashedAt(s, atStart))
-				}
-				a.crash(runs...)
-			}
-			for i := range workers {
-				task := r.task(jobID(i))
-				assert.Assert(t, task.Crashes == 0 && task.Exposures == 0, "job %d: %+v", i, task)
-			}
-		})
-	}
-}
-
-// jobWithCPU returns a job of one task with the CPU.
-func jobWithCPU(id string, cpuMilli uint32) *chervilv2.JobSpec {
-	job := spec(id, 1)
-	job.Steps[0].CpuMilli = cpuMilli
-	return job
-}
-
-// startsOn reports whether each agent was ordered to start the number of runs, at least.
-func startsOn(agents []*testAgent, starts int) bool {
-	return !slices.ContainsFunc(agents, func(a *testAgent) bool { return len(a.started()) < starts })
-}
-
 func TestCrashDuringMaintenanceIsPlanned(t *testing.T) {
 	r, a, start, _ := startBoth(t)
 	r.engine.mu.Lock()
@@ -357,27 +262,6 @@
 	assert.Assert(t, count == 0 && !suspected)
 }
 
-func TestTaskThatEndsItsAgentsTooIsGivenUp(t *testing.T) {
-	const maxStarts = 5
-	r, a, start, _ := startBoth(t)
-	starts := 1
-	for ; r.phase(jobID(1)) != jobFailed; starts++ {
-		assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
-		r.disconnect(a)
-		a = r.attachIncarnation("side-1", fmt.Sprint(starts+1), &chervilv2.Worker{
-			Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs + 1, Service: testService, CpuMilli: 32000, MemoryMb: 64000, Listed: true,
-		})
-		eventually(t, "started again or given up", func() bool {
-			a.report(&chervilv2.AgentReport{})
-			next, _ := startOf(jobID(1), start.Attempt, a)
-			if next != nil {
-				start = next
-			}
-			return next != nil || r.phase(jobID(1)) == jobFailed
-		})
-	}
-}
-
 // listRuns reports the runs that the agent was ordered to start, after the first skip orders,
 // as started.
 func (a *testAgent) listRuns(skip int) {
@@ -392,21 +276,18 @@
 // are cleared.
 func TestTaskThatCrashesBesideStartingTasksIsGivenUp(t *testing.T) {
 	const (
-		workers, maxStarts = 4, 5
-		afterStart         = 2 * suspectAge
-		betweenCrashes     = 2 * sameMoment
-		poll               = 2 * time.Millisecond
+		workers        = 4
+		afterStart     = 2 * suspectAge
+		betweenCrashes = 2 * sameMoment
+		poll           = 2 * time.Millisecond
 	)
 	r := newRig(t)
-	agents := make([]*testAgent, workers)
+	agents := r.attachMany(workers, 32000)
 	crashed := map[*testAgent]int{} // number of start orders before the worker's last crash
-	for i := range agents {
-		agents[i] = r.attach(fmt.Sprintf("side-%d", i), 32000)
-	}
 	r.submit(spec(jobID(1), 1))
 	start, a := r.awaitStart(jobID(1), 0, agents...)
 	for starts := 1; r.phase(jobID(1)) != jobFailed; starts++ {
-		assert.Assert(t, starts <= maxStarts, "started more than %d times", maxStarts)
+		assert.Assert(t, starts <= maxCrashStarts, "started more than %d times", maxCrashStarts)
 		before := len(a.started())
 		r.submit(spec(jobID(1+starts), 2*workers))
 		for range betweenCrashes / poll {
@@ -432,76 +313,3 @@
 		})
 	}
 }
-
-// startsUntilGivenUp restarts the workers by lose, each time the job's task has been started,
-// until the job is given up. It returns the number of starts.
-func (r *rig) startsUntilGivenUp(job string, a *testAgent, lose func(*testAgent) *testAgent) int {
-	r.t.Helper()
-	start, a := r.awaitStart(job, 0, a)
-	for starts := 1; ; starts++ {
-		if starts > maxCrashStarts {
-			r.t.Fatalf("started more than %d times", maxCrashStarts)
-		}
-		a = lose(a)
-		eventually(r.t, "started again or given up", func() bool {
-			a.report(&chervilv2.AgentReport{Full: true})
-			next, _ := startOf(job, start.Attempt, a)
-			if next != nil {
-				start = next
-			}
-			return next != nil || r.phase(job) == jobFailed
-		})
-		if r.phase(job) == jobFailed {
-			return starts
-		}
-	}
-}
-
-func TestTaskThatEndsItsMachineForLongIsGivenUp(t *testing.T) {
-	r := newRig(t)
-	a := r.attach("side-1", 32000)
-	r.submit(spec(jobID(1), 1))
-	r.startsUntilGivenUp(jobID(1), a, func(a *testAgent) *testAgent {
-		r.disconnect(a)
-		r.clock.advance(2 * r.engine.settings.Bounds.MaxLease)
-		return r.attach(a.node+"x", 32000)
-	})
-}
-
-func TestTaskThatSilencesItsWorkerUntilItsLeasesEndIsGivenUp(t *testing.T) {
-	r := newRig(t)
-	a := r.attach("side-1", 32000)
-	r.submit(spec(jobID(1), 1))
-	r.startsUntilGivenUp(jobID(1), a, func(a *testAgent) *testAgent {
-		silent := 2 * r.engine.settings.Bounds.MaxLease
-		for range silent / time.Second {
-			r.clock.advance(time.Second)
-			a.report(&chervilv2.AgentReport{})
-		}
-		worker := a.worker
-		a.worker = &chervilv2.Worker{Id: worker.Id, BornUnixMs: worker.BornUnixMs, Service: testService, Gone: true, SilentMs: silent.Milliseconds()}
-		a.report(&chervilv2.AgentReport{})
-		a.worker = &chervilv2.Worker{Id: worker.Id, BornUnixMs: worker.BornUnixMs + 1, Service: testService, CpuMilli: 32000, MemoryMb: 64000, Listed: true}
-		return a
-	})
-}
-
-func TestPlannedEndOfAnAgentIsNoCrash(t *testing.T) {
-	r, a, _, _ := startBoth(t)
-	a.report(&chervilv2.AgentReport{Leaving: true})
-	r.disconnect(a)
-	r.clock.advance(2 * r.engine.settings.Bounds.MaxLease)
-	eventually(t, "run dropped", func() bool { return len(r.task(jobID(1)).Runs) == 0 })
-	assert.Equal(t, r.task(jobID(1)).UnconfirmedCrashes, uint32(0))
-}
-
-func TestWorkerThatTheOwnerHasNotSeenCountsAgainstNoRun(t *testing.T) {
-	r, a, start, _ := startBoth(t)
-	r.confirm(a, long, start)
-	r.engine.Abandon()
-	<-r.engine.Done()
-	r.start(2)
-	r.clock.advance(3 * r.engine.settings.Bounds.MaxLease)
-	eventually(t, "run dropped", func() bool { return len(r.task(jobID(1)).Runs) == 0 })
-	assert.Equal(t, r.task(jobID(1)).UnconfirmedCrashes, uint32(0))
-}
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -266,6 +266,15 @@
 	})
 }
 
+// attachMany connects agents side-0, side-1 and so on, whose workers have the given CPU.
+func (r *rig) attachMany(agents int, cpuMilli uint32) []*testAgent {
+	out := make([]*testAgent, agents)
+	for i := range out {
+		out[i] = r.attach(fmt.Sprintf("side-%d", i), cpuMilli)
+	}
+	return out
+}
+
 // attachWith connects an agent that reports the worker; nil if it knows none.
 func (r *rig) attachWith(node string, worker *chervilv2.Worker) *testAgent {
 	return r.attachIncarnation(node, "1", worker)
