Acknowledge the end of an unstorable job once its failure is stored

When a job's progress exceeds the record and the job fails, the batch went out without it, but with the acknowledgement of the run end that made it grow. An owner that died before the next batch would have lost a noted end: its successor would start the done task again (TWICE).

Change: the job moves to the next batch together with all orders, as one that does not fit does.

TestEndOfAnUnstorableJobIsAcknowledgedOnceTheFailureIsStored failed before (three of three).

--- a/internal/dispatch/record_size.go
+++ b/internal/dispatch/record_size.go
@@ -40,8 +40,8 @@
 }
 
 // endUnstorableJob takes a job whose records cannot be stored out of the batch: a new one is
-// rejected, another one fails. The start orders of its runs are discarded, since the runs
-// are being stopped.
+// rejected, another one fails with the next batch. Its start orders are discarded then, since
+// its runs are being stopped.
 func (e *Engine) endUnstorableJob(b *batch, id string, en *jobEntry, cause error) {
 	events.RecordNotEncoded.LogError(cause, "job", id, "new", b.newJobs[id])
 	if b.newJobs[id] {
@@ -49,7 +49,7 @@
 		e.notifySettled()
 		return
 	}
-	delete(b.changedJobs, id)
+	e.postpone(b, id)
 	effect := en.job.Fail(e.wall().UnixMilli())
 	if !effect.Changed {
 		return
--- a/internal/dispatch/record_size_test.go
+++ b/internal/dispatch/record_size_test.go
@@ -10,6 +10,7 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/jobstate"
+	"chervilridge/platform"
 )
 
 const testRecordBytes = 4000
@@ -79,3 +80,17 @@
 	a.end(1, a.started()[0], done)
 	eventually(t, "last run started", func() bool { return len(a.started()) > jobstate.MaxRuns })
 }
+
+func TestEndOfAnUnstorableJobIsAcknowledgedOnceTheFailureIsStored(t *testing.T) {
+	const tasks = 100
+	r := newRig(t)
+	a := r.attach("side-1", 1_000_000)
+	r.submit(spec(jobID(1), tasks))
+	eventually(t, "runs started", func() bool { return len(a.started()) == tasks })
+	r.engine.mu.Lock()
+	r.engine.settings.MaxRecordBytes = platform.RecordSize(platform.Record{Key: "p/" + jobID(1)}) + tasks
+	r.engine.mu.Unlock()
+	a.end(1, a.started()[0], done)
+	eventually(t, "end acknowledged", func() bool { return a.storedEnd() == 1 })
+	assert.Equal(t, r.phase(jobID(1)), jobFailed)
+}
