--- a/internal/dispatch/record_size.go
+++ b/internal/dispatch/record_size.go
@@ -49,11 +49,12 @@
 		e.notifySettled()
 		return
 	}
-	e.postpone(b, id)
 	effect := en.job.Fail(e.wall().UnixMilli())
-	if !effect.Changed {
+	if !effect.Changed { // no smaller record is possible, and waiting for one would hold all orders back
+		delete(b.changedJobs, id)
 		return
 	}
+	e.postpone(b, id)
 	e.orderStops(effect.RunsToStop, "job cannot be stored")
 	events.JobEnded.Log("job", id, "phase", en.job.Phase, "queue", en.job.Spec.Queue, "cause", "its progress cannot be stored")
 	e.markDirty(id, en)
--- a/internal/dispatch/record_size_test.go
+++ b/internal/dispatch/record_size_test.go
@@ -10,6 +10,7 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/jobstate"
+	"chervilridge/internal/schedulestore"
 	"chervilridge/platform"
 )
 
@@ -88,9 +89,24 @@
 	r.submit(spec(jobID(1), tasks))
 	eventually(t, "runs started", func() bool { return len(a.started()) == tasks })
 	r.engine.mu.Lock()
-	r.engine.settings.MaxRecordBytes = platform.RecordSize(platform.Record{Key: "p/" + jobID(1)}) + tasks
+	progress, err := schedulestore.ProgressRecord(jobID(1), r.engine.jobs[jobID(1)].job.Record())
+	r.engine.settings.MaxRecordBytes = platform.RecordSize(progress) * 3 / 4 // the runs alone take less
 	r.engine.mu.Unlock()
+	assert.NilError(t, err)
 	a.end(1, a.started()[0], done)
 	eventually(t, "end acknowledged", func() bool { return a.storedEnd() == 1 })
 	assert.Equal(t, r.phase(jobID(1)), jobFailed)
 }
+
+func TestJobThatIsTooLargeEvenAsFailedHoldsNoOthersBack(t *testing.T) {
+	const tasks = 100
+	r := newRig(t)
+	a := r.attach("side-1", 1_000_000)
+	r.submit(spec(jobID(1), tasks))
+	eventually(t, "runs started", func() bool { return len(a.started()) == tasks })
+	r.engine.mu.Lock()
+	r.engine.settings.MaxRecordBytes = 2 * tasks
+	r.engine.mu.Unlock()
+	a.end(1, a.started()[0], done)
+	r.completes(jobID(2), a, 2)
+}
