Count a started run before the worker lists it

Found on reading the diff. The agent checks the worker's capacity before each start by the runs that the worker lists and the starts without an answer.

Change: a run counts from the answer of its start until a list covers it: one that names the run or its end, or that was requested after the answer.

TestStartedRunCountsBeforeItIsListed failed before (three of three) and passes; TestRepeatedStartDoesNotCountAgainstItself holds the other side. Besides, one variable of the planner and a doc comment are reworded.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -154,9 +154,9 @@
 		class, slack := e.urgency(en, queue, now)
 		runs := 0
 		en.job.ForEachRun(func(*jobstate.Run) { runs++ })
-		room := jobstate.MaxRuns - runs
+		runsLeft := jobstate.MaxRuns - runs
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
-			if room--; room < 0 {
+			if runsLeft--; runsLeft < 0 {
 				return
 			}
 			request := plan.Request{
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -17,9 +17,10 @@
 	Unplaced []Unplaced
 }
 
-// Place assigns waiting tasks to workers in the order of priority and urgency. It sorts
-// requests and adds each granted task to the worker's use, so that no worker is granted
-// more than its capacity. Isolated tasks come before all others. Without a model (nil), no interference is assumed.
+// Place assigns waiting tasks to workers in the order of priority and urgency, isolated tasks
+// before all others. It sorts requests and adds each granted task to the worker's use, so that
+// no worker is granted more than its capacity. Without a model (nil), no interference is
+// assumed.
 func Place(workers []Worker, requests []Request, model InterferenceModel) Plan {
 	SortRequests(requests)
 	var out Plan
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -96,7 +96,9 @@
 	// call that failed since its last answer.
 	failedAt boottime.Instant
 	// startedAt is when the agent last sent the start of each recent run.
-	startedAt   map[runKey]boottime.Instant
+	startedAt map[runKey]boottime.Instant
+	// unlisted is when the worker confirmed the start of each run that no list has covered since.
+	unlisted    map[runKey]boottime.Instant
 	runs        map[runKey]platform.Run
 	pendingEnds []platform.RunEnd // not yet stored by the owner, sorted by number
 	storedEnd   int64             // number of the newest run end that the owner has stored
@@ -104,7 +106,9 @@
 
 // newIncarnation returns an incarnation of which nothing is known yet.
 func newIncarnation(now boottime.Instant) *incarnation {
-	return &incarnation{runs: map[runKey]platform.Run{}, startedAt: map[runKey]boottime.Instant{}, lastAnswer: now}
+	return &incarnation{
+		runs: map[runKey]platform.Run{}, startedAt: map[runKey]boottime.Instant{}, unlisted: map[runKey]boottime.Instant{}, lastAnswer: now,
+	}
 }
 
 // Agent manages the runs of one worker. It is safe for concurrent use.
@@ -250,7 +254,7 @@
 		a.mu.Unlock()
 		return
 	}
-	hold := platform.LeaseRenewal{Fence: ownerEpoch, AckedEndNumber: inc.storedEnd}
+	hold, sentAt := platform.LeaseRenewal{Fence: ownerEpoch, AckedEndNumber: inc.storedEnd}, a.clock()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, finalHoldTimeout)
 	defer cancel()
@@ -262,7 +266,7 @@
 		return
 	}
 	if a.incarnation == inc {
-		a.handleHoldReply(ctx, inc, hold, runs, nil)
+		a.handleHoldReply(ctx, inc, sentAt, runs, nil)
 		wake(a.wakeReport)
 	}
 }
@@ -305,6 +309,7 @@
 		}
 	}
 	inc.latestLeaseEnd = max(inc.latestLeaseEnd, hold.ExpiresAt)
+	sentAt := a.clock()
 	a.mu.Unlock()
 
 	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+holdReplySlack)
@@ -319,7 +324,7 @@
 	if err != nil {
 		return a.handleHoldError(inc, err)
 	}
-	a.handleHoldReply(ctx, inc, hold, runs, unconfirmed)
+	a.handleHoldReply(ctx, inc, sentAt, runs, unconfirmed)
 	if len(inc.pendingEnds) > 0 {
 		return pendingEndsPause
 	}
@@ -368,6 +373,7 @@
 		events.WorkerEnded.Log("worker", inc.id, "born", inc.bornUnixMs, "reason", "all leases expired", "runs", len(inc.runs), "silent", a.clock().Sub(inc.lastAnswer))
 		inc.leasesExpired, inc.listed = true, false
 		inc.runs = map[runKey]platform.Run{}
+		clear(inc.unlisted)
 	}
 	wake(a.wakeReport)
 	return unansweredPause
@@ -383,9 +389,9 @@
 	a.reportAllRuns = true
 }
 
-// handleHoldReply processes the reply to a hold call: it updates runs and run ends,
-// decides on the unconfirmed start results, and adjusts the paces. The caller holds mu.
-func (a *Agent) handleHoldReply(ctx context.Context, inc *incarnation, hold platform.LeaseRenewal, runs platform.RunReport, unconfirmed []*chervilv2.StartResult) {
+// handleHoldReply processes the reply to a hold call sent at the time: it updates runs and run
+// ends, decides on the unconfirmed start results, and adjusts the paces. The caller holds mu.
+func (a *Agent) handleHoldReply(ctx context.Context, inc *incarnation, sentAt boottime.Instant, runs platform.RunReport, unconfirmed []*chervilv2.StartResult) {
 	now := a.clock()
 	if inc.unansweredHolds >= 2 {
 		events.WorkerResponsive.Log("worker", inc.id, "silent", now.Sub(inc.lastAnswer), "runs", len(runs.Running), "ends", len(runs.Ended))
@@ -417,6 +423,7 @@
 		wake(a.wakeReport)
 	}
 	inc.pendingEnds = fresh
+	inc.pruneUnlisted(runs, sentAt)
 	inc.pruneStarts(now)
 	a.confirmResults(inc, unconfirmed)
 	a.pruneRunInfos(inc)
--- a/internal/workeragent/capacity.go
+++ b/internal/workeragent/capacity.go
@@ -2,6 +2,8 @@
 
 import (
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/platform"
 )
 
 // resources is what runs reserve on the worker.
@@ -19,6 +21,19 @@
 	return resources{r.cpuMilli + o.cpuMilli, r.memoryMB + o.memoryMB, r.gpus + o.gpus}
 }
 
+// pruneUnlisted forgets the unlisted runs that a list requested at the time covers: it names
+// the runs or their ends, or it was requested after their start.
+func (inc *incarnation) pruneUnlisted(list platform.RunReport, requestedAt boottime.Instant) {
+	for key, confirmedAt := range inc.unlisted {
+		if _, running := inc.runs[key]; running || confirmedAt < requestedAt {
+			delete(inc.unlisted, key)
+		}
+	}
+	for _, e := range list.Ended {
+		delete(inc.unlisted, runKey{e.Task, e.Attempt})
+	}
+}
+
 // fits reports whether a start stays within the capacity that the worker last reported. The
 // owner may have granted it before the capacity shrank. Runs being stopped count until the
 // worker lists their end; what the owner has not described counts as nothing. The caller
@@ -30,6 +45,11 @@
 			used = used.add(a.runInfos[run].reserved)
 		}
 	}
+	for run := range inc.unlisted {
+		if run != key {
+			used = used.add(a.runInfos[run].reserved)
+		}
+	}
 	for run := range a.pendingOrders {
 		_, listed := inc.runs[run]
 		if _, sent := inc.startedAt[run]; sent && a.startPending(run) && !listed && run != key {
--- a/internal/workeragent/capacity_test.go
+++ b/internal/workeragent/capacity_test.go
@@ -53,3 +53,38 @@
 	h.startSized(task3, &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000})
 	h.waitRunning(3)
 }
+
+// A worker lists a run some time after it has answered its start.
+func TestStartedRunCountsBeforeItIsListed(t *testing.T) {
+	small := func() *chervilv2.StartOrder { return &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000} }
+	h := newHarness(t, time.Minute)
+	h.setCapacity(2, 1500, 9000, 0)
+	h.waitListed()
+	h.startSized(task1, small())
+	h.waitFor("started", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_STARTED
+	})
+	h.startSized(task2, small())
+	h.waitFor("not started", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task2) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+	h.order(&chervilv2.OwnerOrders{Stops: []*chervilv2.StopOrder{{Task: task1, Attempt: 1}}})
+	h.waitFor("ended", func(r *chervilv2.AgentReport) bool { return len(r.Ends) > 0 })
+	h.startSized(task3, small())
+	h.waitRunning(1)
+	assert.Equal(t, h.worker.Running(), 1)
+}
+
+func TestRepeatedStartDoesNotCountAgainstItself(t *testing.T) {
+	h := newHarness(t, time.Minute)
+	h.setCapacity(2, 1500, 9000, 0)
+	h.waitListed()
+	for range 3 {
+		h.startSized(task1, &chervilv2.StartOrder{CpuMilli: 1000, MemoryMb: 1000})
+		h.waitFor("started", func(r *chervilv2.AgentReport) bool {
+			assert.Assert(t, resultOf(r, task1) != chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
+			return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_STARTED
+		})
+	}
+	assert.Equal(t, h.worker.Running(), 1)
+}
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -108,6 +108,9 @@
 	r := &chervilv2.StartResult{Task: key.task, Attempt: key.attempt, Answer: answer}
 	if answer == chervilv2.StartAnswer_START_ANSWER_STARTED {
 		delete(a.pendingOrders, key)
+		if a.incarnation != nil {
+			a.incarnation.unlisted[key] = a.clock()
+		}
 		a.startResults = append(a.startResults, r)
 		a.paceStartedRun(ctx, key)
 		wake(a.wakeReport)
