Report all runs of a busy worker, too

Trace: the owner was replaced at 18.30 s; the cancel came at 18.59 s, just before the agent attached to the new owner, so that the stop had no connection to go by. Orders that got lost are repeated when a full report still shows the run. The agent asked for a full report only after 400 ms without any event; on this worker 325 runs ended within 16 s, so that no full report was made in all that time. On two other workers of the same job the stop was repeated after 1.6 and 4.3 s.

Change: a full report is made when the last one is 400 ms old, whatever else is reported.

--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -96,6 +96,7 @@
 	}()
 	l.agent.requestFullReport()
 	l.agent.resendCrashes()
+	lastFull := time.Now()
 	for ctx.Err() == nil {
 		if tracker.sinceReply() > ownerReplyTimeout {
 			return errOwnerUnresponsive
@@ -110,17 +111,27 @@
 			cancel(err)
 			break
 		}
-		select {
-		case <-time.After(reportInterval):
-			l.agent.requestFullReport()
-		case <-l.agent.wakeReport:
-			time.Sleep(reportBatchDelay)
-		case <-ctx.Done():
-		}
+		lastFull = l.agent.awaitNextReport(ctx, lastFull)
 	}
 	return context.Cause(ctx)
 }
 
+// awaitNextReport waits until there is something to report, or a full report is due. It
+// requests a full one if that is due by then, and returns when the last one was requested.
+func (a *Agent) awaitNextReport(ctx context.Context, lastFull time.Time) time.Time {
+	select {
+	case <-time.After(time.Until(lastFull.Add(reportInterval))):
+	case <-a.wakeReport:
+		time.Sleep(reportBatchDelay)
+	case <-ctx.Done():
+	}
+	if time.Since(lastFull) < reportInterval {
+		return lastFull
+	}
+	a.requestFullReport()
+	return time.Now()
+}
+
 // reportTracker matches the owner's replies to the times at which the reports were sent.
 type reportTracker struct {
 	agent     *Agent
