Repeat an order without a connection at the agent's next report

The first report of the agent, 0.3 ms later, still showed the run, but the stop was repeated only once it was 0.9 s old.

Change: an order that has no connection counts as due for repetition, so that the first full report of the agent brings it. TestStopOrderedWithoutAConnectionIsSentAtTheNextOne failed before and passes.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -255,6 +255,9 @@
 		tr.orderedAt = e.clock()
 	}
 	if n.session == nil {
+		if tr := n.runs[o.run]; tr != nil {
+			tr.orderedAt = e.clock().Add(-2 * repeatOrderAfter) // is repeated once the agent reports its runs
+		}
 		return
 	}
 	n.session.addOrder(o)
--- a/internal/dispatch/unreachable_test.go
+++ b/internal/dispatch/unreachable_test.go
@@ -164,3 +164,18 @@
 	b.report(&chervilv2.AgentReport{Full: true})
 	eventually(r.t, "task starts on another worker", func() bool { return len(b.started()) == 1 })
 }
+
+// Guards against runs of cancelled jobs that go on since the stop was dropped with a connection.
+func TestStopOrderedWithoutAConnectionIsSentAtTheNextOne(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	start, _ := r.awaitStart(jobID(1), 0, a)
+	r.disconnect(a)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.Equal(t, r.engine.Cancel(ctx, jobID(1)).Outcome, chervilv2.Outcome_OUTCOME_OK)
+	next := r.attachWith("side-1", a.worker)
+	next.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: start.Task, Attempt: start.Attempt}}})
+	eventually(t, "stop sent", func() bool { return len(next.stopped()) > 0 })
+}
