Keep count of tasks that crash several workers at the same moment

What callers would see: a service without workers, for as long as the jobs are there. Found on reading (the postmortem listed it as suspected, "not counted that once"): crashes of three or more workers within 100 ms are taken for a failure of a rack and were taken back whole.

Change: the suspicion still ends, but the crash stays with the task as an exposure (an unconfirmed one as unconfirmed), so that it is isolated at the third and given up by the fifth. What a crash counts against older runs is taken back once in 30 s for each task: one failed rack, or one each half minute, still counts for nothing.

TestTasksThatCrashTheirWorkersAtOnceAreGivenUp failed before in all three cases (more than 5 starts) and passes (10 of 10); TestWorkersCrashingAtOnceCountAgainstNoOlderRun and TestWorkersCrashingAtOnceMakeASuspectOfASharedJobOnly pass unchanged.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -165,9 +165,9 @@
 	e.dropRuns(n, nil, "worker is gone")
 }
 
-// retractCommonCause takes back what the crash of the record and those at the same moment
-// count against their runs, if these crashes are so many that a cause outside of the workers is
-// likely. A job that ran on most of the workers is such a cause itself: its tasks keep theirs.
+// retractCommonCause takes back the suspicion that the crash of the record and those at the same
+// moment raise, and what they count against older runs, if these crashes are so many that a
+// cause outside of the workers is likely. A job that ran on most of the workers is such a cause itself: its tasks keep theirs.
 func (e *Engine) retractCommonCause(record *crashRecord) {
 	group := e.crashes.sameMoment(record)
 	if len(group) < max(minCommonCause, e.serviceWorkers(record.service)*commonCausePercent/100) {
@@ -181,20 +181,22 @@
 	}
 }
 
-// retract takes back what a crash counts against its runs, except for those of the job keep.
+// retract ends the suspicion that a crash raises, and takes back what it counts against older
+// runs, except for those of the job keep.
 func (e *Engine) retract(c *crashRecord, keep string) {
 	c.closed, c.retracted = true, true
 	others := func(refs []jobstate.TaskRef) []jobstate.TaskRef {
 		return slices.DeleteFunc(slices.Clone(refs), func(r jobstate.TaskRef) bool { return r.Job == keep })
 	}
 	for _, ref := range others(c.allSuspects()) {
-		e.clearSuspect(ref, "many workers crashed at once")
+		e.exposeSuspect(ref)
 	}
+	exposed := slices.DeleteFunc(others(c.exposed), func(r jobstate.TaskRef) bool { return !e.crashes.forgive(r, c.at) })
 	if !c.unexplained {
-		e.forgetExposures(others(c.exposed))
+		e.forgetExposures(exposed)
 		return
 	}
-	for _, ref := range others(c.exposed) {
+	for _, ref := range exposed {
 		if en := e.jobs[ref.Job]; en != nil && en.job.RetractCrash(ref) {
 			e.markDirty(ref.Job, en)
 		}
@@ -218,6 +220,19 @@
 	}
 }
 
+// exposeSuspect ends the suspicion of a task by a crash with an outside cause, unless another
+// crash raises it too. The task keeps the crash as an exposure: tasks of several jobs that
+// crash their workers at the same moment look like an outside cause each time.
+func (e *Engine) exposeSuspect(ref jobstate.TaskRef) {
+	en := e.jobs[ref.Job]
+	if en == nil || !en.job.ExposeSuspect(ref, e.crashes.suspected(ref)) {
+		return
+	}
+	events.SuspectCleared.Log("task", ref.String(), "reason", "many workers crashed at once")
+	suspectsCleared.increment(en.job.Spec.Queue)
+	e.markDirty(ref.Job, en)
+}
+
 // forgetExposures takes back a crash to which the tasks were exposed.
 func (e *Engine) forgetExposures(exposed []jobstate.TaskRef) {
 	for _, ref := range exposed {
--- a/internal/dispatch/crash_common_test.go
+++ b/internal/dispatch/crash_common_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -81,6 +82,47 @@
 	}
 }
 
+func TestTasksThatCrashTheirWorkersAtOnceAreGivenUp(t *testing.T) {
+	const jobs = 4
+	type crash struct {
+		age       time.Duration
+		confirmed bool
+	}
+	for name, c := range map[string]crash{
+		"just after their start": {atStart, true},
+		"unconfirmed starts":     {0, false},
+		"later":                  {suspectAge + 50*time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			agents := r.attachMany(jobs, 2000)
+			for i := range jobs {
+				r.submit(jobWithCPU(jobID(i), 2000))
+			}
+			starts := make([]int, jobs)
+			attempts := make([]uint32, jobs)
+			eventually(t, "all given up", func() bool {
+				crashes := map[*testAgent]*chervilv2.CrashedRun{}
+				for i := range jobs {
+					if start, a := startOf(jobID(i), attempts[i], agents...); start != nil {
+						starts[i], attempts[i] = starts[i]+1, start.Attempt
+						crashes[a] = crashedAt(start, c.age)
+						crashes[a].Started = c.confirmed
+					}
+					assert.Assert(t, starts[i] <= maxCrashStarts, "job %d started more than %d times", i, maxCrashStarts)
+				}
+				for a, run := range crashes {
+					a.crash(run)
+				}
+				for _, a := range agents {
+					a.report(&chervilv2.AgentReport{Full: true})
+				}
+				return allFailed(r, jobs)
+			})
+		})
+	}
+}
+
 // jobWithCPU returns a job of one task with the CPU.
 func jobWithCPU(id string, cpuMilli uint32) *chervilv2.JobSpec {
 	job := spec(id, 1)
@@ -88,6 +130,16 @@
 	return job
 }
 
+// allFailed reports whether the first jobs have failed.
+func allFailed(r *rig, jobs int) bool {
+	for i := range jobs {
+		if r.phase(jobID(i)) != jobFailed {
+			return false
+		}
+	}
+	return true
+}
+
 // startsOn reports whether each agent was ordered to start the number of runs, at least.
 func startsOn(agents []*testAgent, starts int) bool {
 	return !slices.ContainsFunc(agents, func(a *testAgent) bool { return len(a.started()) < starts })
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,7 +18,11 @@
 
 // crashLog holds the recent crashes of workers, oldest first. It is lost with its owner; the
 // counts of the tasks are stored.
-type crashLog struct{ records []*crashRecord }
+type crashLog struct {
+	records []*crashRecord
+	// forgiven is when a crash with an outside cause was last taken back from a task.
+	forgiven map[jobstate.TaskRef]boottime.Instant
+}
 
 // crashRecord is a crash whose cause may not be known yet.
 type crashRecord struct {
@@ -70,9 +75,24 @@
 // add appends a record and drops those that are outdated.
 func (l *crashLog) add(c *crashRecord, now boottime.Instant) {
 	l.records = slices.DeleteFunc(l.records, func(old *crashRecord) bool { return now.Sub(old.at) > crashRecordTTL })
+	maps.DeleteFunc(l.forgiven, func(_ jobstate.TaskRef, at boottime.Instant) bool { return now.Sub(at) > crashRecordTTL })
 	l.records = append(l.records, c)
 }
 
+// forgive reports whether a crash with an outside cause may be taken back from a task: once
+// per crashRecordTTL. Tasks that crash their workers together would otherwise be started
+// without a limit.
+func (l *crashLog) forgive(ref jobstate.TaskRef, crashedAt boottime.Instant) bool {
+	if last, ok := l.forgiven[ref]; ok && crashedAt.Sub(last) <= crashRecordTTL {
+		return false
+	}
+	if l.forgiven == nil {
+		l.forgiven = map[jobstate.TaskRef]boottime.Instant{}
+	}
+	l.forgiven[ref] = crashedAt
+	return true
+}
+
 // convict closes the crashes of which the task was suspected. It returns the other suspects
 // that are suspected of no further crash, and the tasks that were exposed to each.
 func (l *crashLog) convict(ref jobstate.TaskRef) (cleared, exposed []jobstate.TaskRef) {
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -154,6 +154,22 @@
 	return true
 }
 
+// ExposeSuspect turns the crash that made the task a suspect into an exposure, or leaves it
+// unconfirmed if the start was. The suspicion ends unless another crash raises it. It reports
+// whether the task was a suspect.
+func (j *Job) ExposeSuspect(ref TaskRef, suspectedOtherwise bool) bool {
+	_, task := j.Task(ref)
+	if task == nil || !task.Suspect {
+		return false
+	}
+	task.Suspect = suspectedOtherwise
+	if task.UnconfirmedCrashes == 0 && task.Crashes > 0 {
+		task.Crashes--
+		task.Exposures++
+	}
+	return true
+}
+
 // ForgetCrashes clears the crashes of a task. It reports whether there were any.
 func (j *Job) ForgetCrashes(ref TaskRef) bool {
 	_, task := j.Task(ref)
