Keep the crashes of suspects that are cleared since another task was found

Cause: a crash was taken to have one cause. Where several deadly tasks start together, the one found first exonerates the others. Ruled out: orders without a grant, a count lost at a takeover (one owner all the while).

Change: the suspicion ends as before, so that innocents wait no longer, but the crash stays with the task as an exposure until one of its runs outlives its start, at most for the owner's memory of 30 s; after that, or after a takeover, it stays.

TestTaskThatCrashesItsWorkersTogetherWithOthersIsGivenUp failed before (more than 5 starts, three of three) and passes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -123,7 +123,7 @@
 	if effect.JobEnded {
 		suspects, exposed := e.crashes.convict(run.Ref)
 		for _, cleared := range suspects {
-			e.clearSuspect(cleared, "another task caused the crash")
+			e.exposeSuspect(cleared, "another task caused the crash")
 		}
 		e.forgetExposures(exposed)
 		tasksGivenUp.increment(en.job.Spec.Queue)
@@ -189,7 +189,7 @@
 		return slices.DeleteFunc(slices.Clone(refs), func(r jobstate.TaskRef) bool { return r.Job == keep })
 	}
 	for _, ref := range others(c.allSuspects()) {
-		e.exposeSuspect(ref)
+		e.exposeSuspect(ref, "many workers crashed at once")
 	}
 	exposed := slices.DeleteFunc(others(c.exposed), func(r jobstate.TaskRef) bool { return !e.crashes.forgive(r, c.at) })
 	if !c.unexplained {
@@ -220,19 +220,31 @@
 	}
 }
 
-// exposeSuspect ends the suspicion of a task by a crash with an outside cause, unless another
-// crash raises it too. The task keeps the crash as an exposure: tasks of several jobs that
-// crash their workers at the same moment look like an outside cause each time.
-func (e *Engine) exposeSuspect(ref jobstate.TaskRef) {
+// exposeSuspect ends the suspicion of a task by a crash that has another cause, unless a further
+// crash raises it too. A crash may have several causes, and they may come together each time, so
+// that the task keeps it as an exposure until one of its runs has outlived its start.
+func (e *Engine) exposeSuspect(ref jobstate.TaskRef, reason string) {
 	en := e.jobs[ref.Job]
 	if en == nil || !en.job.ExposeSuspect(ref, e.crashes.suspected(ref)) {
 		return
 	}
-	events.SuspectCleared.Log("task", ref.String(), "reason", "many workers crashed at once")
+	e.crashes.acquit(ref, e.clock())
+	events.SuspectCleared.Log("task", ref.String(), "reason", reason)
 	suspectsCleared.increment(en.job.Spec.Queue)
 	e.markDirty(ref.Job, en)
 }
 
+// forgetAcquittals takes back the crashes that exposeSuspect left with a task, since a run of it
+// has outlived its start.
+func (e *Engine) forgetAcquittals(ref jobstate.TaskRef) {
+	en := e.jobs[ref.Job]
+	for range e.crashes.takeAcquittals(ref) {
+		if en != nil && en.job.ForgetAcquittal(ref) {
+			e.markDirty(ref.Job, en)
+		}
+	}
+}
+
 // forgetExposures takes back a crash to which the tasks were exposed.
 func (e *Engine) forgetExposures(exposed []jobstate.TaskRef) {
 	for _, ref := range exposed {
--- a/internal/dispatch/crash_common_test.go
+++ b/internal/dispatch/crash_common_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/jobstate"
 )
 
 // A rack or data centre that fails makes no task a suspect, but a job whose tasks crash
@@ -123,6 +124,39 @@
 	}
 }
 
+// Each crash has a second cause, a younger one that is found first.
+func TestTaskThatCrashesItsWorkersTogetherWithOthersIsGivenUp(t *testing.T) {
+	const older, others = 0, 2 * maxCrashStarts
+	r := newRig(t)
+	a := r.attach("side-1", 2000)
+	for i := range 1 + others {
+		r.submit(spec(jobID(i), 1))
+	}
+	seen, starts := 0, 0
+	for r.phase(jobID(older)) != jobFailed {
+		r.settle()
+		var ended []*chervilv2.CrashedRun
+		for _, s := range a.started()[seen:] {
+			age := atStart
+			if s.Task == onlyTask(jobID(older)) {
+				starts++
+				age *= 2
+			}
+			ended = append(ended, crashedAt(s, age))
+		}
+		seen += len(ended)
+		assert.Assert(t, starts <= maxCrashStarts, "started more than %d times", maxCrashStarts)
+		if len(ended) > 0 {
+			r.clock.advance(time.Second)
+			a.crash(ended...)
+		}
+		a.report(&chervilv2.AgentReport{Full: true})
+	}
+}
+
+// onlyTask returns the name of the task of a job with a single one.
+func onlyTask(job string) string { return jobstate.TaskRef{Job: job}.String() }
+
 // jobWithCPU returns a job of one task with the CPU.
 func jobWithCPU(id string, cpuMilli uint32) *chervilv2.JobSpec {
 	job := spec(id, 1)
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -21,7 +21,14 @@
 type crashLog struct {
 	records []*crashRecord
 	// forgiven is when a crash with an outside cause was last taken back from a task.
-	forgiven map[jobstate.TaskRef]boottime.Instant
+	forgiven  map[jobstate.TaskRef]boottime.Instant
+	acquitted map[jobstate.TaskRef]acquittals
+}
+
+// acquittals counts the crashes that came just after a task had started but had another cause.
+type acquittals struct {
+	crashes int
+	lastAt  boottime.Instant
 }
 
 // crashRecord is a crash whose cause may not be known yet.
@@ -76,6 +83,7 @@
 func (l *crashLog) add(c *crashRecord, now boottime.Instant) {
 	l.records = slices.DeleteFunc(l.records, func(old *crashRecord) bool { return now.Sub(old.at) > crashRecordTTL })
 	maps.DeleteFunc(l.forgiven, func(_ jobstate.TaskRef, at boottime.Instant) bool { return now.Sub(at) > crashRecordTTL })
+	maps.DeleteFunc(l.acquitted, func(_ jobstate.TaskRef, a acquittals) bool { return now.Sub(a.lastAt) > crashRecordTTL })
 	l.records = append(l.records, c)
 }
 
@@ -93,6 +101,21 @@
 	return true
 }
 
+// acquit records that a crash of which the task was suspected had another cause.
+func (l *crashLog) acquit(ref jobstate.TaskRef, now boottime.Instant) {
+	if l.acquitted == nil {
+		l.acquitted = map[jobstate.TaskRef]acquittals{}
+	}
+	l.acquitted[ref] = acquittals{l.acquitted[ref].crashes + 1, now}
+}
+
+// takeAcquittals returns and forgets the number of crashes of which a task was acquitted.
+func (l *crashLog) takeAcquittals(ref jobstate.TaskRef) int {
+	crashes := l.acquitted[ref].crashes
+	delete(l.acquitted, ref)
+	return crashes
+}
+
 // convict closes the crashes of which the task was suspected. It returns the other suspects
 // that are suspected of no further crash, and the tasks that were exposed to each.
 func (l *crashLog) convict(ref jobstate.TaskRef) (cleared, exposed []jobstate.TaskRef) {
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -27,8 +27,11 @@
 		return
 	}
 	outlived := lastSeen.Sub(tr.startedAt)
-	if outlived > suspectAge && task.Suspect {
-		e.clearSuspect(tr.run.Ref, "outlived the start")
+	if outlived > suspectAge {
+		if task.Suspect {
+			e.clearSuspect(tr.run.Ref, "outlived the start")
+		}
+		e.forgetAcquittals(tr.run.Ref)
 	}
 	if tr.step.LongRunning && outlived > soundAge && en.job.ForgetCrashes(tr.run.Ref) {
 		e.markDirty(tr.run.Ref.Job, en)
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -360,4 +360,18 @@
 	t.Fatalf("%s: condition not met within %v", what, testTimeout)
 }
 
+// settle waits until the engine has planned and stored all that it has been told.
+func (r *rig) settle() {
+	r.t.Helper()
+	e := r.engine
+	e.mu.Lock()
+	e.replan()
+	e.mu.Unlock()
+	eventually(r.t, "engine idle", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return !e.planDue && e.batch.empty() && e.appendStart == 0
+	})
+}
+
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -170,6 +170,20 @@
 	return true
 }
 
+// ForgetAcquittal takes back a crash that ExposeSuspect left with the task. It reports whether
+// that changed the job.
+func (j *Job) ForgetAcquittal(ref TaskRef) bool {
+	if j.ForgetExposure(ref) {
+		return true
+	}
+	_, task := j.Task(ref)
+	if task == nil || task.Done || j.Ended() || task.UnconfirmedCrashes == 0 {
+		return false
+	}
+	task.UnconfirmedCrashes--
+	return true
+}
+
 // ForgetCrashes clears the crashes of a task. It reports whether there were any.
 func (j *Job) ForgetCrashes(ref TaskRef) bool {
 	_, task := j.Task(ref)
