Start few tasks at a time on each worker while crashes are expected

Cause: a worker that was back got all that waited at once, so that one crash made up to 47 suspects, each of which is tried alone. The trials, some 4 a second on 11 workers, fell behind: at 20 s more than 300 tasks waited, nearly all of them innocent suspects. Class: work that repairs (trials) grows faster with the damage than the capacity to do it.

Ruled out: isolated runs that are held for long (half of the suspects are cleared after 0.4 to 0.7 s, 99 of 100 after 0.9 s); the store and the owner (plans went on each 100 ms).

Change: for 10 s after a crash that has suspects, a worker of the service starts at most 8 tasks at a time; those whose start is older than 250 ms do not count. Gangs start together and are exempt. A task with workers to avoid waits for its turn on another one.

TestWorkersStartFewTasksAtOnceAfterACrash failed before (32 at once).

--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -14,6 +14,11 @@
 	crashRecordTTL = 30 * time.Second
 	// sameMoment is the time between two crashes with one cause outside the workers, at most.
 	sameMoment = 100 * time.Millisecond
+	// alertTime is how long further crashes are expected after one that has suspects.
+	alertTime = 10 * time.Second
+	// maxStartingOnAlert bounds the tasks that a worker starts at a time while further crashes are
+	// expected, and thus the suspects of the next one.
+	maxStartingOnAlert = 8
 )
 
 // crashLog holds the recent crashes of workers, oldest first. It is lost with its owner; the
@@ -87,6 +92,14 @@
 	l.records = append(l.records, c)
 }
 
+// expectsCrashes reports whether a worker of the service has lately crashed just after a task had
+// been started there.
+func (l *crashLog) expectsCrashes(service string, now boottime.Instant) bool {
+	return slices.ContainsFunc(l.records, func(c *crashRecord) bool {
+		return c.service == service && !c.unexplained && !c.retracted && now.Sub(c.at) <= alertTime
+	})
+}
+
 // forgive reports whether a crash with an outside cause may be taken back from a task: once
 // per crashRecordTTL. Tasks that crash their workers together would otherwise be started
 // without a limit.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -313,3 +313,31 @@
 		})
 	}
 }
+
+func TestWorkersStartFewTasksAtOnceAfterACrash(t *testing.T) {
+	const workers, backlog = 3, 64
+	r := newRig(t)
+	agents := r.attachMany(workers, 1000*backlog)
+	r.submit(spec(jobID(1), 1))
+	suspect, a := r.awaitStart(jobID(1), 0, agents...)
+	a.crash(crashedAt(suspect, atStart))
+	r.submit(spec(jobID(2), backlog))
+	key := func(s *chervilv2.StartOrder) string { return fmt.Sprint(s.Task, s.Attempt) }
+	confirmed := map[string]bool{key(suspect): true}
+	eventually(t, "all started", func() bool {
+		r.settle()
+		for _, a := range agents {
+			var starting []*chervilv2.StartOrder
+			for _, s := range a.started() {
+				if !confirmed[key(s)] {
+					confirmed[key(s)] = true
+					starting = append(starting, s)
+				}
+			}
+			assert.Assert(t, len(starting) <= maxStartingOnAlert, "%d started at once", len(starting))
+			r.confirm(a, 0, starting...)
+		}
+		r.clock.advance(2 * suspectAge)
+		return len(confirmed) >= 2+backlog // the suspect was started twice
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -105,7 +105,11 @@
 			quarantined[service]++
 			continue
 		}
-		out = append(out, n.plannerWorker(e.model, now))
+		w := n.plannerWorker(e.model, now)
+		if e.crashes.expectsCrashes(service, now) {
+			w.MaxStarting = maxStartingOnAlert
+		}
+		out = append(out, w)
 	}
 	return out
 }
@@ -130,7 +134,9 @@
 		if tr.step.Fills {
 			w.BestEffortCPUMilli += tr.pacedCPUMilli()
 		}
-		w.Starting = w.Starting || tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge
+		if tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge {
+			w.Starting++
+		}
 		w.Isolated = w.Isolated || tr.run.Isolated
 	}
 	w.Suspicion = n.health.currentSlowness(now)
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -1,5 +1,7 @@
 package plan
 
+import "slices"
+
 // candidates are the workers for the tasks of one request. The tasks are alike, so that a
 // worker is evaluated once, and again only after a task has been assigned to it.
 type candidates struct {
@@ -50,7 +52,7 @@
 func (c *candidates) choose() int {
 	c.updateMixImages()
 	best := c.best()
-	if best >= 0 || len(c.request.Avoid) == 0 || c.request.StrictAvoid {
+	if best >= 0 || len(c.request.Avoid) == 0 || c.request.StrictAvoid || c.anyStartsEnough() {
 		return best
 	}
 	c.request.Avoid = nil
@@ -58,6 +60,16 @@
 	return c.choose()
 }
 
+// anyStartsEnough reports whether a worker that need not be avoided has room for a task once
+// others that it is starting run.
+func (c *candidates) anyStartsEnough() bool {
+	return slices.ContainsFunc(c.workers, func(w Worker) bool {
+		full := w.startsEnough(c.request)
+		w.MaxStarting = 0
+		return full && w.admits(c.request)
+	})
+}
+
 // updateMixImages sets whether serving tasks may share workers with other images, which
 // depends on all workers.
 func (c *candidates) updateMixImages() {
--- a/internal/plan/isolate.go
+++ b/internal/plan/isolate.go
@@ -21,7 +21,7 @@
 			return
 		}
 		w := &workers[best]
-		if w.Starting {
+		if w.Starting > 0 {
 			w.Isolated = true
 			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: 1, Reason: ReasonIsolation})
 			continue
@@ -77,19 +77,9 @@
 func compareForIsolation(a, b *Worker) int {
 	return cmp.Or(
 		cmp.Compare(min(a.ServingTasks, 1), min(b.ServingTasks, 1)),
-		compareBool(a.Starting, b.Starting),
+		cmp.Compare(min(a.Starting, 1), min(b.Starting, 1)),
 		cmp.Compare(a.Suspicion, b.Suspicion),
 		cmp.Compare(a.Used.CPUMilli+a.BestEffortCPUMilli, b.Used.CPUMilli+b.BestEffortCPUMilli),
 		strings.Compare(a.Key.Node, b.Key.Node),
 	)
 }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
--- a/internal/plan/isolate_test.go
+++ b/internal/plan/isolate_test.go
@@ -57,12 +57,12 @@
 
 func TestBusyWorkerIsReservedForAnIsolatedTask(t *testing.T) {
 	workers := isolationWorkers("w1", "w2")
-	workers[0].Starting, workers[1].Starting = true, true
+	workers[0].Starting, workers[1].Starting = 1, 1
 	workers[1].Used.CPUMilli = 1000
 	planned := Place(workers, isolationRequests(1, 2), nil)
 	assert.DeepEqual(t, grantsByWorker(planned, workers), map[string][]string{"w2": {"a", "a"}})
 	workers = isolationWorkers("w1", "w2")
-	workers[1].Starting = true
+	workers[1].Starting = 1
 	got := grantsByWorker(Place(workers, isolationRequests(1, 0), nil), workers)
 	assert.DeepEqual(t, got, map[string][]string{"w1": {"b"}})
 }
@@ -82,3 +82,33 @@
 	got := grantsByWorker(Place(workers, []Request{older, younger}, nil), workers)
 	assert.DeepEqual(t, got, map[string][]string{"w1": {"b"}})
 }
+
+func TestWorkerStartsNoMoreThanItsLimitAtATime(t *testing.T) {
+	workers := isolationWorkers("w1", "w2")
+	workers[0].Starting, workers[0].MaxStarting, workers[1].MaxStarting = 1, 2, 2
+	planned := Place(workers, isolationRequests(0, 4), nil)
+	assert.DeepEqual(t, grantsByWorker(planned, workers), map[string][]string{"w1": {"a"}, "w2": {"a", "a"}})
+	assert.Equal(t, len(planned.Unplaced), 1)
+}
+
+func TestLimitOfStartsSparesGangs(t *testing.T) {
+	workers := isolationWorkers("w1")
+	workers[0].Starting, workers[0].MaxStarting = 1, 1
+	requests := isolationRequests(0, 2)
+	requests[1].Step = &chervilv2.Step{CpuMilli: 1000, MemoryMb: 100, Tasks: 2, Gang: true}
+	planned := Place(workers, requests[1:], nil)
+	assert.Equal(t, len(planned.Grants), 2)
+}
+
+func TestTaskIsNotStartedOnAWorkerToAvoidWhileAnotherIsAtItsLimit(t *testing.T) {
+	workers := isolationWorkers("w1", "w2")
+	workers[0].Starting, workers[0].MaxStarting = 1, 1
+	requests := isolationRequests(0, 1)
+	requests[1].Avoid = map[string]bool{"w2": true}
+	planned := Place(workers, requests[1:], nil)
+	assert.Equal(t, len(planned.Grants), 0)
+	workers = isolationWorkers("w2")
+	requests[1].Avoid = map[string]bool{"w2": true}
+	planned = Place(workers, requests[1:], nil)
+	assert.Equal(t, len(planned.Grants), 1)
+}
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -75,9 +75,10 @@
 	Suspicion float64
 	// RunsPerStep counts the runs of each step that sets MaxPerWorker.
 	RunsPerStep map[StepKey]int
-	// Starting is set while a run on the worker has only just been started, or its start is
-	// not confirmed.
-	Starting bool
+	// Starting is the number of runs on the worker that have only just been started, or whose
+	// start is not confirmed. MaxStarting is the most of them beside which another task is
+	// started; 0 is no limit. Gangs are exempt, since their members start together.
+	Starting, MaxStarting int
 	// Isolated is set while an isolated task runs on the worker, which then gets no other.
 	Isolated bool
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -167,7 +167,7 @@
 // admits reports whether a task of the request may run on the worker and has room there.
 func (w *Worker) admits(r *Request) bool {
 	switch {
-	case w.Service != r.Service, w.Isolated,
+	case w.Service != r.Service, w.Isolated, w.startsEnough(r),
 		r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel),
 		r.Allowed != nil && !r.Allowed[w.Key.ID],
 		r.Avoid[w.Key.ID],
@@ -180,8 +180,15 @@
 	return true
 }
 
+// startsEnough reports whether a task of the request must wait until those that the worker is
+// starting run.
+func (w *Worker) startsEnough(r *Request) bool {
+	return w.MaxStarting > 0 && w.Starting >= w.MaxStarting && !r.Step.Gang
+}
+
 // assign adds one task of the request to the worker's use.
 func (w *Worker) assign(r *Request) {
+	w.Starting++
 	w.Used = w.Used.Add(Needs(r.Step))
 	if r.Step.Fills {
 		w.BestEffortCPUMilli += int64(r.Step.CpuMilli)
