Try suspects on all idle workers of a service

What callers would see: on a service with much idle room, innocent suspects wait for their turn although nothing needs the workers. The limit of 40 % of a service, less the workers that trials have crashed (three to five seconds each), leaves one slot of three on eight workers.

Cause: the limit protects the other work of a service, but did not ask whether there is any.

Change: the limit is the idle part of the service's CPU (best-effort work counts as use) if that is more than 40 %. It is computed once a plan and service instead of once a suspect.

TestSuspectsUseTheIdleWorkersOfTheirService failed before for the idle service (4 of 10 at once) and passes; the busy one keeps 40 %.

--- a/internal/dispatch/crash_common_test.go
+++ b/internal/dispatch/crash_common_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -154,6 +155,51 @@
 	}
 }
 
+func TestSuspectsUseTheIdleWorkersOfTheirService(t *testing.T) {
+	const workers, suspects, cpuMilli = 10, 10, 32000
+	for name, c := range map[string]struct{ busyMilli, want uint32 }{
+		"idle service": {0, suspects},
+		"busy service": {cpuMilli * 3 / 4, workers * maxIsolatedPercent / 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			first := r.attach("side-0", cpuMilli)
+			r.submit(spec(jobID(1), suspects))
+			eventually(t, "suspects started", func() bool { return len(first.started()) == suspects })
+			for i := range workers - 1 {
+				a := r.attach(fmt.Sprintf("side-%d", i+1), cpuMilli)
+				if c.busyMilli > 0 {
+					r.submit(jobWithCPU(jobID(2+i), c.busyMilli))
+					busy, _ := r.awaitStart(jobID(2+i), 0, a)
+					r.confirm(a, 2*suspectAge, busy)
+				}
+			}
+			var runs []*chervilv2.CrashedRun
+			for _, s := range first.started() {
+				runs = append(runs, crashedAt(s, atStart))
+			}
+			first.crash(runs...)
+			r.settle()
+			assert.Equal(t, r.isolatedRuns(), int(c.want))
+		})
+	}
+}
+
+// isolatedRuns returns the number of isolated runs.
+func (r *rig) isolatedRuns() int {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	count := 0
+	for _, n := range r.engine.nodes {
+		for _, tr := range n.runs {
+			if tr.run.Isolated {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // onlyTask returns the name of the task of a job with a single one.
 func onlyTask(job string) string { return jobstate.TaskRef{Job: job}.String() }
 
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -43,9 +43,11 @@
 }
 
 // maxIsolated returns the most workers of a service that may have an isolated task, without
-// those that such tasks have crashed and that are not back yet.
+// those that such tasks have crashed and that are not back yet: maxIsolatedPercent of the
+// service, or the idle part of it if that is more.
 func (e *Engine) maxIsolated(service string, now boottime.Instant) int {
-	limit := max(1, e.serviceWorkers(service)*maxIsolatedPercent/100)
+	percent := max(maxIsolatedPercent, e.idlePercent(service))
+	limit := max(1, e.serviceWorkers(service)*percent/100)
 	for _, n := range e.nodes {
 		if n.serviceName() == service && n.isolationCrashedAt != 0 && now.Sub(n.isolationCrashedAt) < workerReturnTime && !n.worker.GetListed() {
 			limit--
@@ -54,6 +56,18 @@
 	return limit
 }
 
+// idlePercent returns the part of the CPU of a service's workers that nothing uses.
+func (e *Engine) idlePercent(service string) int {
+	var used, capacity int64
+	for _, n := range e.nodes {
+		if n.worker != nil && n.serviceName() == service {
+			used += n.used.CPUMilli + n.bestEffortCPUMilli
+			capacity += n.capacity().CPUMilli
+		}
+	}
+	return 100 - int(100*min(used, capacity)/max(capacity, 1))
+}
+
 // serviceWorkers returns the number of known workers of a service.
 func (e *Engine) serviceWorkers(service string) int {
 	count := 0
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -151,6 +151,7 @@
 func (e *Engine) requests(view *operatorconfig.View) []plan.Request {
 	var out []plan.Request
 	now := e.wall().UnixMilli()
+	maxIsolated := map[string]int{} // by service
 	for _, en := range e.activeJobs {
 		queue := view.Config.Queue(en.job.Spec.Queue)
 		if queue == nil || en.job.Ended() {
@@ -171,7 +172,10 @@
 				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref],
 			}
 			if task.NeedsIsolation() && !step.Spec.Gang {
-				request.Isolated, request.MaxIsolated = true, e.maxIsolated(queue.Service, e.clock())
+				if _, known := maxIsolated[queue.Service]; !known {
+					maxIsolated[queue.Service] = e.maxIsolated(queue.Service, e.clock())
+				}
+				request.Isolated, request.MaxIsolated = true, maxIsolated[queue.Service]
 				request.SuspectAge = e.crashes.suspectAge(ref)
 			}
 			if !joinRequest(out[first:], request) {
