Count jobs whose starts all failed as pending

Trace: of 172 jobs accepted until then five had neither a confirmed start nor an end; each had been granted runs (at 14.97 or 18 s), on workers that crashed before the start arrived.

Cause: a job counted as started from its first grant on. Class: an intention recorded as an outcome; the run itself (Run.Started) and its crash (unconfirmed) are told apart already.

Change: Started is cleared when the job's last run ends without that a run has certainly started. What a new owner loads as started stays so.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -111,6 +111,9 @@
 	run := r.tracked.run
 	n.removeRun(runKey{run.Ref, run.Attempt})
 	en := e.jobs[run.Ref.Job]
+	if r.started {
+		en.job.ConfirmStart(run)
+	}
 	effect := en.job.CrashRun(run.Ref, run.Attempt, evidence, e.wall().UnixMilli())
 	_, task := en.job.Task(run.Ref)
 	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "cause", "worker crashed",
--- a/internal/dispatch/crash_load_test.go
+++ b/internal/dispatch/crash_load_test.go
@@ -129,7 +129,7 @@
 	}
 	clear(w.runs)
 	w.next, w.returnsAt = nextIncarnation(worker), now.Add(loadWorkerReturn)
-	w.agent.worker = &chervilv2.Worker{Id: worker.Id, BornUnixMs: worker.BornUnixMs, Service: worker.Service, Gone: true}
+	w.agent.worker = gone(worker)
 }
 
 // halfIdle reports whether at least half of the CPU of all workers that are up is unused.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -33,8 +33,7 @@
 func (a *testAgent) crash(runs ...*chervilv2.CrashedRun) {
 	crash := &chervilv2.WorkerCrash{WorkerId: a.worker.Id, BornUnixMs: a.worker.BornUnixMs, Runs: runs}
 	next := nextIncarnation(a.worker)
-	gone := &chervilv2.Worker{Id: a.worker.Id, BornUnixMs: a.worker.BornUnixMs, Service: a.worker.Service, Gone: true}
-	a.worker = gone
+	a.worker = gone(a.worker)
 	a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{crash}})
 	a.worker = next
 	a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{crash}, Full: true})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -288,7 +288,7 @@
 			startDelay.observe(e.clock().Sub(tr.orderedAt))
 		}
 		if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil {
-			tr.confirmStart(e.clock())
+			e.confirmStart(tr, e.clock())
 		}
 		return
 	}
@@ -340,8 +340,10 @@
 }
 
 // confirmStart records that the run has started.
-func (tr *trackedRun) confirmStart(now boottime.Instant) {
-	tr.run.Started = true
+func (e *Engine) confirmStart(tr *trackedRun, now boottime.Instant) {
+	if en := e.jobs[tr.run.Ref.Job]; en != nil {
+		en.job.ConfirmStart(tr.run)
+	}
 	if tr.startedAt == 0 {
 		tr.startedAt = now
 	}
@@ -356,7 +358,7 @@
 		tr.slowSince = now
 	}
 	if !run.Starting {
-		tr.confirmStart(now)
+		e.confirmStart(tr, now)
 	}
 	if run.Checkpoint != "" {
 		if en, ok := e.jobs[tr.run.Ref.Job]; ok {
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -75,6 +75,7 @@
 	}
 	_, task := j.Task(ref)
 	task.Runs = removeRun(task.Runs, attempt)
+	j.updateStarted()
 	out := EndEffect{Changed: true}
 	if evidence == CrashExplained || j.Ended() || task.Done {
 		return out
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -103,12 +103,15 @@
 
 // Job is a job and its progress. It is not safe for concurrent use.
 type Job struct {
-	Spec        *chervilv2.JobSpec
-	Phase       chervilv2.JobPhase
+	Spec  *chervilv2.JobSpec
+	Phase chervilv2.JobPhase
+	// Started is set while the job has a run, and for good once one has certainly started.
 	Started     bool
 	EndedUnixMs int64
 	// Occurrences holds the occurrences that have begun, by number; done ones stay in it.
 	Occurrences map[uint32]*Occurrence
+	// startConfirmed is set once a run has certainly started.
+	startConfirmed bool
 }
 
 // NewJob returns a queued job without progress.
@@ -300,6 +303,7 @@
 		return EndEffect{}
 	}
 	task.Runs = removeRun(task.Runs, e.Attempt)
+	j.startConfirmed = true
 	out := EndEffect{Changed: true}
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
@@ -407,9 +411,22 @@
 	}
 	before := len(task.Runs)
 	task.Runs = removeRun(task.Runs, attempt)
+	j.updateStarted()
 	return len(task.Runs) < before
 }
 
+// ConfirmStart records that a run has started.
+func (j *Job) ConfirmStart(run *Run) {
+	run.Started, j.startConfirmed = true, true
+}
+
+// updateStarted clears Started if all runs of the job have ended without having started.
+func (j *Job) updateStarted() {
+	running := false
+	j.ForEachRun(func(*Run) { running = true })
+	j.Started = running || j.startConfirmed
+}
+
 func removeRun(runs []*Run, attempt uint32) []*Run {
 	for i, r := range runs {
 		if r.Attempt == attempt {
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -86,6 +86,7 @@
 		return j, nil
 	}
 	j.Phase, j.Started, j.EndedUnixMs = progress.Phase, progress.Started, progress.EndedUnixMs
+	j.startConfirmed = j.Started
 	for _, r := range progress.Steps {
 		if int(r.Step) >= len(spec.Steps) || r.Occurrence >= j.OccurrenceCount() {
 			return nil, fmt.Errorf("job %s has no step %d of occurrence %d", spec.Id, r.Step, r.Occurrence)
