Start nothing by a capacity that was reported long ago

What could happen: an agent that is paused for some seconds misses heartbeats that say that its worker has shrunk. When it goes on it may still hold a valid lease grant, and carries out the start orders that wait in its connection before the next heartbeat arrives: a start beyond the capacity (LIMIT).

Not shown over real processes: TestPausedAgentStartsNothingBeyondACapacityThatShrankMeanwhile passed three times of three before the change, since the heartbeat was handled first. It stays as a check.

Change: a start is not tried if the newest heartbeat is older than bounds.contact-ms, or than one and a half heartbeats (heartbeat-ms) if that is longer; the owner grants the run again. Both settings are read now.

TestNothingIsStartedByACapacityThatWasReportedLongAgo failed before (the run was started) and passes.

--- a/internal/sitetest/capacity_test.go
+++ b/internal/sitetest/capacity_test.go
@@ -1,6 +1,7 @@
 package sitetest
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,3 +48,19 @@
 	s.eventually("room used", func() bool { return s.countRunning() == 4 })
 	assert.Equal(t, len(s.journal.Violations()), 0, s.journal.Violations())
 }
+
+func TestPausedAgentStartsNothingBeyondACapacityThatShrankMeanwhile(t *testing.T) {
+	s := newSite(t, 1)
+	s.maxRuns = 4
+	s.startProcesses(1, 1)
+	s.workers[0].SetCapacity(4000, workerMemoryMB, 4, 0)
+	time.Sleep(time.Second) // until the owner knows the capacity
+	agent := s.agentName(0)
+	s.signal(agent, syscall.SIGSTOP)
+	s.submit(0, 4)
+	s.workers[0].SetCapacity(1000, workerMemoryMB, 1, shrinkTolerance)
+	time.Sleep(shrinkTolerance + 500*time.Millisecond)
+	s.signal(agent, syscall.SIGCONT)
+	s.waitState(0, "completed")
+	assert.Equal(t, len(s.journal.Violations()), 0, s.journal.Violations())
+}
--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -33,11 +33,12 @@
 
 const (
 	// waitTimeout bounds every wait; a change of owner with recovery takes some seconds.
-	waitTimeout  = 40 * time.Second
-	pollInterval = 20 * time.Millisecond
-	routeHost    = "h.example"
-	serviceName  = "desk"
-	taskDuration = 150 * time.Millisecond
+	waitTimeout    = 40 * time.Second
+	pollInterval   = 20 * time.Millisecond
+	routeHost      = "h.example"
+	serviceName    = "desk"
+	workerMemoryMB = 8000
+	taskDuration   = 150 * time.Millisecond
 )
 
 // binaryDir is the directory with the built programs.
@@ -263,7 +264,7 @@
 	address := fmt.Sprintf("%s:%d", ip, appPort)
 	w := taskworker.New(taskworker.Config{
 		ID: fmt.Sprintf("i-%d-%d", i, time.Now().UnixNano()), Service: serviceName, Address: address, DataCentre: fmt.Sprintf("zone-%d", i),
-		CPUMilli: 8000, MemoryMB: 8000, Labels: []string{"a", "r1-" + fmt.Sprint(i)}, MaxRuns: s.maxRuns, ClockRate: clockRates[i%len(clockRates)],
+		CPUMilli: 8000, MemoryMB: workerMemoryMB, Labels: []string{"a", "r1-" + fmt.Sprint(i)}, MaxRuns: s.maxRuns, ClockRate: clockRates[i%len(clockRates)],
 	}, func(task string) time.Duration {
 		s.mu.Lock()
 		s.startCounts[i]++
--- a/internal/sitetest/soak_test.go
+++ b/internal/sitetest/soak_test.go
@@ -335,7 +335,7 @@
 	return []func(time.Duration){
 		k.killProgram, k.killProgram, k.stopProgram, k.pauseProgram, k.pauseProgram, k.hangUpProgram,
 		k.impairLink, k.impairLink, k.resetLink, k.storeFault, k.storeFault, k.rejectByStore,
-		k.workerFault, k.crashAndRestartWorker, k.changeConfig, k.killAll,
+		k.workerFault, k.crashAndRestartWorker, k.shrinkWorker, k.shrinkWorker, k.changeConfig, k.killAll,
 	}
 }
 
@@ -497,6 +497,17 @@
 	})
 }
 
+// shrinkWorker takes most of a worker's capacity away, for longer than starts may still use it.
+func (k *soak) shrinkWorker(duration time.Duration) {
+	i, cores := k.faultRandom.IntN(k.agents), 1+k.faultRandom.IntN(3)
+	set := func(cores int) {
+		k.site.mu.Lock()
+		defer k.site.mu.Unlock()
+		k.workers[i].SetCapacity(cores*1000, workerMemoryMB, cores, shrinkTolerance)
+	}
+	k.injectFault(shrinkTolerance+duration, fmt.Sprintf("worker %d shrinks to %d cores", i, cores), func() { set(cores) }, func() { set(k.maxRuns) })
+}
+
 func (k *soak) changeConfig(time.Duration) {
 	version := 2 + int(time.Since(k.startTime).Milliseconds())
 	k.injectFault(0, fmt.Sprintf("configuration %d", version), func() { k.putConfig(version, "quotes", fmt.Sprintf("q%d", version)) }, func() {})
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -74,6 +74,7 @@
 	id            string
 	bornUnixMs    int64
 	heartbeat     platform.Heartbeat // the newest one
+	heartbeatAt   boottime.Instant   // when it was received
 	draining      bool
 	deregistered  bool // the worker announced its exit
 	gone          bool // nothing runs on it any more, and it is not expected to return
@@ -207,7 +208,7 @@
 	if h.Draining != inc.draining {
 		wake(a.wakeReport)
 	}
-	inc.heartbeat, inc.draining = h, h.Draining
+	inc.heartbeat, inc.heartbeatAt, inc.draining = h, a.clock(), h.Draining
 }
 
 // awaitsStoredEnds reports whether the owner still has to store run ends of this
--- a/internal/workeragent/agent_test.go
+++ b/internal/workeragent/agent_test.go
@@ -36,7 +36,7 @@
 	h.worker = taskworker.New(taskworker.Config{ID: workerID, Service: "desk"}, func(string) time.Duration { return runTime }, h.journal)
 	h.server = httptest.NewServer(h.worker.Handler())
 	address := strings.TrimPrefix(h.server.URL, "http://")
-	node := &platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second}}
+	node := &platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: time.Minute}}
 	h.agent = NewAgent(node, platform.NewWorkerClient(address), boottime.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/internal/workeragent/capacity.go
+++ b/internal/workeragent/capacity.go
@@ -1,6 +1,8 @@
 package workeragent
 
 import (
+	"time"
+
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
 	"chervilridge/platform"
@@ -21,6 +23,12 @@
 	return resources{r.cpuMilli + o.cpuMilli, r.memoryMB + o.memoryMB, r.gpus + o.gpus}
 }
 
+// maxCapacityAge returns how old the worker's newest heartbeat may be when a run is started by its
+// capacity: an agent that was paused may have missed that it shrank. One heartbeat may come late.
+func (a *Agent) maxCapacityAge() time.Duration {
+	return max(a.node.Bounds.ReactionTime, a.node.HeartbeatInterval*3/2)
+}
+
 // pruneUnlisted forgets the unlisted runs that a list requested at the time covers: it names
 // the runs or their ends, or it was requested after their start.
 func (inc *incarnation) pruneUnlisted(list platform.RunReport, requestedAt boottime.Instant) {
--- a/internal/workeragent/capacity_test.go
+++ b/internal/workeragent/capacity_test.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// The capacity may have shrunk while the agent was paused.
+func TestNothingIsStartedByACapacityThatWasReportedLongAgo(t *testing.T) {
+	h := newHarness(t, time.Minute)
+	h.waitListed()
+	h.agent.node.Bounds.ReactionTime = 50 * time.Millisecond
+	time.Sleep(2 * h.agent.node.Bounds.ReactionTime)
+	h.start(task1, 1)
+	h.waitFor("not started", func(r *chervilv2.AgentReport) bool {
+		return resultOf(r, task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+	assert.Equal(t, h.worker.Running(), 0)
+	h.agent.node.Bounds.ReactionTime = time.Minute
+	h.start(task1, 2)
+	h.waitRunning(1)
+}
+
 func TestBestEffortRunsTakeNoReservedCPU(t *testing.T) {
 	h := newHarness(t, time.Minute)
 	h.setCapacity(2, 1500, 9000, 0)
