Read as a newcomer: names of the start limit, one look-up a service

The limit of starts is named atStartLimit and found once a service and plan instead of once a worker; whether a job has started is not asked of all its tasks again once it is certain.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -170,7 +170,8 @@
 
 // retractCommonCause takes back the suspicion that the crash of the record and those at the same
 // moment raise, and what they count against older runs, if these crashes are so many that a
-// cause outside of the workers is likely. A job that ran on most of the workers is such a cause itself: its tasks keep theirs.
+// cause outside of the workers is likely. A job that ran on most of the workers is such a
+// cause itself: its tasks keep theirs.
 func (e *Engine) retractCommonCause(record *crashRecord) {
 	group := e.crashes.sameMoment(record)
 	if len(group) < max(minCommonCause, e.serviceWorkers(record.service)*commonCausePercent/100) {
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -26,11 +26,12 @@
 type crashLog struct {
 	records []*crashRecord
 	// forgiven is when a crash with an outside cause was last taken back from a task.
-	forgiven  map[jobstate.TaskRef]boottime.Instant
+	forgiven map[jobstate.TaskRef]boottime.Instant
+	// acquitted are the tasks that were suspects of crashes that had another cause.
 	acquitted map[jobstate.TaskRef]acquittals
 }
 
-// acquittals counts the crashes that came just after a task had started but had another cause.
+// acquittals is the number of crashes of which a task was acquitted, and when it last was.
 type acquittals struct {
 	crashes int
 	lastAt  boottime.Instant
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -97,6 +97,12 @@
 			inService[n.worker.Service]++
 		}
 	}
+	startLimits := map[string]int{} // by service
+	for service := range inService {
+		if e.crashes.expectsCrashes(service, now) {
+			startLimits[service] = maxStartingOnAlert
+		}
+	}
 	quarantined := map[string]int{}
 	out := make([]plan.Worker, 0, len(usable))
 	for _, n := range usable {
@@ -106,9 +112,7 @@
 			continue
 		}
 		w := n.plannerWorker(e.model, now)
-		if e.crashes.expectsCrashes(service, now) {
-			w.MaxStarting = maxStartingOnAlert
-		}
+		w.MaxStarting = startLimits[service]
 		out = append(out, w)
 	}
 	return out
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -422,9 +422,11 @@
 
 // updateStarted clears Started if all runs of the job have ended without having started.
 func (j *Job) updateStarted() {
-	running := false
-	j.ForEachRun(func(*Run) { running = true })
-	j.Started = running || j.startConfirmed
+	if j.startConfirmed {
+		return
+	}
+	j.Started = false
+	j.ForEachRun(func(*Run) { j.Started = true })
 }
 
 func removeRun(runs []*Run, attempt uint32) []*Run {
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -52,7 +52,7 @@
 func (c *candidates) choose() int {
 	c.updateMixImages()
 	best := c.best()
-	if best >= 0 || len(c.request.Avoid) == 0 || c.request.StrictAvoid || c.anyStartsEnough() {
+	if best >= 0 || len(c.request.Avoid) == 0 || c.request.StrictAvoid || c.anyAtStartLimit() {
 		return best
 	}
 	c.request.Avoid = nil
@@ -60,13 +60,13 @@
 	return c.choose()
 }
 
-// anyStartsEnough reports whether a worker that need not be avoided has room for a task once
-// others that it is starting run.
-func (c *candidates) anyStartsEnough() bool {
+// anyAtStartLimit reports whether a worker that need not be avoided has room for a task, but must
+// not start it yet.
+func (c *candidates) anyAtStartLimit() bool {
 	return slices.ContainsFunc(c.workers, func(w Worker) bool {
-		full := w.startsEnough(c.request)
+		atLimit := w.atStartLimit(c.request)
 		w.MaxStarting = 0
-		return full && w.admits(c.request)
+		return atLimit && w.admits(c.request)
 	})
 }
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -167,7 +167,7 @@
 // admits reports whether a task of the request may run on the worker and has room there.
 func (w *Worker) admits(r *Request) bool {
 	switch {
-	case w.Service != r.Service, w.Isolated, w.startsEnough(r),
+	case w.Service != r.Service, w.Isolated, w.atStartLimit(r),
 		r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel),
 		r.Allowed != nil && !r.Allowed[w.Key.ID],
 		r.Avoid[w.Key.ID],
@@ -180,9 +180,9 @@
 	return true
 }
 
-// startsEnough reports whether a task of the request must wait until those that the worker is
+// atStartLimit reports whether a task of the request must wait until those that the worker is
 // starting run.
-func (w *Worker) startsEnough(r *Request) bool {
+func (w *Worker) atStartLimit(r *Request) bool {
 	return w.MaxStarting > 0 && w.Starting >= w.MaxStarting && !r.Step.Gang
 }
 
