--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -58,11 +58,19 @@
 		bestEffort[r.Key] = r.Step.Fills
 	}
 	waiting := map[bool]int{}
+	waitingIsolated := 0
 	for _, u := range planned.Unplaced {
 		waiting[bestEffort[u.Key]] += u.Count
+		if u.Reason == plan.ReasonIsolation {
+			waitingIsolated += u.Count
+		}
 	}
 	var used, capacity, bestEffortMilli, slowed int64
+	atStartLimit := 0
 	for i := range workers {
+		if workers[i].AtStartLimit() {
+			atStartLimit++
+		}
 		capacity += workers[i].Capacity.CPUMilli
 		used += workers[i].Used.CPUMilli
 		bestEffortMilli += workers[i].BestEffortCPUMilli
@@ -75,6 +83,7 @@
 		}
 	}
 	events.ScheduleSummary.Log("openJobs", len(e.activeJobs), "workers", len(workers), "waiting", waiting[false], "waitingFills", waiting[true],
+		"waitingIsolated", waitingIsolated, "atStartLimit", atStartLimit,
 		"usedMilli", used, "capacityMilli", capacity, "fillMilli", bestEffortMilli, "slowedFillMilli", slowed)
 }
 
--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -64,7 +64,7 @@
 // not start it yet.
 func (c *candidates) anyAtStartLimit() bool {
 	return slices.ContainsFunc(c.workers, func(w Worker) bool {
-		atLimit := w.atStartLimit(c.request)
+		atLimit := w.AtStartLimit()
 		w.MaxStarting = 0
 		return atLimit && w.admits(c.request)
 	})
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -167,7 +167,7 @@
 // admits reports whether a task of the request may run on the worker and has room there.
 func (w *Worker) admits(r *Request) bool {
 	switch {
-	case w.Service != r.Service, w.Isolated, w.atStartLimit(r),
+	case w.Service != r.Service, w.Isolated, w.AtStartLimit() && !r.Step.Gang,
 		r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel),
 		r.Allowed != nil && !r.Allowed[w.Key.ID],
 		r.Avoid[w.Key.ID],
@@ -180,11 +180,9 @@
 	return true
 }
 
-// atStartLimit reports whether a task of the request must wait until those that the worker is
-// starting run.
-func (w *Worker) atStartLimit(r *Request) bool {
-	return w.MaxStarting > 0 && w.Starting >= w.MaxStarting && !r.Step.Gang
-}
+// AtStartLimit reports whether a task that is not part of a gang must wait until those that the
+// worker is starting run.
+func (w *Worker) AtStartLimit() bool { return w.MaxStarting > 0 && w.Starting >= w.MaxStarting }
 
 // assign adds one task of the request to the worker's use.
 func (w *Worker) assign(r *Request) {
