--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -156,8 +156,7 @@
 
 // Reasons why a task was not placed.
 const (
-	ReasonNoWorker Reason = "no worker of the service fits"
-	ReasonNoRoom   Reason = "no room"
+	ReasonNoRoom Reason = "no room"
 	// ReasonIsolation: no worker is free to run the task without others being started.
 	ReasonIsolation Reason = "no worker for an isolated task"
 )
--- a/internal/standin/metastore/http.go
+++ b/internal/standin/metastore/http.go
@@ -42,7 +42,6 @@
 	mu     sync.Mutex
 	faults Faults
 	random *rand.Rand // draws the appends whose response is lost
-	calls  int
 }
 
 // NewServer returns a server without faults; seed determines which responses are lost.
@@ -57,13 +56,6 @@
 	s.faults = f
 }
 
-// Calls returns the number of protocol calls received.
-func (s *Server) Calls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.calls
-}
-
 // Handler returns the HTTP handler of the store's protocol for one caller, which
 // Faults.RejectedCallers can name. To tell callers apart, serve each one's handler at an
 // address of its own.
@@ -82,7 +74,6 @@
 func (s *Server) drawFaults() (Faults, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	return s.faults, s.random.Float64() < s.faults.LostResponseShare
 }
 
--- a/internal/standin/taskworker/http.go
+++ b/internal/standin/taskworker/http.go
@@ -152,12 +152,8 @@
 func (w *Worker) sendHeartbeat(ctx context.Context, client *http.Client, agent string) error {
 	w.mu.Lock()
 	w.heartbeats++
-	state := "ready"
-	if w.draining {
-		state = "draining"
-	}
 	body, err := json.Marshal(map[string]any{
-		"backend": w.config.Service, "address": w.config.Address, "zone": w.config.DataCentre, "version": "v1", "slots": 8, "state": state,
+		"backend": w.config.Service, "address": w.config.Address, "zone": w.config.DataCentre, "version": "v1", "slots": 8, "state": "ready",
 		"cold-left-ms": 0, "seq": w.heartbeats, "born": w.startTime.UnixMilli(), "clock-ms": w.clockTime().Milliseconds(), "labels": w.config.Labels,
 		"capacity": map[string]int{"cpu": w.config.CPUMilli, "mem-mb": w.config.MemoryMB, "gpus": 0},
 	})
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -77,7 +77,6 @@
 	// closedAttempts is the highest attempt that was stopped or has ended, by task. It and
 	// older attempts can't start.
 	closedAttempts map[string]uint32
-	draining       bool
 	// previousMaxRuns is the limit on concurrent runs before the capacity shrank, which is
 	// tolerated until toleratedUntil.
 	previousMaxRuns int
@@ -106,13 +105,6 @@
 	w.faults = f
 }
 
-// Drain makes the worker's heartbeats report the state "draining".
-func (w *Worker) Drain() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.draining = true
-}
-
 // SetCapacity changes the capacity that heartbeats report and the limit on concurrent runs; 0
 // is no limit. Starts beyond a limit that has shrunk are violations after the tolerance.
 func (w *Worker) SetCapacity(cpuMilli, memoryMB, maxRuns int, tolerance time.Duration) {
