Soak: draw shrinking workers apart from the other faults

The list of faults is drawn by its length: two entries more had changed the faults of every seed, also of the seed kept as a regression case (400). Shrinking workers are drawn by a generator of their own, after one fault in six; the other faults of a seed are again what they were.

--- a/internal/sitetest/soak_test.go
+++ b/internal/sitetest/soak_test.go
@@ -44,6 +44,8 @@
 	tasksPerJob   = 3
 	// deadlyInterval is how many jobs of the first client contain one that crashes workers.
 	deadlyInterval = 12
+	// shrinkInterval is how many faults come with one worker that shrinks, on average.
+	shrinkInterval = 6
 	// requestDeadline is the deadline that clients send with their requests.
 	requestDeadline = 3 * time.Second
 )
@@ -98,12 +100,15 @@
 	// faultRandom draws the faults and their targets. Nothing else uses it, so that clients
 	// don't change the faults of a seed.
 	faultRandom *rand.Rand
-	entries     int
-	agents      int
-	startTime   time.Time
-	clientsDone chan struct{} // closed when fault injection ends, to stop the clients
-	wg          sync.WaitGroup
-	taskCrashes sync.WaitGroup
+	// shrinkRandom draws the workers that shrink, so that the other faults of a seed that failed
+	// before this kind was added stay as they were.
+	shrinkRandom *rand.Rand
+	entries      int
+	agents       int
+	startTime    time.Time
+	clientsDone  chan struct{} // closed when fault injection ends, to stop the clients
+	wg           sync.WaitGroup
+	taskCrashes  sync.WaitGroup
 
 	mu             sync.Mutex
 	jobs           map[string]*soakJob
@@ -132,7 +137,7 @@
 // newSoak starts a site with proxies and checked task starts.
 func newSoak(t *testing.T, seed uint64, entries, agents int) *soak {
 	k := &soak{
-		site: newSite(t, agents), faultRandom: rand.New(rand.NewPCG(seed, seed)), entries: entries, agents: agents,
+		site: newSite(t, agents), faultRandom: rand.New(rand.NewPCG(seed, seed)), shrinkRandom: rand.New(rand.NewPCG(seed, ^seed)), entries: entries, agents: agents,
 		jobs: map[string]*soakJob{}, clientsDone: make(chan struct{}), faultFreeSince: time.Now(),
 	}
 	k.useProxies, k.maxRuns, k.onTaskStart = true, 8, k.checkTaskStart
@@ -325,6 +330,9 @@
 	for time.Since(k.startTime) < duration {
 		f := faults[k.faultRandom.IntN(len(faults))]
 		f(time.Duration(200+k.faultRandom.IntN(3000)) * time.Millisecond)
+		if k.shrinkRandom.IntN(shrinkInterval) == 0 {
+			k.shrinkWorker()
+		}
 		time.Sleep(time.Duration(50+k.faultRandom.IntN(900)) * time.Millisecond)
 	}
 }
@@ -335,7 +343,7 @@
 	return []func(time.Duration){
 		k.killProgram, k.killProgram, k.stopProgram, k.pauseProgram, k.pauseProgram, k.hangUpProgram,
 		k.impairLink, k.impairLink, k.resetLink, k.storeFault, k.storeFault, k.rejectByStore,
-		k.workerFault, k.crashAndRestartWorker, k.shrinkWorker, k.shrinkWorker, k.changeConfig, k.killAll,
+		k.workerFault, k.crashAndRestartWorker, k.changeConfig, k.killAll,
 	}
 }
 
@@ -498,14 +506,15 @@
 }
 
 // shrinkWorker takes most of a worker's capacity away, for longer than starts may still use it.
-func (k *soak) shrinkWorker(duration time.Duration) {
-	i, cores := k.faultRandom.IntN(k.agents), 1+k.faultRandom.IntN(3)
+func (k *soak) shrinkWorker() {
+	i, cores := k.shrinkRandom.IntN(k.agents), 1+k.shrinkRandom.IntN(3)
+	duration := shrinkTolerance + time.Duration(200+k.shrinkRandom.IntN(3000))*time.Millisecond
 	set := func(cores int) {
 		k.site.mu.Lock()
 		defer k.site.mu.Unlock()
 		k.workers[i].SetCapacity(cores*1000, workerMemoryMB, cores, shrinkTolerance)
 	}
-	k.injectFault(shrinkTolerance+duration, fmt.Sprintf("worker %d shrinks to %d cores", i, cores), func() { set(cores) }, func() { set(k.maxRuns) })
+	k.injectFault(duration, fmt.Sprintf("worker %d shrinks to %d cores", i, cores), func() { set(cores) }, func() { set(k.maxRuns) })
 }
 
 func (k *soak) changeConfig(time.Duration) {
