--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -105,7 +105,7 @@
 type Job struct {
 	Spec  *chervilv2.JobSpec
 	Phase chervilv2.JobPhase
-	// Started is set while the job has a run, and for good once one has certainly started.
+	// Started is set while the job has a run, and stays set once a run has certainly started.
 	Started     bool
 	EndedUnixMs int64
 	// Occurrences holds the occurrences that have begun, by number; done ones stay in it.
--- /dev/null
+++ b/internal/sitetest/soak_faults_test.go
@@ -0,0 +1,226 @@
+package sitetest
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"chervilridge/internal/standin/metastore"
+	"chervilridge/internal/standin/proxy"
+	"chervilridge/internal/standin/taskworker"
+)
+
+// injectFault calls begin, and end after the duration, in the background. Faults may overlap.
+func (k *soak) injectFault(duration time.Duration, name string, begin, end func()) {
+	k.t.Logf("%.2f s: %s for %v", time.Since(k.startTime).Seconds(), name, duration)
+	k.mu.Lock()
+	k.activeFaults++
+	k.mu.Unlock()
+	begin()
+	k.wg.Go(func() {
+		time.Sleep(duration)
+		end()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.activeFaults--
+		k.faultFreeSince = time.Now()
+	})
+}
+
+// injectFaults injects random faults at random intervals for the given time.
+func (k *soak) injectFaults(duration time.Duration) {
+	faults := k.faultKinds()
+	for time.Since(k.startTime) < duration {
+		f := faults[k.faultRandom.IntN(len(faults))]
+		f(time.Duration(200+k.faultRandom.IntN(3000)) * time.Millisecond)
+		if k.shrinkRandom.IntN(shrinkInterval) == 0 {
+			k.shrinkWorker()
+		}
+		time.Sleep(time.Duration(50+k.faultRandom.IntN(900)) * time.Millisecond)
+	}
+}
+
+// faultKinds returns the functions that inject a fault into a random target. A kind that is
+// listed twice is drawn twice as often.
+func (k *soak) faultKinds() []func(time.Duration) {
+	return []func(time.Duration){
+		k.killProgram, k.killProgram, k.stopProgram, k.pauseProgram, k.pauseProgram, k.hangUpProgram,
+		k.impairLink, k.impairLink, k.resetLink, k.storeFault, k.storeFault, k.rejectByStore,
+		k.workerFault, k.crashAndRestartWorker, k.changeConfig, k.killAll,
+	}
+}
+
+// randomProgram returns the name of a random program. Callers that stop it must reserve it.
+func (k *soak) randomProgram() string {
+	return k.programNames[k.faultRandom.IntN(len(k.programNames))]
+}
+
+// reserve marks a program as used by a fault, so that no other fault stops it until release.
+// It returns false if the program is reserved already.
+func (k *soak) reserve(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.programs[name]
+	if p.reserved {
+		return false
+	}
+	p.reserved = true
+	return true
+}
+
+func (k *soak) release(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.programs[name].reserved = false
+}
+
+// killProgram kills a random program or the owner with SIGKILL and starts it again.
+func (k *soak) killProgram(duration time.Duration) {
+	name := k.randomProgram()
+	if k.faultRandom.IntN(2) == 0 {
+		name = k.owner()
+	}
+	if k.reserve(name) {
+		k.injectFault(duration/3, "kill "+name, func() { k.kill(name) }, func() { k.startProgram(name); k.release(name) })
+	}
+}
+
+// killAll kills all programs that are not reserved, and starts them again.
+func (k *soak) killAll(duration time.Duration) {
+	var names []string
+	for _, name := range k.programNames {
+		if k.reserve(name) {
+			names = append(names, name)
+		}
+	}
+	k.injectFault(duration/3, fmt.Sprintf("kill all %d programs", len(names)), func() {
+		for _, name := range names {
+			k.signal(name, syscall.SIGKILL)
+		}
+	}, func() {
+		for _, name := range names {
+			k.startProgram(name)
+			k.release(name)
+		}
+	})
+}
+
+// stopProgram stops a random program with SIGTERM and starts it again. A program that has
+// not exited within the grace time is killed, and a violation recorded.
+func (k *soak) stopProgram(time.Duration) {
+	const grace = 6 * time.Second
+	name := k.randomProgram()
+	if !k.reserve(name) {
+		return
+	}
+	done := k.programs[name].done
+	k.injectFault(0, "stop "+name, func() { k.signal(name, syscall.SIGTERM) }, func() {
+		select {
+		case <-done:
+		case <-time.After(grace):
+			k.recordViolation("%s has not exited within %v of SIGTERM", name, grace)
+			k.kill(name)
+		}
+		k.startProgram(name)
+		k.release(name)
+	})
+}
+
+// pauseProgram suspends a random program or the owner with SIGSTOP.
+func (k *soak) pauseProgram(duration time.Duration) {
+	name := k.randomProgram()
+	if k.faultRandom.IntN(2) == 0 {
+		name = k.owner()
+	}
+	if k.reserve(name) {
+		k.injectFault(duration+duration/2, "pause "+name, func() { k.signal(name, syscall.SIGSTOP) }, func() { k.signal(name, syscall.SIGCONT); k.release(name) })
+	}
+}
+
+// hangUpProgram sends SIGHUP to a random program.
+func (k *soak) hangUpProgram(time.Duration) {
+	if name := k.randomProgram(); k.reserve(name) {
+		k.injectFault(0, "send SIGHUP to "+name, func() { k.signal(name, syscall.SIGHUP) }, func() { k.release(name) })
+	}
+}
+
+// randomLink returns the name and the proxy of a random link: between a program and the
+// store, or between an agent and its worker.
+func (k *soak) randomLink() (string, *proxy.Proxy) {
+	name := k.randomProgram()
+	if i := k.faultRandom.IntN(k.agents); k.faultRandom.IntN(2) == 0 {
+		name = workerLink(i)
+	}
+	return name, k.links[name]
+}
+
+func (k *soak) impairLink(duration time.Duration) {
+	name, p := k.randomLink()
+	kinds := map[string]proxy.Impairment{
+		"delayed": {Delay: 150 * time.Millisecond}, "dropping bytes to the target": {DropToTarget: true}, "dropping bytes to the caller": {DropToCaller: true},
+		"blackholed": {DropToTarget: true, DropToCaller: true},
+	}
+	kind := []string{"delayed", "dropping bytes to the target", "dropping bytes to the caller", "blackholed"}[k.faultRandom.IntN(len(kinds))]
+	k.injectFault(duration, "link of "+name+" "+kind, func() { p.Impair(kinds[kind]) }, func() { p.Impair(proxy.Impairment{}) })
+}
+
+func (k *soak) resetLink(time.Duration) {
+	name, p := k.randomLink()
+	k.injectFault(0, "link of "+name+" reset", p.ResetConnections, func() {})
+}
+
+func (k *soak) storeFault(duration time.Duration) {
+	kinds := []metastore.Faults{{Down: true}, {Unresponsive: true}, {Delay: 120 * time.Millisecond}, {LostResponseShare: 0.35}, {LostResponseShare: 0.35, LostAppendDelay: 2 * time.Second}}
+	f := kinds[k.faultRandom.IntN(len(kinds))]
+	k.injectFault(duration, fmt.Sprintf("store %+v", f), func() { k.store.SetFaults(f) }, func() { k.store.SetFaults(metastore.Faults{}) })
+}
+
+// rejectByStore makes the store reject all calls of some programs, at times the owner's.
+func (k *soak) rejectByStore(duration time.Duration) {
+	rejected := map[string]bool{k.randomProgram(): true}
+	if k.faultRandom.IntN(2) == 0 {
+		rejected[k.owner()] = true
+	}
+	k.injectFault(duration, fmt.Sprintf("store rejects %v", rejected), func() { k.store.SetFaults(metastore.Faults{RejectedCallers: rejected}) },
+		func() { k.store.SetFaults(metastore.Faults{}) })
+}
+
+func (k *soak) workerFault(duration time.Duration) {
+	i := k.faultRandom.IntN(k.agents)
+	kinds := []taskworker.Faults{{Hang: true}, {StartDelay: 1500 * time.Millisecond}}
+	f := kinds[k.faultRandom.IntN(len(kinds))]
+	set := func(f taskworker.Faults) {
+		k.site.mu.Lock()
+		defer k.site.mu.Unlock()
+		k.workers[i].SetFaults(f)
+	}
+	k.injectFault(duration, fmt.Sprintf("worker %d %+v", i, f), func() { set(f) }, func() { set(taskworker.Faults{}) })
+}
+
+func (k *soak) crashAndRestartWorker(duration time.Duration) {
+	i := k.faultRandom.IntN(k.agents)
+	if !k.reserve(k.agentName(i)) {
+		return
+	}
+	k.injectFault(duration/3, fmt.Sprintf("worker %d crashes", i), func() { k.crashWorker(i) }, func() {
+		k.startWorker(i)
+		k.release(k.agentName(i))
+	})
+}
+
+// shrinkWorker takes most of a worker's capacity away, for longer than starts may still use it.
+func (k *soak) shrinkWorker() {
+	i, cores := k.shrinkRandom.IntN(k.agents), 1+k.shrinkRandom.IntN(3)
+	duration := shrinkTolerance + time.Duration(200+k.shrinkRandom.IntN(3000))*time.Millisecond
+	set := func(cores int) {
+		k.site.mu.Lock()
+		defer k.site.mu.Unlock()
+		k.workers[i].SetCapacity(cores*1000, workerMemoryMB, cores, shrinkTolerance)
+	}
+	k.injectFault(duration, fmt.Sprintf("worker %d shrinks to %d cores", i, cores), func() { set(cores) }, func() { set(k.maxRuns) })
+}
+
+func (k *soak) changeConfig(time.Duration) {
+	version := 2 + int(time.Since(k.startTime).Milliseconds())
+	k.injectFault(0, fmt.Sprintf("configuration %d", version), func() { k.putConfig(version, "quotes", fmt.Sprintf("q%d", version)) }, func() {})
+}
