Read as a newcomer: plain names in the crash log, one parameter less

What stopped a reader: the crash log convicted, acquitted and forgave tasks. It now closes crashes by their cause, retains and retracts crashes. clearSuspect had a reason that has only one value since. A comment of the loader is reworded, and two tests share startTasks.

No decision changes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -124,7 +124,7 @@
 	}
 	e.orderStops(effect.RunsToStop, "job given up")
 	if effect.JobEnded {
-		suspects, exposed := e.crashes.convict(run.Ref)
+		suspects, exposed := e.crashes.closeCausedBy(run.Ref)
 		for _, cleared := range suspects {
 			e.exposeSuspect(cleared, "another task caused the crash")
 		}
@@ -195,7 +195,7 @@
 	for _, ref := range others(c.allSuspects()) {
 		e.exposeSuspect(ref, "many workers crashed at once")
 	}
-	exposed := slices.DeleteFunc(others(c.exposed), func(r jobstate.TaskRef) bool { return !e.crashes.forgive(r, c.at) })
+	exposed := slices.DeleteFunc(others(c.exposed), func(r jobstate.TaskRef) bool { return !e.crashes.mayRetract(r, c.at) })
 	if !c.unexplained {
 		e.forgetExposures(exposed)
 		return
@@ -207,14 +207,14 @@
 	}
 }
 
-// clearSuspect takes back the suspicion of a task. The crashes that raised it are then
-// counted against the other runs that they ended, once no suspect is left.
-func (e *Engine) clearSuspect(ref jobstate.TaskRef, reason string) {
+// clearSuspect takes back the suspicion of a task whose run has outlived its start. The crashes
+// that raised it are then counted against the other runs that they ended, once no suspect is left.
+func (e *Engine) clearSuspect(ref jobstate.TaskRef) {
 	en := e.jobs[ref.Job]
 	if en == nil || !en.job.ClearSuspect(ref) {
 		return
 	}
-	events.SuspectCleared.Log("task", ref.String(), "reason", reason)
+	events.SuspectCleared.Log("task", ref.String(), "reason", "outlived the start")
 	suspectsCleared.increment(en.job.Spec.Queue)
 	e.markDirty(ref.Job, en)
 	for _, other := range e.crashes.clear(ref) {
@@ -232,18 +232,18 @@
 	if en == nil || !en.job.ExposeSuspect(ref, e.crashes.suspected(ref)) {
 		return
 	}
-	e.crashes.acquit(ref, e.clock())
+	e.crashes.retain(ref, e.clock())
 	events.SuspectCleared.Log("task", ref.String(), "reason", reason)
 	suspectsCleared.increment(en.job.Spec.Queue)
 	e.markDirty(ref.Job, en)
 }
 
-// forgetAcquittals takes back the crashes that exposeSuspect left with a task, since a run of it
+// dropRetainedCrashes takes back the crashes that exposeSuspect left with a task, since a run of it
 // has outlived its start.
-func (e *Engine) forgetAcquittals(ref jobstate.TaskRef) {
+func (e *Engine) dropRetainedCrashes(ref jobstate.TaskRef) {
 	en := e.jobs[ref.Job]
-	for range e.crashes.takeAcquittals(ref) {
-		if en != nil && en.job.ForgetAcquittal(ref) {
+	for range e.crashes.takeRetained(ref) {
+		if en != nil && en.job.DropRetainedCrash(ref) {
 			e.markDirty(ref.Job, en)
 		}
 	}
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -25,14 +25,14 @@
 // counts of the tasks are stored.
 type crashLog struct {
 	records []*crashRecord
-	// forgiven is when a crash with an outside cause was last taken back from a task.
-	forgiven map[jobstate.TaskRef]boottime.Instant
-	// acquitted are the tasks that were suspects of crashes that had another cause.
-	acquitted map[jobstate.TaskRef]acquittals
+	// retractedAt is when a crash with an outside cause was last taken back from a task.
+	retractedAt map[jobstate.TaskRef]boottime.Instant
+	// retained are the tasks that keep crashes of which they are no longer suspected.
+	retained map[jobstate.TaskRef]retainedCrashes
 }
 
-// acquittals is the number of crashes of which a task was acquitted, and when it last was.
-type acquittals struct {
+// retainedCrashes is the number of crashes that a task keeps, and when the last one was added.
+type retainedCrashes struct {
 	crashes int
 	lastAt  boottime.Instant
 }
@@ -88,8 +88,8 @@
 // add appends a record and drops those that are outdated.
 func (l *crashLog) add(c *crashRecord, now boottime.Instant) {
 	l.records = slices.DeleteFunc(l.records, func(old *crashRecord) bool { return now.Sub(old.at) > crashRecordTTL })
-	maps.DeleteFunc(l.forgiven, func(_ jobstate.TaskRef, at boottime.Instant) bool { return now.Sub(at) > crashRecordTTL })
-	maps.DeleteFunc(l.acquitted, func(_ jobstate.TaskRef, a acquittals) bool { return now.Sub(a.lastAt) > crashRecordTTL })
+	maps.DeleteFunc(l.retractedAt, func(_ jobstate.TaskRef, at boottime.Instant) bool { return now.Sub(at) > crashRecordTTL })
+	maps.DeleteFunc(l.retained, func(_ jobstate.TaskRef, a retainedCrashes) bool { return now.Sub(a.lastAt) > crashRecordTTL })
 	l.records = append(l.records, c)
 }
 
@@ -101,38 +101,38 @@
 	})
 }
 
-// forgive reports whether a crash with an outside cause may be taken back from a task: once
+// mayRetract reports whether a crash with an outside cause may be taken back from a task: once
 // per crashRecordTTL. Tasks that crash their workers together would otherwise be started
 // without a limit.
-func (l *crashLog) forgive(ref jobstate.TaskRef, crashedAt boottime.Instant) bool {
-	if last, ok := l.forgiven[ref]; ok && crashedAt.Sub(last) <= crashRecordTTL {
+func (l *crashLog) mayRetract(ref jobstate.TaskRef, crashedAt boottime.Instant) bool {
+	if last, ok := l.retractedAt[ref]; ok && crashedAt.Sub(last) <= crashRecordTTL {
 		return false
 	}
-	if l.forgiven == nil {
-		l.forgiven = map[jobstate.TaskRef]boottime.Instant{}
+	if l.retractedAt == nil {
+		l.retractedAt = map[jobstate.TaskRef]boottime.Instant{}
 	}
-	l.forgiven[ref] = crashedAt
+	l.retractedAt[ref] = crashedAt
 	return true
 }
 
-// acquit records that a crash of which the task was suspected had another cause.
-func (l *crashLog) acquit(ref jobstate.TaskRef, now boottime.Instant) {
-	if l.acquitted == nil {
-		l.acquitted = map[jobstate.TaskRef]acquittals{}
+// retain records that the task keeps a crash of which it is no longer suspected.
+func (l *crashLog) retain(ref jobstate.TaskRef, now boottime.Instant) {
+	if l.retained == nil {
+		l.retained = map[jobstate.TaskRef]retainedCrashes{}
 	}
-	l.acquitted[ref] = acquittals{l.acquitted[ref].crashes + 1, now}
+	l.retained[ref] = retainedCrashes{l.retained[ref].crashes + 1, now}
 }
 
-// takeAcquittals returns and forgets the number of crashes of which a task was acquitted.
-func (l *crashLog) takeAcquittals(ref jobstate.TaskRef) int {
-	crashes := l.acquitted[ref].crashes
-	delete(l.acquitted, ref)
+// takeRetained returns the number of crashes that a task keeps, and removes them.
+func (l *crashLog) takeRetained(ref jobstate.TaskRef) int {
+	crashes := l.retained[ref].crashes
+	delete(l.retained, ref)
 	return crashes
 }
 
-// convict closes the crashes of which the task was suspected. It returns the other suspects
+// closeCausedBy closes the crashes of which the task was suspected. It returns the other suspects
 // that are suspected of no further crash, and the tasks that were exposed to each.
-func (l *crashLog) convict(ref jobstate.TaskRef) (cleared, exposed []jobstate.TaskRef) {
+func (l *crashLog) closeCausedBy(ref jobstate.TaskRef) (cleared, exposed []jobstate.TaskRef) {
 	for _, c := range l.records {
 		if c.closed || !c.suspects(ref) {
 			continue
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -29,9 +29,9 @@
 	outlived := lastSeen.Sub(tr.startedAt)
 	if outlived > suspectAge {
 		if task.Suspect {
-			e.clearSuspect(tr.run.Ref, "outlived the start")
+			e.clearSuspect(tr.run.Ref)
 		}
-		e.forgetAcquittals(tr.run.Ref)
+		e.dropRetainedCrashes(tr.run.Ref)
 	}
 	if tr.step.LongRunning && outlived > soundAge && en.job.ForgetCrashes(tr.run.Ref) {
 		e.markDirty(tr.run.Ref.Job, en)
--- a/internal/dispatch/record_size_test.go
+++ b/internal/dispatch/record_size_test.go
@@ -82,12 +82,17 @@
 	eventually(t, "last run started", func() bool { return len(a.started()) > jobstate.MaxRuns })
 }
 
-func TestEndOfAnUnstorableJobIsAcknowledgedOnceTheFailureIsStored(t *testing.T) {
-	const tasks = 100
+// startTasks starts a job with the number of tasks on the only worker.
+func startTasks(t *testing.T, tasks uint32) (*rig, *testAgent) {
 	r := newRig(t)
 	a := r.attach("side-1", 1_000_000)
 	r.submit(spec(jobID(1), tasks))
-	eventually(t, "runs started", func() bool { return len(a.started()) == tasks })
+	eventually(t, "runs started", func() bool { return len(a.started()) == int(tasks) })
+	return r, a
+}
+
+func TestEndOfAnUnstorableJobIsAcknowledgedOnceTheFailureIsStored(t *testing.T) {
+	r, a := startTasks(t, 100)
 	r.engine.mu.Lock()
 	progress, err := schedulestore.ProgressRecord(jobID(1), r.engine.jobs[jobID(1)].job.Record())
 	r.engine.settings.MaxRecordBytes = platform.RecordSize(progress) * 3 / 4 // the runs alone take less
@@ -100,10 +105,7 @@
 
 func TestJobThatIsTooLargeEvenAsFailedHoldsNoOthersBack(t *testing.T) {
 	const tasks = 100
-	r := newRig(t)
-	a := r.attach("side-1", 1_000_000)
-	r.submit(spec(jobID(1), tasks))
-	eventually(t, "runs started", func() bool { return len(a.started()) == tasks })
+	r, a := startTasks(t, tasks)
 	r.engine.mu.Lock()
 	r.engine.settings.MaxRecordBytes = 2 * tasks
 	r.engine.mu.Unlock()
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -171,9 +171,9 @@
 	return true
 }
 
-// ForgetAcquittal takes back a crash that ExposeSuspect left with the task. It reports whether
+// DropRetainedCrash takes back a crash that ExposeSuspect left with the task. It reports whether
 // that changed the job.
-func (j *Job) ForgetAcquittal(ref TaskRef) bool {
+func (j *Job) DropRetainedCrash(ref TaskRef) bool {
 	if j.ForgetExposure(ref) {
 		return true
 	}
--- a/internal/schedulestore/state.go
+++ b/internal/schedulestore/state.go
@@ -84,8 +84,7 @@
 
 // Load reads the newest state. The caller must have fenced older writers. A record that cannot
 // be read is logged and left out, so that it does not stop each owner that loads it: its job
-// is listed as unreadable, its wave begins anew, and interference and lease times are learned
-// again.
+// is listed as unreadable, its wave restarts, and interference and lease times are reset.
 func Load(ctx context.Context, store Store) (*State, error) {
 	l := newLoader()
 	for after := ""; ; {
