sitetest: count starts under a lock of its own

The goroutine dump shows a deadlock of the harness, not of the programs: countRunning holds the site's lock and waits for the worker's, while a start holds the worker's lock and waits for the site's, to count itself.

Change: starts are counted under startsMu, which nothing else waits under, so that a worker never waits for the site's lock. No check changes.

A test that counts runs in a busy loop was tried and dropped: it did not end in time with the change either, without a deadlock in its dump, so that it proves nothing. The evidence is the dump of the hang.

--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -100,6 +100,7 @@
 	// onTaskStart is called at each start of a task, with the number of its worker.
 	onTaskStart      func(worker int, task string)
 	heartbeatCancels []context.CancelFunc
+	startsMu         sync.Mutex
 	startCounts      []int // runs started, by worker
 }
 
@@ -266,9 +267,9 @@
 		ID: fmt.Sprintf("i-%d-%d", i, time.Now().UnixNano()), Service: serviceName, Address: address, DataCentre: fmt.Sprintf("zone-%d", i),
 		CPUMilli: 8000, MemoryMB: workerMemoryMB, Labels: []string{"a", "r1-" + fmt.Sprint(i)}, MaxRuns: s.maxRuns, ClockRate: clockRates[i%len(clockRates)],
 	}, func(task string) time.Duration {
-		s.mu.Lock()
+		s.startsMu.Lock() // mu may be held by a call that waits for this worker
 		s.startCounts[i]++
-		s.mu.Unlock()
+		s.startsMu.Unlock()
 		s.onTaskStart(i, task)
 		return time.Duration(s.taskDuration.Load())
 	}, s.journal)
@@ -310,8 +311,8 @@
 
 // startsOnWorker returns how many runs have started on worker i.
 func (s *site) startsOnWorker(i int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.startsMu.Lock()
+	defer s.startsMu.Unlock()
 	return s.startCounts[i]
 }
 
