--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -376,3 +376,47 @@
 	}
 	return nil
 }
+
+// lateHeartbeat has a runner crash and come back, and the agent beside it killed and started
+// again. A heartbeat of the earlier life, delayed by a partition, then arrives before the next one
+// of the present life.
+func lateHeartbeat(j *journal, trouble bool) error {
+	k := newKinds()
+	s, err := newSite(j, 2, 3, config(1, route("r-layout", "/layout/", 2, 3000, 4)), func(r *runner) { r.kindOf = k.of })
+	defer s.close()
+	if err != nil {
+		return err
+	}
+	r, agent := s.runners[0], s.agents[0]
+	r.mu.Lock()
+	old := r.life
+	r.mu.Unlock()
+	var delayed map[string]any
+	if trouble {
+		r.mu.Lock()
+		delayed = r.heartbeat(old) // sent, and held up
+		r.mu.Unlock()
+		j.log("runner %d: heartbeat %d of life %s is held up by a partition", r.number, old.seq, old.name())
+		r.crash(false, "runner crashes")
+		time.Sleep(3 * time.Second)
+		r.restart("i-00-second", 0)
+		time.Sleep(2 * time.Second)
+	}
+	k.set(jobID(1), taskKind{work: 8 * time.Second})
+	if err := s.submit("/layout/"+jobID(1), step(6, 3500, 6400, nil)); err != nil {
+		return err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		s.signal(agent, syscall.SIGKILL)
+		for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if status, _ := putJSON("http://"+r.control+"/v1/instances/"+old.id, delayed); status != 0 {
+				j.log("runner %d: the delayed heartbeat of life %s arrives: status %d", r.number, old.name(), status)
+				break
+			}
+		}
+	}
+	time.Sleep(14 * time.Second)
+	checkOverlap(j)
+	return nil
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,6 +16,7 @@
 	"dropped-route":   droppedRoute,
 	"same-id":         sameID,
 	"late-crash":      lateCrash,
+	"late-heartbeat":  lateHeartbeat,
 	"lost-append":     lostAppend,
 	"pending":         pendingCount,
 	"queued-starts":   queuedStarts,
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -446,12 +446,7 @@
 			r.mu.Unlock()
 			return
 		}
-		l.seq++
-		body := map[string]any{
-			"backend": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
-			"capacity": map[string]int{"cpu": r.cpu, "mem-mb": r.memMB, "gpus": 0}, "labels": r.labels, "machine": r.machine,
-			"clock-ms": l.clock().Milliseconds(), "seq": l.seq, "born": l.born.UnixMilli(),
-		}
+		body := r.heartbeat(l)
 		r.mu.Unlock()
 		if status, err := putJSON("http://"+r.control+"/v1/instances/"+l.id, body); l.seq == 1 || status != http.StatusOK {
 			r.journal.log("runner %d: heartbeat %d of life %s: status %d %v", r.number, l.seq, l.name(), status, err)
@@ -460,6 +455,16 @@
 	}
 }
 
+// heartbeat returns the next heartbeat of a life. The caller holds mu.
+func (r *runner) heartbeat(l *life) map[string]any {
+	l.seq++
+	return map[string]any{
+		"backend": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0,
+		"capacity": map[string]int{"cpu": r.cpu, "mem-mb": r.memMB, "gpus": 0}, "labels": r.labels, "machine": r.machine,
+		"clock-ms": l.clock().Milliseconds(), "seq": l.seq, "born": l.born.UnixMilli(),
+	}
+}
+
 // putJSON sends a body with PUT and returns the status; 0 is no answer.
 func putJSON(url string, body any) (int, error) {
 	content, err := json.Marshal(body)
