--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -167,7 +167,7 @@
 // it.
 func sameID(j *journal, trouble bool) error {
 	k := newKinds()
-	s, err := newSite(j, 2, 3, config(1, route("r-price", "/price/", 0, 3000, 4)), func(r *runner) { r.kindOf = k.of })
+	s, err := newSite(j, 2, 8, config(1, route("r-price", "/price/", 0, 3000, 4)), func(r *runner) { r.kindOf = k.of })
 	defer s.close()
 	if err != nil {
 		return err
@@ -183,7 +183,7 @@
 	}
 	for n := 1; time.Now().Before(stop); n++ {
 		k.set(jobID(n), taskKind{work: 3 * time.Second})
-		if err := s.submit("/price/"+jobID(n), step(3, 480, 960, nil)); err != nil {
+		if err := s.submit("/price/"+jobID(n), step(8, 480, 960, nil)); err != nil {
 			return err
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -382,7 +382,7 @@
 // of the present life.
 func lateHeartbeat(j *journal, trouble bool) error {
 	k := newKinds()
-	s, err := newSite(j, 2, 3, config(1, route("r-layout", "/layout/", 2, 3000, 4)), func(r *runner) { r.kindOf = k.of })
+	s, err := newSite(j, 2, 8, config(1, route("r-layout", "/layout/", 2, 3000, 4)), func(r *runner) { r.kindOf = k.of })
 	defer s.close()
 	if err != nil {
 		return err
@@ -403,7 +403,7 @@
 		time.Sleep(2 * time.Second)
 	}
 	k.set(jobID(1), taskKind{work: 8 * time.Second})
-	if err := s.submit("/layout/"+jobID(1), step(6, 3500, 6400, nil)); err != nil {
+	if err := s.submit("/layout/"+jobID(1), step(16, 3500, 6400, nil)); err != nil {
 		return err
 	}
 	time.Sleep(1500 * time.Millisecond)
