--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -198,7 +198,7 @@
 		en := e.jobs[key.ref.Job]
 		en.job.DropRun(key.ref, key.attempt)
 		e.markDirty(key.ref.Job, en)
-		events.RunLost.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", tr.run.Worker.ID, "cause", cause)
+		events.RunLost.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", tr.run.Worker.ID, "born", tr.run.Worker.BornUnixMs, "present", n.key.BornUnixMs, "cause", cause)
 	}
 	e.replan()
 }
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -64,6 +64,7 @@
 	WorkerDraining          = define(7304, Info, "worker draining")
 	WorkerEnded             = define(7305, Warning, "worker ended or lost")
 	WorkerLossNotReported   = define(7325, Warning, "agent stops before the owner has confirmed that the worker ended")
+	WorkerAnsweredAsAnother = define(7326, Warning, "worker answered a call as another incarnation")
 	HeartbeatRejected       = define(7306, Warning, "worker heartbeat rejected")
 	OwnerAttached           = define(7307, Info, "attached to the owner")
 	OwnerDetached           = define(7308, Warning, "connection to the owner lost")
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -399,6 +399,7 @@
 	}
 	if inc.bornUnixMs != 0 && runs.BornUnixMs != 0 && runs.BornUnixMs != inc.bornUnixMs {
 		// Another incarnation answers at the address. Its heartbeat will introduce it.
+		events.WorkerAnsweredAsAnother.Log("worker", inc.id, "known", inc.bornUnixMs, "answered", runs.BornUnixMs, "listed", inc.listed, "runs", len(runs.Running), "pendingOrders", len(a.pendingOrders))
 		a.markGone(inc, "another incarnation answered")
 		wake(a.wakeReport)
 		return
--- /dev/null
+++ b/internal/workeragent/lives_test.go
@@ -0,0 +1,155 @@
+package workeragent
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/standin/taskworker"
+	"chervilridge/platform"
+)
+
+// addressHarness is an agent whose worker can be replaced by another one at the same address.
+type addressHarness struct {
+	*harness
+	handler atomic.Pointer[http.Handler]
+}
+
+// newAddressHarness returns an agent without heartbeats, at whose worker address a worker with
+// the id listens.
+func newAddressHarness(t *testing.T, id string) *addressHarness {
+	h := &addressHarness{harness: &harness{t: t, journal: taskworker.NewJournal()}}
+	h.replaceWorker(id)
+	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*h.handler.Load()).ServeHTTP(w, r) }))
+	node := &platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: time.Minute}}
+	h.agent = NewAgent(node, platform.NewWorkerClient(strings.TrimPrefix(h.server.URL, "http://")), boottime.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		h.server.CloseClientConnections()
+		h.worker.Close()
+		h.server.Close()
+	})
+	go h.agent.RenewLeases(ctx)
+	return h
+}
+
+// replaceWorker ends the worker, if there is one, and starts another one at its address.
+func (h *addressHarness) replaceWorker(id string) {
+	if h.worker != nil {
+		h.worker.Close()
+		time.Sleep(5 * time.Millisecond) // so that they differ in their time of birth
+	}
+	h.worker = taskworker.New(taskworker.Config{ID: id, Service: "desk"}, func(string) time.Duration { return time.Minute }, h.journal)
+	handler := h.worker.Handler()
+	h.handler.Store(&handler)
+}
+
+// born returns the time of birth that the worker reports.
+func (h *addressHarness) born(id string) int64 {
+	h.t.Helper()
+	runs, err := platform.NewWorkerClient(strings.TrimPrefix(h.server.URL, "http://")).RenewLease(context.Background(), id, platform.LeaseRenewal{})
+	assert.NilError(h.t, err)
+	return runs.BornUnixMs
+}
+
+// beat sends a heartbeat of the worker with the id and time of birth to the agent.
+func (h *addressHarness) beat(id string, born, sequence int64) {
+	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: id, BornUnixMs: born, Service: "desk", Sequence: sequence, CPUMilli: 32000})
+}
+
+// register sends the heartbeat of the present worker and waits until its runs are listed.
+func (h *addressHarness) register(id string) {
+	h.t.Helper()
+	born := h.born(id)
+	h.beat(id, born, 1)
+	h.waitFor("worker listed", func(r *chervilv2.AgentReport) bool {
+		return r.Worker.GetListed() && r.Worker.GetBornUnixMs() == born
+	})
+	h.order(&chervilv2.OwnerOrders{})
+}
+
+// releases reports whether the owner may start the run elsewhere after the report.
+func releases(r *chervilv2.AgentReport, task string, granted int64) bool {
+	for _, crash := range r.Crashes {
+		if slices.ContainsFunc(crash.Runs, func(run *chervilv2.CrashedRun) bool { return run.Task == task }) {
+			return true
+		}
+	}
+	if resultOf(r, task) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED || r.Worker.GetGone() {
+		return true
+	}
+	named := slices.ContainsFunc(r.Runs, func(run *chervilv2.Run) bool { return run.Task == task })
+	return r.Worker.GetBornUnixMs() != granted && r.Full && !named
+}
+
+func TestRunIsNotReportedAsEndedWhileTheNextLifeOfItsWorkerRunsIt(t *testing.T) {
+	h := newAddressHarness(t, workerID)
+	h.register(workerID)
+	granted := h.born(workerID)
+	h.worker.SetFaults(taskworker.Faults{Hang: true})
+	h.start(task1, 1)
+	time.Sleep(startTimeout / 2)
+	h.replaceWorker(workerID)
+	released := false
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		h.agent.requestFullReport()
+		released = released || releases(h.agent.buildReport(), task1, granted)
+		if released {
+			assert.Equal(t, h.worker.Running(), 0, "the next life of the worker runs a task that was reported as ended")
+		}
+	}
+}
+
+func TestDelayedHeartbeatDoesNotReplaceTheWorkerThatAnswers(t *testing.T) {
+	for name, heartbeatFirst := range map[string]bool{"after the first list of runs": false, "before it": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newAddressHarness(t, workerID)
+			born := h.born(workerID)
+			if !heartbeatFirst {
+				h.waitFor("time of birth known", func(*chervilv2.AgentReport) bool {
+					h.agent.mu.Lock()
+					defer h.agent.mu.Unlock()
+					return h.agent.incarnation != nil && h.agent.incarnation.bornUnixMs != 0
+				})
+			}
+			h.beat(workerID, born-7000, 9)
+			h.neverReported(born)
+			h.register(workerID)
+		})
+	}
+}
+
+// neverReported fails the test if a report says that a worker is listed or gone that was not
+// born at the time.
+func (h *addressHarness) neverReported(born int64) {
+	h.t.Helper()
+	for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		r := h.agent.buildReport()
+		if w := r.Worker; w.GetBornUnixMs() != born && (w.GetListed() || w.GetGone()) {
+			h.t.Fatalf("another worker than the one that answers is reported: %v", w)
+		}
+	}
+}
+
+func TestHeartbeatOfAWorkerElsewhereDoesNotReplaceTheOneThatAnswers(t *testing.T) {
+	h := newAddressHarness(t, workerID)
+	h.register(workerID)
+	h.start(task1, 1)
+	h.waitRunning(1)
+	born := h.born(workerID)
+	h.beat("i-elsewhere", born+7000, 1)
+	h.neverReported(born)
+	r := h.agent.buildReport()
+	assert.Equal(t, r.Worker.Id, workerID)
+	assert.Equal(t, len(r.Crashes), 0)
+}
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -153,7 +153,7 @@
 		_, err := a.worker.Start(callCtx, id, start)
 		cancel()
 		if answer, known := startAnswer(err, try); known {
-			events.StartResolved.Log("task", key.task, "attempt", key.attempt, "worker", id, "answer", answer, "try", try, "err", err)
+			events.StartResolved.Log("task", key.task, "attempt", key.attempt, "worker", id, "born", a.bornOf(id), "answer", answer, "try", try, "err", err)
 			if answer == chervilv2.StartAnswer_START_ANSWER_STARTED && a.stopRequested(order) {
 				break
 			}
@@ -169,6 +169,16 @@
 	a.fenceOff(ctx, key)
 }
 
+// bornOf returns the time of birth of the worker with the id, as known now; 0 if it is unknown.
+func (a *Agent) bornOf(workerID string) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.incarnation == nil || a.incarnation.id != workerID {
+		return 0
+	}
+	return a.incarnation.bornUnixMs
+}
+
 // stopRequested reports whether a stop was ordered while the run was being started.
 func (a *Agent) stopRequested(order *pendingOrder) bool {
 	a.mu.Lock()
