A restarted agent counts the leases that its predecessor renewed

The next process lists 8 runs at 6.65 s, but has no heartbeat yet, so that the owner grants it nothing and it sends no lease end. From 7.25 s on the worker resets connections and works on. At 7.5 s the first heartbeat comes, and the next failed hold call finds that all leases have expired (7305, silent 273 ms): the latest lease end known is 0. The owner starts all 8 tasks elsewhere; the worker answers again at 7.9 s with all of them, which overlap for 0.66 s.

Cause: what a process has not done itself counts as not done. The first answer of a worker now sets the latest lease end to its clock plus the longest lease, whoever renewed it.

Ruled out by the trace: records missing after a change of owner (one owner, store calm), a heartbeat of an earlier life and starts on a later one (one time of birth throughout).

--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -410,6 +410,9 @@
 	if runs.Clock < inc.workerClock {
 		return // a newer reply was processed before
 	}
+	if inc.workerClockAt == 0 { // an earlier process of the agent may have renewed the leases
+		inc.latestLeaseEnd = max(inc.latestLeaseEnd, runs.Clock+a.node.Bounds.MaxLease)
+	}
 	inc.workerClock, inc.workerClockAt, inc.lastAnswer = runs.Clock, now, now
 	if inc.unansweredHolds > 0 || inc.refusedConnections > 0 || !inc.listed {
 		a.reportAllRuns = true
