An owner ends the runs of a worker only for a life that has listed its own

Cause: a report that named another life of a worker ended all runs granted to the one known, whether the worker had answered as that life or a heartbeat only claimed it, whether it was earlier or later, and whether the report listed those very runs, because a start had reached the next life under the same id. Besides, one message could acknowledge the ends of one life by the numbers of another.

Change: another life is present once it has listed its runs, or has ended after that; until then the node gets nothing and loses nothing. Its full list decides on runs granted to earlier lives: what it lists is its own, what is still being started stays, the rest has ended. A message starts runs on one life and acknowledges only its ends (fields that agents know already, no byte more a start); acknowledgements for a replaced worker are dropped.

Mixed fleet: an old agent sends a full list with the first report that lists a new life, as this owner needs; an old owner doesn't name the life of a start, and the agent's own check holds.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -5,6 +5,7 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/events"
+	"chervilridge/internal/jobstate"
 	"chervilridge/internal/schedulestore"
 	"chervilridge/platform"
 )
@@ -36,12 +37,12 @@
 type order struct {
 	node string
 	// run identifies the run to start or stop.
-	run        runKey
-	start      *chervilv2.StartOrder
-	stop       *chervilv2.StopOrder
-	storedEnd  int64
-	workerID   string
-	bornUnixMs int64
+	run       runKey
+	start     *chervilv2.StartOrder
+	stop      *chervilv2.StopOrder
+	storedEnd int64
+	// worker is the incarnation to start the run on, or whose ends are stored.
+	worker jobstate.WorkerKey
 }
 
 func newBatch() *batch {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -6,7 +6,6 @@
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
-	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
 	"chervilridge/internal/jobstate"
 )
@@ -138,36 +137,6 @@
 	e.markDirty(run.Ref.Job, en)
 }
 
-// countUnreportedEnd counts the end of a worker that no agent has reported as a crash against
-// the runs that had just started when the worker was last seen alive, except for those of the
-// worker keep. Such an end is mostly that of a machine or a link, so that it makes no suspects.
-// A worker that this owner has not seen alive counts against none.
-func (e *Engine) countUnreportedEnd(n *node, keep *jobstate.WorkerKey, lastAlive boottime.Instant) {
-	if n.lastListed == 0 || n.agentLeft || n.drainingSince != 0 || n.worker.GetDraining() {
-		return
-	}
-	for _, tr := range n.runs {
-		outlived := tr.startedAt != 0 && lastAlive.Sub(tr.startedAt) > suspectAge
-		if !outlived && (keep == nil || tr.run.Worker != *keep) {
-			e.crashRun(n, crashedRun{tracked: tr, started: tr.startedAt != 0}, jobstate.CrashUnreported)
-		}
-	}
-}
-
-// loseRuns drops the runs of a worker that has ended. Its end counts as a crash if the agent
-// could not report it: it has been restarted since, or the worker was silent until all leases
-// had expired.
-func (e *Engine) loseRuns(n *node, r *chervilv2.AgentReport) {
-	silent := time.Duration(r.Worker.GetSilentMs()) * time.Millisecond
-	switch {
-	case n.agentRestarted:
-		e.countUnreportedEnd(n, nil, n.lastListed)
-	case len(r.Crashes) == 0 && !r.Worker.GetDraining() && silent >= e.settings.Bounds.MaxLease:
-		e.countUnreportedEnd(n, nil, e.clock().Add(-silent))
-	}
-	e.dropRuns(n, nil, "worker is gone")
-}
-
 // retractCommonCause takes back the suspicion that the crash of the record and those at the same
 // moment raise, and what they count against older runs, if these crashes are so many that a
 // cause outside of the workers is likely. A job that ran on most of the workers is such a
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -243,7 +243,10 @@
 	if !ok {
 		return
 	}
-	if o.storedEnd > 0 && n.key.ID == o.workerID && n.key.BornUnixMs == o.bornUnixMs {
+	if o.storedEnd > 0 {
+		if n.key != o.worker {
+			return // the worker has been replaced
+		}
 		n.storedEnd = max(n.storedEnd, o.storedEnd)
 	}
 	if o.start != nil {
@@ -290,8 +293,8 @@
 	}
 	for _, n := range e.nodes {
 		if len(n.runs) > 0 && now.After(n.leasesExpireAt(e)) {
-			e.countUnreportedEnd(n, nil, n.lastListed)
-			e.dropRuns(n, nil, "agent unreachable until its leases expired")
+			e.countUnreportedEnd(n, anyRun, n.lastListed)
+			e.dropRuns(n, anyRun, "agent unreachable until its leases expired")
 		}
 	}
 	wall := e.wall().UnixMilli()
--- /dev/null
+++ b/internal/dispatch/incarnations.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"time"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/internal/events"
+	"chervilridge/internal/jobstate"
+)
+
+// knowsLaterThan reports whether the node's worker, or one that it granted a run to, was born
+// after the other worker.
+func (n *node) knowsLaterThan(other jobstate.WorkerKey) bool {
+	if n.key.BornUnixMs > other.BornUnixMs {
+		return true
+	}
+	for _, tr := range n.runs {
+		if tr.run.Worker.BornUnixMs > other.BornUnixMs {
+			return true
+		}
+	}
+	return false
+}
+
+// settleEarlierRuns decides on the runs that were granted to earlier incarnations of the worker,
+// by the full list of the present one: their start may have reached it. A run that it lists is
+// its own from now on, one whose start is not resolved stays as it is, and all others have ended.
+func (e *Engine) settleEarlierRuns(n *node, r *chervilv2.AgentReport) {
+	if r.Worker == nil || !n.leasable {
+		return
+	}
+	listed := map[runKey]*chervilv2.Run{}
+	for _, run := range r.Runs {
+		if ref, err := jobstate.ParseTaskRef(run.Task); err == nil {
+			listed[runKey{ref, run.Attempt}] = run
+		}
+	}
+	earlier := false
+	for key, tr := range n.runs {
+		if tr.run.Worker == n.key {
+			continue
+		}
+		earlier = true
+		if run := listed[key]; run != nil && !run.Starting {
+			events.RunTakenOver.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", n.key.ID,
+				"grantedTo", tr.run.Worker.BornUnixMs, "born", n.key.BornUnixMs)
+			tr.run.Worker = n.key
+			e.markDirty(key.ref.Job, e.jobs[key.ref.Job])
+		}
+	}
+	if !earlier {
+		return
+	}
+	ended := func(tr *trackedRun) bool {
+		return tr.run.Worker != n.key && listed[runKey{tr.run.Ref, tr.run.Attempt}] == nil
+	}
+	if n.agentRestarted {
+		e.countUnreportedEnd(n, ended, n.lastListed)
+	}
+	e.dropRuns(n, ended, "worker has a new incarnation")
+}
+
+// countUnreportedEnd counts the end of a worker that no agent has reported as a crash against
+// those of the ended runs that had just started when the worker was last seen alive. Such an end
+// is mostly that of a machine or a link, so that it makes no suspects. A worker that this owner
+// has not seen alive counts against none.
+func (e *Engine) countUnreportedEnd(n *node, ended func(*trackedRun) bool, lastAlive boottime.Instant) {
+	if n.lastListed == 0 || n.agentLeft || n.drainingSince != 0 || n.worker.GetDraining() {
+		return
+	}
+	for _, tr := range n.runs {
+		outlived := tr.startedAt != 0 && lastAlive.Sub(tr.startedAt) > suspectAge
+		if !outlived && ended(tr) {
+			e.crashRun(n, crashedRun{tracked: tr, started: tr.startedAt != 0}, jobstate.CrashUnreported)
+		}
+	}
+}
+
+// loseRuns drops the runs of a worker that has ended. Its end counts as a crash if the agent
+// could not report it: it has been restarted since, or the worker was silent until all leases
+// had expired.
+func (e *Engine) loseRuns(n *node, r *chervilv2.AgentReport) {
+	silent := time.Duration(r.Worker.GetSilentMs()) * time.Millisecond
+	switch {
+	case n.agentRestarted:
+		e.countUnreportedEnd(n, anyRun, n.lastListed)
+	case len(r.Crashes) == 0 && !r.Worker.GetDraining() && silent >= e.settings.Bounds.MaxLease:
+		e.countUnreportedEnd(n, anyRun, e.clock().Add(-silent))
+	}
+	e.dropRuns(n, anyRun, "worker is gone")
+}
+
+func anyRun(*trackedRun) bool { return true }
+
+// dropRuns drops the ended runs of the node. The caller must know that they have ended.
+func (e *Engine) dropRuns(n *node, ended func(*trackedRun) bool, cause string) {
+	for key, tr := range n.runs {
+		if !ended(tr) {
+			continue
+		}
+		n.removeRun(key)
+		en := e.jobs[key.ref.Job]
+		en.job.DropRun(key.ref, key.attempt)
+		e.markDirty(key.ref.Job, en)
+		events.RunLost.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", tr.run.Worker.ID, "born", tr.run.Worker.BornUnixMs,
+			"present", n.key.BornUnixMs, "cause", cause)
+	}
+	e.replan()
+}
--- a/internal/dispatch/lives_test.go
+++ b/internal/dispatch/lives_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/jobstate"
 )
 
 // life returns the worker with another time of birth.
@@ -37,9 +38,7 @@
 
 func TestEndOfAnEarlierLifeDoesNotEndTheRunsOfALaterOne(t *testing.T) {
 	r := newRig(t)
-	a := r.attach("side-1", 32000)
-	a.worker = life(a.worker, 9, true)
-	a.report(&chervilv2.AgentReport{Full: true})
+	a := r.attachWith("side-1", life(&chervilv2.Worker{Id: "worker", Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000}, 9, true))
 	r.submit(spec(jobID(1), 1))
 	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
 	b := r.attach("side-2", 32000)
@@ -72,8 +71,8 @@
 
 func TestEndsOfALifeAreNotAcknowledgedByTheNumbersOfAnother(t *testing.T) {
 	s := newSession()
-	s.addOrder(order{storedEnd: 40, workerID: "worker", bornUnixMs: 1})
-	s.addOrder(order{storedEnd: 2, workerID: "worker", bornUnixMs: 2})
+	s.addOrder(order{storedEnd: 40, worker: jobstate.WorkerKey{ID: "worker", BornUnixMs: 1}})
+	s.addOrder(order{storedEnd: 2, worker: jobstate.WorkerKey{ID: "worker", BornUnixMs: 2}})
 	out := s.takePending()
 	assert.Equal(t, out.BornUnixMs, int64(2))
 	assert.Equal(t, out.StoredEnd, int64(2))
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -6,7 +6,6 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
-	"chervilridge/internal/events"
 	"chervilridge/internal/jobstate"
 	"chervilridge/internal/plan"
 )
@@ -166,6 +165,8 @@
 		return false, "worker has no lease or it ends soon"
 	case n.worker == nil || n.worker.Gone || !n.worker.Listed:
 		return false, "worker is gone or not listed"
+	case n.worker.Service == "":
+		return false, "worker has sent no heartbeat"
 	case n.worker.Draining:
 		return false, "draining"
 	case n.drainingSince != 0:
@@ -187,22 +188,6 @@
 	return ""
 }
 
-// dropRuns drops the runs of all incarnations of the node's worker, except for those of
-// keep if that is not nil. The caller must know that they have ended.
-func (e *Engine) dropRuns(n *node, keep *jobstate.WorkerKey, cause string) {
-	for key, tr := range n.runs {
-		if keep != nil && tr.run.Worker == *keep {
-			continue
-		}
-		n.removeRun(key)
-		en := e.jobs[key.ref.Job]
-		en.job.DropRun(key.ref, key.attempt)
-		e.markDirty(key.ref.Job, en)
-		events.RunLost.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", tr.run.Worker.ID, "born", tr.run.Worker.BornUnixMs, "present", n.key.BornUnixMs, "cause", cause)
-	}
-	e.replan()
-}
-
 // runInfos describes the runs on the worker to an agent that attaches.
 func (n *node) runInfos() []*chervilv2.RunInfo {
 	out := make([]*chervilv2.RunInfo, 0, len(n.runs))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -339,7 +339,7 @@
 	for _, r := range runs {
 		n := e.node(r.Worker.Node)
 		tr := n.addRun(e, r)
-		e.batch.orders = append(e.batch.orders, order{node: n.name, run: runKey{r.Ref, r.Attempt}, start: e.startOrder(en, tr)})
+		e.batch.orders = append(e.batch.orders, order{node: n.name, run: runKey{r.Ref, r.Attempt}, start: e.startOrder(en, tr), worker: r.Worker})
 		events.RunGranted.Log("task", r.Ref.String(), "attempt", r.Attempt, "node", n.name, "worker", r.Worker.ID,
 			"cpuMilli", tr.step.CpuMilli, "fills", tr.step.Fills, "usedMilli", n.used.CPUMilli, "fillMilli", n.bestEffortCPUMilli, "isolated", r.Isolated, "epoch", e.Epoch())
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -43,17 +43,23 @@
 	}
 }
 
+// addOrder adds an order to the next message. A message starts runs on one incarnation of the
+// worker and acknowledges only its ends, so that a newer incarnation voids what is pending for
+// an earlier one.
 func (s *session) addOrder(o order) {
 	s.update(func(next *chervilv2.OwnerOrders) {
-		switch {
-		case o.start != nil:
-			next.Starts = append(next.Starts, o.start)
-		case o.stop != nil:
+		if o.stop != nil {
 			next.Stops = append(next.Stops, o.stop)
-		default:
-			next.StoredEnd = max(next.StoredEnd, o.storedEnd)
-			next.WorkerId, next.BornUnixMs = o.workerID, o.bornUnixMs
+			return
+		}
+		if next.WorkerId != o.worker.ID || next.BornUnixMs != o.worker.BornUnixMs {
+			next.Starts, next.StoredEnd = nil, 0
+			next.WorkerId, next.BornUnixMs = o.worker.ID, o.worker.BornUnixMs
 		}
+		if o.start != nil {
+			next.Starts = append(next.Starts, o.start)
+		}
+		next.StoredEnd = max(next.StoredEnd, o.storedEnd)
 	})
 }
 
@@ -144,9 +150,11 @@
 			e.handleCrash(n, crash)
 		}
 	}
-	e.updateWorker(n, r.Worker)
-	for _, end := range r.Ends {
-		e.handleEnd(n, r.Worker, end)
+	present := e.updateWorker(n, r.Worker)
+	if present {
+		for _, end := range r.Ends {
+			e.handleEnd(n, end)
+		}
 	}
 	for _, crash := range r.Crashes { // of this incarnation, whose reported ends take precedence
 		e.handleCrash(n, crash)
@@ -154,12 +162,17 @@
 	for _, result := range r.Results {
 		e.handleResult(n, result)
 	}
-	if r.Worker.GetGone() && len(n.runs) > 0 { // the reported ends take precedence
+	if present && r.Worker.GetGone() && len(n.runs) > 0 { // the reported ends take precedence
 		e.loseRuns(n, r)
 	}
 	if r.Full {
+		e.settleEarlierRuns(n, r)
 		e.reconcile(n, r)
 	}
+	if n.leasable {
+		n.lastListed = e.clock()
+		n.agentRestarted = n.agentRestarted && !r.Full
+	}
 	if r.Leaving {
 		n.session = nil
 	}
@@ -172,22 +185,27 @@
 	s.update(func(next *chervilv2.OwnerOrders) { next.Report, next.HoldMs = r.Sequence, lease.Milliseconds() })
 }
 
-// updateWorker records a worker's description. A new incarnation means that the runs of
-// the previous one have ended. An agent that knows no worker renews no leases.
-func (e *Engine) updateWorker(n *node, w *chervilv2.Worker) {
+// updateWorker records a worker's description. It reports whether the description is of the
+// worker that is present. Another incarnation than the known one is present only once it has
+// listed its runs, or has ended after that: until then it is what a heartbeat claims.
+func (e *Engine) updateWorker(n *node, w *chervilv2.Worker) (present bool) {
 	n.leasable = w.GetListed() && !w.GetGone()
 	if w.GetId() == "" {
 		n.worker = nil
-		return
+		return true
 	}
 	key := jobstate.WorkerKey{Node: n.name, ID: w.Id, BornUnixMs: w.BornUnixMs}
+	if n.key != key && !n.leasable && (!w.Gone || n.knowsLaterThan(key)) {
+		if n.worker != nil {
+			events.WorkerUnproved.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "known", n.key.ID, "knownBorn", n.key.BornUnixMs, "gone", w.Gone)
+			e.replan()
+		}
+		n.worker = nil
+		return false
+	}
 	if n.key != key {
 		events.WorkerRegistered.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "service", w.Service, "zone", w.Zone,
 			"cpuMilli", w.CpuMilli, "memoryMB", w.MemoryMb, "labels", w.Labels)
-		if n.agentRestarted {
-			e.countUnreportedEnd(n, &key, n.lastListed)
-		}
-		e.dropRuns(n, &key, "worker has a new incarnation")
 		n.key, n.lastEnd, n.storedEnd, n.health, n.drainingSince = key, 0, 0, health{}, 0
 		e.replan()
 	}
@@ -195,25 +213,20 @@
 		e.replan()
 	}
 	n.worker = w
-	if n.leasable {
-		n.lastListed, n.agentRestarted = e.clock(), false
-	}
+	return true
 }
 
-// handleEnd processes the end of a run, and acknowledges it to the agent once it is
-// stored.
-func (e *Engine) handleEnd(n *node, w *chervilv2.Worker, end *chervilv2.RunEnd) {
-	if w == nil {
-		return
-	}
+// handleEnd processes the end of a run on the present worker, and acknowledges it to the agent
+// once it is stored.
+func (e *Engine) handleEnd(n *node, end *chervilv2.RunEnd) {
 	if end.Number <= n.lastEnd {
 		if end.Number <= n.storedEnd { // repeat a lost acknowledgement
-			n.session.addOrder(order{storedEnd: n.storedEnd, workerID: w.Id, bornUnixMs: w.BornUnixMs})
+			n.session.addOrder(order{storedEnd: n.storedEnd, worker: n.key})
 		}
 		return
 	}
 	n.lastEnd = end.Number
-	e.batch.orders = append(e.batch.orders, order{node: n.name, storedEnd: end.Number, workerID: w.Id, bornUnixMs: w.BornUnixMs})
+	e.batch.orders = append(e.batch.orders, order{node: n.name, storedEnd: end.Number, worker: n.key})
 	e.wake()
 	ref, err := jobstate.ParseTaskRef(end.Task)
 	en, known := e.jobs[ref.Job]
@@ -391,7 +404,7 @@
 		tr.run.Stopping = true
 		o.stop = &chervilv2.StopOrder{Task: tr.run.Ref.String(), Attempt: tr.run.Attempt}
 	} else {
-		o.start = e.startOrder(en, tr)
+		o.start, o.worker = e.startOrder(en, tr), tr.run.Worker
 	}
 	events.OrderRepeated.Log("task", tr.run.Ref.String(), "attempt", tr.run.Attempt, "node", n.name, "stop", o.stop != nil)
 	e.batch.orders = append(e.batch.orders, o)
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -37,6 +37,8 @@
 	RunNotStarted       = define(7208, Warning, "run did not start")
 	RunLost             = define(7209, Warning, "run lost with its worker")
 	RunStopOrdered      = define(7210, Info, "stop of a run ordered")
+	WorkerUnproved      = define(7220, Warning, "report of a worker that has not listed its runs ignored")
+	RunTakenOver        = define(7221, Warning, "run found on a later incarnation of its worker")
 	WorkerCrashed       = define(7217, Warning, "worker crashed with its runs")
 	SuspectCleared      = define(7218, Info, "task no longer suspected of crashing its worker")
 	TaskGivenUp         = define(7219, Warning, "task given up since it crashes its workers")
