An agent takes a life of its worker for present once a call has proved it

Causes, one class: a message that outlived what it spoke of was taken for one about the present. - A heartbeat replaced the worker that answers calls: a delayed one of an earlier life after a restart of the agent, or one of another writer for a worker elsewhere. - A start granted for one life was sent to the next one under the same id, and counted as ended by the crash of the first while it ran there. Its id can't tell them apart, and a start carries no time of birth. - An acknowledgement or a lease end meant for the earlier life could be taken by the next one for its own.

A start is bound to the life that it was granted for. Once another life answers, its list decides: what it lists is reported as running, starts that may still arrive are stopped there first, and the crash of the earlier life is reported when all of them are decided. A worker counts as gone only while no start call is in flight. After a call without an answer no end is acknowledged.

Tests changed: three tests let a heartbeat alone replace a worker that went on answering at the address, which is the fault; they now replace the worker at the address, and check more (the ends and the runs of the crash).

--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -71,17 +71,20 @@
 // incarnation is the state of one incarnation of the worker. Its id is empty until the
 // first heartbeat.
 type incarnation struct {
-	id            string
-	bornUnixMs    int64
+	id         string
+	bornUnixMs int64
+	// confirmed is set once the worker has answered a hold call as this incarnation. Until
+	// then its id and time of birth are what a heartbeat claims.
+	confirmed     bool
 	heartbeat     platform.Heartbeat // the newest one
 	heartbeatAt   boottime.Instant   // when it was received
 	draining      bool
-	deregistered  bool // the worker announced its exit
-	gone          bool // nothing runs on it any more, and it is not expected to return
-	goneAt        boottime.Instant
-	leasesExpired bool // all leases expired while it was unreachable
-	lossConfirmed bool // the owner knows that it is gone
-	listed        bool // runs is the list that a hold call returned, and is still valid
+	deregistered  bool             // the worker announced its exit
+	gone          bool             // nothing runs on it any more, and it is not expected to return
+	goneAt        boottime.Instant // when it ended; 0 if it lives
+	leasesExpired bool             // all leases expired while it was unreachable
+	lossConfirmed bool             // the owner knows that it is gone
+	listed        bool             // runs is the list that a hold call returned, and is still valid
 	// workerClock is the newest reading of the worker's clock, which the agent received
 	// at workerClockAt on its own clock. The reading may be older than that, so the
 	// computed lease ends are early rather than late.
@@ -120,7 +123,7 @@
 
 	mu               sync.Mutex
 	incarnation      *incarnation
-	pendingHeartbeat *platform.Heartbeat // of a new incarnation, applied once the ends of the current one are stored
+	pendingHeartbeat *platform.Heartbeat // of another incarnation, which no call has confirmed yet
 	ownerEpoch       uint64
 	renewUntil       boottime.Instant // end of the owner's grant: no lease may last longer
 	pendingOrders    map[runKey]*pendingOrder
@@ -130,24 +133,27 @@
 	// unconfirmedResults are start results that are reported only after a newer list of
 	// runs confirms that the run is not active.
 	unconfirmedResults []*chervilv2.StartResult
-	runInfos           map[runKey]runInfo
-	paceOrders         map[runKey]*paceOrder
-	pacers             map[string]*pacer // by image of best-effort runs
-	model              *interference.Model
-	servingStates      map[runKey]*servingState
-	lastUsage          map[string]float64 // usage of best-effort runs in the previous list, by image
-	reportAllRuns      bool               // the next report includes the list of runs
-	crashes            []*crashReport     // recent ones, oldest first
-	wakeReport         chan struct{}
-	wakeHold           chan struct{}
-	orderSlots         chan struct{}
+	// unansweredStarts are the starts that a call may still carry out, with the time of the
+	// last call.
+	unansweredStarts map[runKey]boottime.Instant
+	runInfos         map[runKey]runInfo
+	paceOrders       map[runKey]*paceOrder
+	pacers           map[string]*pacer // by image of best-effort runs
+	model            *interference.Model
+	servingStates    map[runKey]*servingState
+	lastUsage        map[string]float64 // usage of best-effort runs in the previous list, by image
+	reportAllRuns    bool               // the next report includes the list of runs
+	crashes          []*crashReport     // recent ones, oldest first
+	wakeReport       chan struct{}
+	wakeHold         chan struct{}
+	orderSlots       chan struct{}
 }
 
 // NewAgent returns an agent that knows no worker yet.
 func NewAgent(node *platform.NodeSettings, worker Worker, clock boottime.Clock) *Agent {
 	a := &Agent{
 		node: node, worker: worker, clock: clock, pendingOrders: map[runKey]*pendingOrder{}, paceOrders: map[runKey]*paceOrder{}, runInfos: map[runKey]runInfo{},
-		pacers: map[string]*pacer{}, model: interference.New(), servingStates: map[runKey]*servingState{}, rejectedRuns: map[runKey]boottime.Instant{},
+		pacers: map[string]*pacer{}, model: interference.New(), servingStates: map[runKey]*servingState{}, rejectedRuns: map[runKey]boottime.Instant{}, unansweredStarts: map[runKey]boottime.Instant{},
 		wakeReport: make(chan struct{}, 1), wakeHold: make(chan struct{}, 1), orderSlots: make(chan struct{}, orderConcurrency),
 	}
 	return a
@@ -161,80 +167,6 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the worker. One of a new incarnation replaces
-// the current one as soon as its run ends are stored; one of an earlier incarnation is
-// rejected.
-func (a *Agent) HandleHeartbeat(h platform.Heartbeat) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	inc := a.incarnation
-	if inc == nil || !inc.matches(h) {
-		if inc != nil && inc.id != "" && h.BornUnixMs < inc.bornUnixMs {
-			events.HeartbeatRejected.Log("worker", h.WorkerID, "born", h.BornUnixMs, "known", inc.id, "knownBorn", inc.bornUnixMs, "reason", "heartbeat of an earlier incarnation")
-			return
-		}
-		if inc != nil && inc.awaitsStoredEnds(a.clock()) {
-			a.pendingHeartbeat = &h // applied once the ends of the current incarnation are stored
-			return
-		}
-		a.pendingHeartbeat = nil
-		if inc != nil {
-			a.recordCrash(inc)
-		}
-		inc = newIncarnation(a.clock())
-		a.incarnation = inc
-		clear(a.runInfos)
-		clear(a.paceOrders)
-		clear(a.servingStates)
-		a.lastUsage = nil
-	}
-	if inc.id == "" {
-		inc.id, inc.bornUnixMs = h.WorkerID, h.BornUnixMs
-		events.WorkerRegistered.Log("worker", h.WorkerID, "born", h.BornUnixMs, "service", h.Service, "sequence", h.Sequence,
-			"cpuMilli", h.CPUMilli, "memoryMB", h.MemoryMB, "labels", h.Labels)
-		wake(a.wakeHold)
-		wake(a.wakeReport)
-	}
-	if h.Sequence < inc.heartbeat.Sequence {
-		return
-	}
-	if inc.gone && h.Sequence > inc.heartbeat.Sequence {
-		inc.gone, inc.leasesExpired, inc.refusedConnections = false, true, 0 // it is alive after all, but runs nothing
-		a.retractCrash(h)
-	}
-	if h.Draining && !inc.draining {
-		events.WorkerDraining.Log("worker", h.WorkerID, "remaining", h.DrainRemaining, "sequence", h.Sequence)
-	}
-	if h.Draining != inc.draining {
-		wake(a.wakeReport)
-	}
-	inc.heartbeat, inc.heartbeatAt, inc.draining = h, a.clock(), h.Draining
-}
-
-// awaitsStoredEnds reports whether the owner still has to store run ends of this
-// incarnation. Ends that are not stored within goneEndsTimeout after it is gone count as
-// lost runs.
-func (inc *incarnation) awaitsStoredEnds(now boottime.Instant) bool {
-	return len(inc.pendingEnds) > 0 && (!inc.gone || now.Sub(inc.goneAt) < goneEndsTimeout)
-}
-
-// applyPendingHeartbeat processes the heartbeat of a new incarnation once the current one
-// has no more run ends to be stored.
-func (a *Agent) applyPendingHeartbeat() {
-	a.mu.Lock()
-	heartbeat := a.pendingHeartbeat
-	ready := heartbeat != nil && (a.incarnation == nil || !a.incarnation.awaitsStoredEnds(a.clock()))
-	a.mu.Unlock()
-	if ready {
-		a.HandleHeartbeat(*heartbeat)
-	}
-}
-
-// matches reports whether the heartbeat is of this incarnation. Unknown values match any.
-func (inc *incarnation) matches(h platform.Heartbeat) bool {
-	return (inc.id == "" || inc.id == h.WorkerID) && (inc.bornUnixMs == 0 || h.BornUnixMs == 0 || inc.bornUnixMs == h.BornUnixMs)
-}
-
 // Deregister records that the worker is about to exit. It gets no more starts.
 func (a *Agent) Deregister(workerID string) {
 	a.mu.Lock()
@@ -276,7 +208,7 @@
 // runs current.
 func (a *Agent) RenewLeases(ctx context.Context) {
 	for ctx.Err() == nil {
-		a.applyPendingHeartbeat()
+		a.confirmPendingHeartbeat(ctx)
 		pause := a.holdOnce(ctx)
 		if pause == 0 {
 			continue
@@ -302,7 +234,10 @@
 		return unansweredPause
 	}
 	unconfirmed := a.unconfirmedResults
-	hold := platform.LeaseRenewal{ExpiresAt: a.leaseEnd(inc), Fence: a.ownerEpoch, AckedEndNumber: inc.storedEnd}
+	hold := platform.LeaseRenewal{ExpiresAt: a.leaseEnd(inc), Fence: a.ownerEpoch}
+	if inc.confirmed && inc.unansweredHolds == 0 { // otherwise the next incarnation may take it for its own ends
+		hold.AckedEndNumber = inc.storedEnd
+	}
 	if len(inc.pendingEnds) == 0 && len(unconfirmed) == 0 && inc.listed && inc.unansweredHolds == 0 {
 		hold.Wait = holdWait
 		if inc.draining {
@@ -368,7 +303,10 @@
 	switch {
 	case inc.id == "":
 		// No worker has registered; it may be starting.
-	case inc.refusedConnections >= maxRefusedConnections || kind == platform.Superseded && inc.listed:
+	case kind == platform.Superseded && !inc.confirmed:
+		rejectHeartbeat(&inc.heartbeat, "another worker answers at the address")
+		a.incarnation = newIncarnation(a.clock())
+	case inc.refusedConnections >= maxRefusedConnections || kind == platform.Superseded:
 		a.markGone(inc, string(kind))
 	case inc.unansweredHolds >= maxUnansweredHolds && !inc.leasesExpired && inc.allLeasesExpired(a.clock()):
 		events.WorkerEnded.Log("worker", inc.id, "born", inc.bornUnixMs, "reason", "all leases expired", "runs", len(inc.runs), "silent", a.clock().Sub(inc.lastAnswer))
@@ -388,6 +326,7 @@
 	inc.runs = map[runKey]platform.Run{}
 	inc.gone, inc.listed, inc.goneAt, inc.lossConfirmed = true, false, a.clock(), false
 	a.reportAllRuns = true
+	a.confirmResults(inc, a.unconfirmedResults)
 }
 
 // handleHoldReply processes the reply to a hold call sent at the time: it updates runs and run
@@ -398,19 +337,17 @@
 		events.WorkerResponsive.Log("worker", inc.id, "silent", now.Sub(inc.lastAnswer), "runs", len(runs.Running), "ends", len(runs.Ended))
 	}
 	if inc.bornUnixMs != 0 && runs.BornUnixMs != 0 && runs.BornUnixMs != inc.bornUnixMs {
-		// Another incarnation answers at the address. Its heartbeat will introduce it.
-		events.WorkerAnsweredAsAnother.Log("worker", inc.id, "known", inc.bornUnixMs, "answered", runs.BornUnixMs, "listed", inc.listed, "runs", len(runs.Running), "pendingOrders", len(a.pendingOrders))
-		a.markGone(inc, "another incarnation answered")
-		wake(a.wakeReport)
-		return
+		if inc = a.replaceIncarnation(ctx, inc, sentAt, runs); inc == nil {
+			return
+		}
 	}
-	if inc.bornUnixMs == 0 {
-		inc.bornUnixMs = runs.BornUnixMs
+	if !inc.confirmed {
+		inc.confirmed, inc.bornUnixMs = true, max(inc.bornUnixMs, runs.BornUnixMs)
 	}
 	if runs.Clock < inc.workerClock {
 		return // a newer reply was processed before
 	}
-	if inc.workerClockAt == 0 { // an earlier process of the agent may have renewed the leases
+	if inc.workerClockAt == 0 { // calls of an earlier process, or for an earlier incarnation, may have renewed the leases
 		inc.latestLeaseEnd = max(inc.latestLeaseEnd, runs.Clock+a.node.Bounds.MaxLease)
 	}
 	inc.workerClock, inc.workerClockAt, inc.lastAnswer = runs.Clock, now, now
@@ -435,28 +372,6 @@
 	a.adjustPaces(ctx, inc)
 }
 
-// confirmResults ends the orders whose outcome was known before the list of runs was
-// made. A result is reported only if the list shows neither the run nor its end.
-func (a *Agent) confirmResults(inc *incarnation, unconfirmed []*chervilv2.StartResult) {
-	if len(unconfirmed) == 0 {
-		return
-	}
-	a.unconfirmedResults = a.unconfirmedResults[len(unconfirmed):]
-	for _, r := range unconfirmed {
-		key := runKey{r.Task, r.Attempt}
-		delete(a.pendingOrders, key)
-		if _, runs := inc.runs[key]; runs {
-			continue // its end is still to come
-		}
-		if slices.ContainsFunc(inc.pendingEnds, func(e platform.RunEnd) bool { return e.Task == r.Task && e.Attempt == r.Attempt }) {
-			continue // the end is reported instead
-		}
-		a.startResults = append(a.startResults, r)
-	}
-	a.reportAllRuns = true
-	wake(a.wakeReport)
-}
-
 // pruneRunInfos drops the data of runs that are neither listed nor being started and were
 // not described by the owner for runInfoTTL.
 func (a *Agent) pruneRunInfos(inc *incarnation) {
--- a/internal/workeragent/agent_test.go
+++ b/internal/workeragent/agent_test.go
@@ -219,29 +219,32 @@
 }
 
 func TestHeartbeatOfAnEarlierIncarnationIsRejected(t *testing.T) {
-	h := newHarness(t, time.Minute)
-	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: "i-2", BornUnixMs: 1 << 50, Service: "desk", Sequence: 1})
-	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: "i-0", BornUnixMs: 100, Service: "desk", Sequence: 9})
+	h := newAddressHarness(t, "i-2", time.Minute)
+	h.register("i-2")
+	born := h.born("i-2")
+	h.beat("i-0", 100, 9)
+	h.neverReported(born)
 	r := h.agent.buildReport()
 	assert.Equal(t, r.Worker.Id, "i-2")
+	assert.Assert(t, r.Worker.Listed)
 }
 
 // Guards against a task that is executed twice: a run ended just before its worker was
 // gone, and the agent dropped the end together with the worker's state.
 func TestEndsOfAWorkerThatIsGoneAreStillReported(t *testing.T) {
-	h := newHarness(t, 50*time.Millisecond)
-	h.waitListed()
+	h := newAddressHarness(t, workerID, 50*time.Millisecond)
+	h.register(workerID)
 	h.start(task1, 1)
 	h.waitFor("ended", func(r *chervilv2.AgentReport) bool { return len(r.Ends) == 1 })
-	_ = h.server.Listener.Close()
-	h.worker.Close()
-	h.server.CloseClientConnections()
+	born := h.born(workerID)
+	h.replaceWorker("i-2")
 	r := h.waitFor("gone", func(r *chervilv2.AgentReport) bool { return r.Worker.Gone })
 	assert.Equal(t, len(r.Ends), 1)
-	born := h.agent.incarnation.bornUnixMs
-	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: "i-2", BornUnixMs: born + 5000, Service: "desk", Sequence: 1})
+	h.beat("i-2", h.born("i-2"), 1)
+	time.Sleep(300 * time.Millisecond)
 	r = h.agent.buildReport()
 	assert.Equal(t, r.Worker.Id, workerID, "the new incarnation waits until the ends are stored")
+	assert.Equal(t, len(r.Ends), 1)
 	h.order(&chervilv2.OwnerOrders{StoredEnd: 1, WorkerId: workerID, BornUnixMs: born})
 	h.waitFor("new incarnation", func(r *chervilv2.AgentReport) bool { return r.Worker.Id == "i-2" })
 }
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -8,7 +8,6 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
-	"chervilridge/platform"
 )
 
 const (
@@ -52,7 +51,7 @@
 // recordCrash adds the end of an incarnation to the crashes to report, unless its end was
 // planned or nothing ran on it any more. The caller holds mu.
 func (a *Agent) recordCrash(inc *incarnation) {
-	if inc.id == "" || inc.gone || inc.draining || inc.deregistered || inc.leasesExpired {
+	if !inc.confirmed || inc.id == "" || inc.gone || inc.draining || inc.deregistered || inc.leasesExpired {
 		return
 	}
 	crash := &crashReport{workerID: inc.id, bornUnixMs: inc.bornUnixMs, at: inc.earliestCrash()}
@@ -130,13 +129,26 @@
 	}
 	var out []*chervilv2.WorkerCrash
 	for _, c := range a.crashes {
-		if !c.confirmed {
+		if !c.confirmed && !a.undecided(c) {
 			out = append(out, &chervilv2.WorkerCrash{WorkerId: c.workerID, BornUnixMs: c.bornUnixMs, Runs: c.runs, AgoMs: now.Sub(c.at).Milliseconds()})
 		}
 	}
 	return out
 }
 
+// undecided reports whether a start of one of the runs may still reach the next incarnation.
+// The caller holds mu.
+func (a *Agent) undecided(c *crashReport) bool {
+	return slices.ContainsFunc(c.runs, func(r *chervilv2.CrashedRun) bool { return a.pendingOrders[runKey{r.Task, r.Attempt}] != nil })
+}
+
+// survived removes a run that lives from the crashes to report. The caller holds mu.
+func (a *Agent) survived(key runKey) {
+	for _, c := range a.crashes {
+		c.runs = slices.DeleteFunc(c.runs, func(r *chervilv2.CrashedRun) bool { return r.Task == key.task && r.Attempt == key.attempt })
+	}
+}
+
 // resendCrashes makes the reports to a new owner include all recent crashes, since the
 // previous owner may not have stored what it did about them.
 func (a *Agent) resendCrashes() {
@@ -171,6 +183,6 @@
 
 // retractCrash drops the report of a crash of a worker that lives after all. The caller
 // holds mu.
-func (a *Agent) retractCrash(h platform.Heartbeat) {
-	a.crashes = slices.DeleteFunc(a.crashes, func(c *crashReport) bool { return c.workerID == h.WorkerID && c.bornUnixMs == h.BornUnixMs })
+func (a *Agent) retractCrash(inc *incarnation) {
+	a.crashes = slices.DeleteFunc(a.crashes, func(c *crashReport) bool { return c.workerID == inc.id && c.bornUnixMs == inc.bornUnixMs })
 }
--- a/internal/workeragent/crash_test.go
+++ b/internal/workeragent/crash_test.go
@@ -75,16 +75,16 @@
 }
 
 func TestNewIncarnationIsACrashOfTheLast(t *testing.T) {
-	h := newHarness(t, time.Minute)
-	h.waitListed()
+	h := newAddressHarness(t, workerID, time.Minute)
+	h.register(workerID)
 	h.start(task1, 1)
 	h.waitRunning(1)
-	next := platform.Heartbeat{WorkerID: "i-2", BornUnixMs: time.Now().Add(time.Second).UnixMilli(), Service: "desk", Sequence: 1}
-	h.agent.HandleHeartbeat(next)
-	r := h.agent.buildReport()
+	h.replaceWorker("i-2")
+	h.beat("i-2", h.born("i-2"), 1)
+	r := h.waitFor("new incarnation", func(r *chervilv2.AgentReport) bool { return r.Worker.Id == "i-2" })
 	assert.Equal(t, len(r.Crashes), 1)
 	assert.Equal(t, r.Crashes[0].WorkerId, workerID)
-	assert.Equal(t, r.Worker.Id, "i-2")
+	assert.Equal(t, len(r.Crashes[0].Runs), 1)
 }
 
 func TestPlannedEndOfAWorkerIsNoCrash(t *testing.T) {
--- a/internal/workeragent/lease_test.go
+++ b/internal/workeragent/lease_test.go
@@ -14,7 +14,7 @@
 // A worker that falls silent right after its agent was restarted still holds the leases that the
 // previous agent renewed.
 func TestRestartedAgentDoesNotReportRunsAsEndedThatAPreviousLeaseKeepsAlive(t *testing.T) {
-	h := newAddressHarness(t, workerID)
+	h := newAddressHarness(t, workerID, time.Minute)
 	h.waitFor("time of birth known", func(*chervilv2.AgentReport) bool {
 		h.agent.mu.Lock()
 		defer h.agent.mu.Unlock()
--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -21,13 +21,14 @@
 // addressHarness is an agent whose worker can be replaced by another one at the same address.
 type addressHarness struct {
 	*harness
+	runTime time.Duration
 	handler atomic.Pointer[http.Handler]
 }
 
 // newAddressHarness returns an agent without heartbeats, at whose worker address a worker with
 // the id listens.
-func newAddressHarness(t *testing.T, id string) *addressHarness {
-	h := &addressHarness{harness: &harness{t: t, journal: taskworker.NewJournal()}}
+func newAddressHarness(t *testing.T, id string, runTime time.Duration) *addressHarness {
+	h := &addressHarness{harness: &harness{t: t, journal: taskworker.NewJournal()}, runTime: runTime}
 	h.replaceWorker(id)
 	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*h.handler.Load()).ServeHTTP(w, r) }))
 	node := &platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: time.Minute}}
@@ -49,7 +50,7 @@
 		h.worker.Close()
 		time.Sleep(5 * time.Millisecond) // so that they differ in their time of birth
 	}
-	h.worker = taskworker.New(taskworker.Config{ID: id, Service: "desk"}, func(string) time.Duration { return time.Minute }, h.journal)
+	h.worker = taskworker.New(taskworker.Config{ID: id, Service: "desk"}, func(string) time.Duration { return h.runTime }, h.journal)
 	handler := h.worker.Handler()
 	h.handler.Store(&handler)
 }
@@ -93,7 +94,7 @@
 }
 
 func TestRunIsNotReportedAsEndedWhileTheNextLifeOfItsWorkerRunsIt(t *testing.T) {
-	h := newAddressHarness(t, workerID)
+	h := newAddressHarness(t, workerID, time.Minute)
 	h.register(workerID)
 	granted := h.born(workerID)
 	h.worker.SetFaults(taskworker.Faults{Hang: true})
@@ -113,7 +114,7 @@
 func TestDelayedHeartbeatDoesNotReplaceTheWorkerThatAnswers(t *testing.T) {
 	for name, heartbeatFirst := range map[string]bool{"after the first list of runs": false, "before it": true} {
 		t.Run(name, func(t *testing.T) {
-			h := newAddressHarness(t, workerID)
+			h := newAddressHarness(t, workerID, time.Minute)
 			born := h.born(workerID)
 			if !heartbeatFirst {
 				h.waitFor("time of birth known", func(*chervilv2.AgentReport) bool {
@@ -142,7 +143,7 @@
 }
 
 func TestHeartbeatOfAWorkerElsewhereDoesNotReplaceTheOneThatAnswers(t *testing.T) {
-	h := newAddressHarness(t, workerID)
+	h := newAddressHarness(t, workerID, time.Minute)
 	h.register(workerID)
 	h.start(task1, 1)
 	h.waitRunning(1)
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -31,8 +31,12 @@
 
 // pendingOrder is a start or stop order that is being executed. start is nil for a stop.
 type pendingOrder struct {
-	start    *chervilv2.StartOrder
-	stopping bool
+	start *chervilv2.StartOrder
+	// bornUnixMs is the birth of the incarnation that the run was granted to; 0 if the owner did
+	// not name it and the agent does not know it.
+	bornUnixMs int64
+	stopping   bool
+	calling    bool // a start call is in flight
 }
 
 // HandleOrders processes a message of the owner. It extends the grant to renew leases,
@@ -78,7 +82,7 @@
 			reserved: reserved(s.Fills, s.CpuMilli, s.MemoryMb, s.Gpus), updatedAt: a.clock(),
 		}
 		if a.pendingOrders[key] == nil {
-			order := &pendingOrder{start: s}
+			order := &pendingOrder{start: s, bornUnixMs: a.grantedBirth(o, s)}
 			a.pendingOrders[key] = order
 			go a.executeStart(ctx, key, order)
 		}
@@ -87,10 +91,7 @@
 		key := runKey{s.Task, s.Attempt}
 		order := a.pendingOrders[key]
 		if order == nil {
-			order = &pendingOrder{}
-			a.pendingOrders[key] = order
-			order.stopping = true
-			go a.executeStop(ctx, key)
+			a.beginStop(ctx, key)
 			continue
 		}
 		if !order.stopping { // executeStart turns the start into a stop
@@ -100,6 +101,24 @@
 	return true
 }
 
+// grantedBirth returns the birth of the incarnation to which a start of the message was granted. An
+// owner that does not name it grants to the one that it knows. The caller holds mu.
+func (a *Agent) grantedBirth(o *chervilv2.OwnerOrders, s *chervilv2.StartOrder) int64 {
+	if o.WorkerId == s.WorkerId && o.BornUnixMs != 0 {
+		return o.BornUnixMs
+	}
+	if a.incarnation != nil && a.incarnation.id == s.WorkerId {
+		return a.incarnation.bornUnixMs
+	}
+	return 0
+}
+
+// beginStop stops a run in the background. The caller holds mu.
+func (a *Agent) beginStop(ctx context.Context, key runKey) {
+	a.pendingOrders[key] = &pendingOrder{stopping: true}
+	go a.executeStop(ctx, key)
+}
+
 // recordOutcome records the outcome of an order. A successful start is reported at once;
 // any other outcome waits for a list of runs that confirms it.
 func (a *Agent) recordOutcome(ctx context.Context, key runKey, answer chervilv2.StartAnswer) {
@@ -118,6 +137,9 @@
 	}
 	a.rejectRun(key)
 	a.unconfirmedResults = append(a.unconfirmedResults, r)
+	if inc := a.incarnation; inc != nil && inc.gone {
+		a.confirmResults(inc, a.unconfirmedResults) // no list will follow
+	}
 	wake(a.wakeHold)
 }
 
@@ -152,6 +174,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, startTimeout)
 		_, err := a.worker.Start(callCtx, id, start)
 		cancel()
+		if a.endStartCall(key, order, err) {
+			break
+		}
 		if answer, known := startAnswer(err, try); known {
 			events.StartResolved.Log("task", key.task, "attempt", key.attempt, "worker", id, "born", a.bornOf(id), "answer", answer, "try", try, "err", err)
 			if answer == chervilv2.StartAnswer_START_ANSWER_STARTED && a.stopRequested(order) {
@@ -195,7 +220,7 @@
 	switch {
 	case order.stopping:
 		return platform.StartRequest{}, "", "stop ordered"
-	case inc == nil || inc.gone || inc.leasesExpired || inc.id != order.start.WorkerId:
+	case inc == nil || inc.gone || inc.leasesExpired || !order.grantedTo(inc):
 		return platform.StartRequest{}, "", "worker is gone or was replaced"
 	case inc.draining || inc.deregistered:
 		return platform.StartRequest{}, "", "worker is draining"
@@ -210,12 +235,51 @@
 	until := inc.workerClock + end.Sub(inc.workerClockAt)*minClockRateMilli/1000
 	inc.latestLeaseEnd = max(inc.latestLeaseEnd, until)
 	inc.startedAt[key] = now
+	order.calling = true
 	return platform.StartRequest{
 		Task: key.task, Attempt: key.attempt, Payload: order.start.Payload, LeaseExpiresAt: until, Fence: a.ownerEpoch,
 		Checkpoint: order.start.Checkpoint, Ticket: order.start.Ticket,
 	}, inc.id, ""
 }
 
+// grantedTo reports whether the run was granted to the incarnation.
+func (o *pendingOrder) grantedTo(inc *incarnation) bool {
+	return o.start != nil && o.start.WorkerId == inc.id && (o.bornUnixMs == 0 || inc.bornUnixMs == 0 || o.bornUnixMs == inc.bornUnixMs)
+}
+
+// callingStart reports whether a start call is in flight. The caller holds mu.
+func (a *Agent) callingStart() bool {
+	for _, order := range a.pendingOrders {
+		if order.calling {
+			return true
+		}
+	}
+	return false
+}
+
+// endStartCall records the end of a start call. It reports whether the call may have started the
+// run on another incarnation than the one that it was granted to, so that it has to be stopped
+// there.
+func (a *Agent) endStartCall(key runKey, order *pendingOrder, err error) (doubtful bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	order.calling = false
+	wake(a.wakeReport)
+	inc := a.incarnation
+	if err != nil {
+		if kind := platform.KindOf(err); kind == platform.NoAnswer || kind == platform.Undecodable {
+			a.unansweredStarts[key] = a.clock()
+		}
+		return false
+	}
+	if order.grantedTo(inc) && !inc.gone && !inc.leasesExpired {
+		return false
+	}
+	inc.revive()
+	a.retractCrash(inc)
+	return true
+}
+
 // startAnswer returns the answer to report for the result of a start call. known is false
 // if the run may have started or may still start.
 func startAnswer(err error, try int) (answer chervilv2.StartAnswer, known bool) {
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -215,7 +215,7 @@
 	r := &chervilv2.AgentReport{Results: a.startResults, Crashes: a.unconfirmedCrashes()}
 	a.startResults = nil
 	inc := a.incarnation
-	if inc == nil || inc.id == "" {
+	if inc == nil || inc.id == "" || inc.gone && !inc.confirmed {
 		if inc != nil && inc.refusedConnections >= maxRefusedConnections {
 			r.Worker = &chervilv2.Worker{Gone: true}
 		}
@@ -225,7 +225,7 @@
 	r.Worker = &chervilv2.Worker{
 		Id: inc.id, BornUnixMs: inc.bornUnixMs, Service: hb.Service, Zone: hb.DataCentre, CpuMilli: hb.CPUMilli, MemoryMb: hb.MemoryMB, Gpus: hb.GPUs,
 		Labels: hb.Labels, Draining: inc.draining || inc.deregistered, Machine: hb.Machine, SilentMs: a.clock().Sub(inc.lastAnswer).Milliseconds(),
-		ColdLeftMs: hb.WarmUpRemaining.Milliseconds(), Listed: inc.listed && !inc.gone, Gone: inc.gone || inc.leasesExpired,
+		ColdLeftMs: hb.WarmUpRemaining.Milliseconds(), Listed: inc.listed && !inc.gone, Gone: (inc.gone || inc.leasesExpired) && !a.callingStart(),
 	}
 	for _, e := range inc.pendingEnds {
 		r.Ends = append(r.Ends, &chervilv2.RunEnd{Number: e.Number, Task: e.Task, Attempt: e.Attempt, Kind: endKinds[e.Kind], Checkpoint: e.Checkpoint})
