--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -14,6 +14,7 @@
 type batch struct {
 	newJobs      map[string]bool // IDs of jobs whose spec is to be written
 	changedJobs  map[string]bool
+	changedSpecs map[string]bool // IDs of changed jobs whose spec is to be written again
 	deletedJobs  []string
 	modelChanged bool // store the interference model
 	waves        map[string]*wave
@@ -45,7 +46,7 @@
 }
 
 func newBatch() *batch {
-	return &batch{newJobs: map[string]bool{}, changedJobs: map[string]bool{}, waves: map[string]*wave{}, jobStatus: map[string]jobStatus{}}
+	return &batch{newJobs: map[string]bool{}, changedJobs: map[string]bool{}, changedSpecs: map[string]bool{}, waves: map[string]*wave{}, jobStatus: map[string]jobStatus{}}
 }
 
 func (b *batch) empty() bool {
@@ -93,7 +94,7 @@
 			e.postpone(b, id)
 			continue
 		}
-		jobRecords, err := e.encodeJob(en.job, b.newJobs[id])
+		jobRecords, err := e.encodeJob(en.job, b.newJobs[id], b.changedSpecs[id])
 		if err != nil {
 			e.endUnstorableJob(b, id, en, err)
 			continue
@@ -147,6 +148,10 @@
 		e.batch.newJobs[id] = true
 		delete(b.newJobs, id)
 	}
+	if b.changedSpecs[id] {
+		e.batch.changedSpecs[id] = true
+		delete(b.changedSpecs, id)
+	}
 	e.batch.orders = append(b.orders, e.batch.orders...)
 	b.orders = nil
 	e.wake()
--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -148,8 +148,7 @@
 			if tr.slowSince == 0 || now.Sub(tr.slowSince) < maxSlowTime || tr.run.Stopping || !tr.step.Fills {
 				continue
 			}
-			en := e.jobs[tr.run.Ref.Job]
-			queue := view.Config.Queue(en.job.Spec.Queue)
+			queue := e.jobs[tr.run.Ref.Job].queue
 			if queue == nil || tr.percent >= maxMovePercent || !tr.step.Checkpointable && tr.percent > maxRestartPercent {
 				continue
 			}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -96,6 +96,7 @@
 	placementAdvice   map[plan.StepKey]*placementAdvice
 	pendingAdvice     int // requests in flight
 	durations         *urgency.DurationEstimator
+	boundConfig       *operatorconfig.Config // whose queues the jobs have; nil at first
 	model             *interference.Model
 	// modelSentRevision is the model revision last sent to agents.
 	modelSentRevision uint64
@@ -116,6 +117,10 @@
 // jobEntry is a job and what the owner tracks about it in memory only.
 type jobEntry struct {
 	job *jobstate.Job
+	// queue is the job's queue by the settings bound to the job; nil if there are none.
+	// queueUnknown is set once that is logged.
+	queue        *operatorconfig.Queue
+	queueUnknown bool
 	// storedPhase and storedStarted reflect the job's last stored record; clients see
 	// only these.
 	storedPhase   chervilv2.JobPhase
@@ -148,7 +153,7 @@
 	e.restoreWaves(restored.Waves)
 	e.unreachableAgents.inherited, e.unreachableAgents.stored = restored.UngrantedMs, maps.Clone(restored.UngrantedMs)
 	for id, job := range restored.Jobs {
-		en := &jobEntry{job: job, storedPhase: job.Phase, storedStarted: job.Started, changes: 1, storedChanges: 1}
+		en := &jobEntry{job: job, queue: storedQueue(job.Spec), storedPhase: job.Phase, storedStarted: job.Started, changes: 1, storedChanges: 1}
 		e.jobs[id] = en
 		if !job.Ended() {
 			en.nextDueUnixMs = job.OpenDueOccurrences(e.wall().UnixMilli())
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -14,6 +14,10 @@
 // Outages shorter than a second are over by then.
 const storeRetryAfter = time.Second
 
+// unknownQueueRetryAfter is the retry delay returned to clients if an older entry accepts the
+// queue of a job and the owner does not know it. A new configuration is in effect by then.
+const unknownQueueRetryAfter = time.Second
+
 // Submit adds a job and returns once it is stored, or certainly is not. It is idempotent: a
 // job with a known ID is not added again. The outcome is unknown if the store may have
 // stored the job when the epoch or ctx ends.
@@ -51,6 +55,9 @@
 	if e.storeUnresponsive() {
 		return e.reject(spec.Id, "the store does not answer", storeRetryAfter)
 	}
+	if spec.QueueSettings == nil && e.configuredSettings(spec) == nil {
+		return e.reject(spec.Id, "the configuration has no such queue", unknownQueueRetryAfter)
+	}
 	return nil
 }
 
@@ -69,7 +76,10 @@
 // addJob adds a new job to the schedule and to the next batch.
 func (e *Engine) addJob(spec *chervilv2.JobSpec) *jobEntry {
 	spec.AcceptedUnixMs = e.wall().UnixMilli()
-	en := &jobEntry{job: jobstate.NewJob(spec)}
+	if settings := e.configuredSettings(spec); settings != nil {
+		spec.QueueSettings = settings
+	}
+	en := &jobEntry{job: jobstate.NewJob(spec), queue: storedQueue(spec)}
 	e.jobs[spec.Id] = en
 	e.batch.newJobs[spec.Id] = true
 	e.markDirty(spec.Id, en)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -30,11 +30,12 @@
 
 // plan places waiting tasks and grants their runs.
 func (e *Engine) plan() {
+	e.bindQueues()
 	view := e.operatorView()
 	if view == nil || view.Config == nil || e.writer.SinceConfirmed() > MaxConfirmationAge {
 		return
 	}
-	requests := e.requests(view)
+	requests := e.requests()
 	if len(requests) == 0 {
 		return
 	}
@@ -161,12 +162,12 @@
 }
 
 // requests returns the waiting tasks of all active jobs, grouped by step.
-func (e *Engine) requests(view *operatorconfig.View) []plan.Request {
+func (e *Engine) requests() []plan.Request {
 	var out []plan.Request
 	now := e.wall().UnixMilli()
 	maxIsolated := map[string]int{} // by service
 	for _, en := range e.activeJobs {
-		queue := view.Config.Queue(en.job.Spec.Queue)
+		queue := en.queue
 		if queue == nil || en.job.Ended() {
 			continue
 		}
--- a/internal/dispatch/record_size.go
+++ b/internal/dispatch/record_size.go
@@ -18,9 +18,10 @@
 	return nil
 }
 
-// encodeJob returns the record of a job's progress, and that of a new job's specification. If
-// the progress is too large, it is stored without checkpoints.
-func (e *Engine) encodeJob(job *jobstate.Job, isNew bool) ([]platform.Record, error) {
+// encodeJob returns the record of a job's progress, and that of its specification if the job is
+// new or the specification has changed. If the progress is too large, it is stored without
+// checkpoints; if a changed specification is, the stored one remains.
+func (e *Engine) encodeJob(job *jobstate.Job, isNew, specChanged bool) ([]platform.Record, error) {
 	progress, err := schedulestore.ProgressRecord(job.Spec.Id, job.Record())
 	if err == nil && e.checkRecordSize(progress) != nil {
 		events.CheckpointsNotStored.Log("job", job.Spec.Id, "bytes", platform.RecordSize(progress), "limit", e.settings.MaxRecordBytes)
@@ -29,13 +30,17 @@
 	if err == nil {
 		err = e.checkRecordSize(progress)
 	}
-	if err != nil || !isNew {
+	if err != nil || !isNew && !specChanged {
 		return []platform.Record{progress}, err
 	}
 	spec, err := schedulestore.SpecRecord(job.Spec)
 	if err == nil {
 		err = e.checkRecordSize(spec)
 	}
+	if err != nil && !isNew {
+		events.RecordNotEncoded.LogError(err, "key", spec.Key)
+		return []platform.Record{progress}, nil
+	}
 	return []platform.Record{spec, progress}, err
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -262,13 +262,14 @@
 	}
 }
 
+// maxAttempts returns the number of failed runs of a task at which the job fails; 0 means no
+// limit, or none known yet.
 func (e *Engine) maxAttempts(en *jobEntry) int {
-	if view := e.operatorView(); view != nil && view.Config != nil {
-		if q := view.Config.Queue(en.job.Spec.Queue); q != nil {
-			return q.MaxAttempts
-		}
+	e.bindQueues()
+	if en.queue == nil {
+		return 0
 	}
-	return 0
+	return en.queue.MaxAttempts
 }
 
 // handleResult processes the definite answer to a start order, or to a stop order for a
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -45,6 +45,8 @@
 	RunMoved            = define(7214, Info, "slowed best-effort run stopped to move it to another worker")
 	ChangesNotStored    = define(7216, Warning, "epoch ended before pending changes were stored")
 	StaleOrderDiscarded = define(7215, Warning, "start order discarded, its run is no longer granted")
+	JobQueueUnknown     = define(7220, Warning, "queue of a job in no known configuration, nothing of the job starts")
+	JobQueueChanged     = define(7221, Info, "settings of a job's queue changed")
 	OrderRepeated       = define(7212, Warning, "unconfirmed start or stop order repeated")
 )
 
--- a/internal/jobentry/clients.go
+++ b/internal/jobentry/clients.go
@@ -173,16 +173,24 @@
 	if err != nil {
 		return *err
 	}
-	spec, decodeErr := platform.DecodeJob(id, queue.Name, body)
-	if decodeErr != nil {
-		return response{status: http.StatusBadRequest, reason: decodeErr.Error()}
-	}
-	if rejection := checkSpecSize(spec, c.maxRecordBytes); rejection != nil {
+	spec, rejection := newSpec(queue, id, body, c.maxRecordBytes)
+	if rejection != nil {
 		return *rejection
 	}
 	return jobResponse(c.router.Do(ctx, submitCall(spec)), http.MethodPost)
 }
 
+// newSpec returns the specification of a submitted job, bound to the settings of its queue, or
+// the response that rejects it.
+func newSpec(queue *operatorconfig.Queue, id string, body []byte, maxRecordBytes int) (*chervilv2.JobSpec, *response) {
+	spec, err := platform.DecodeJob(id, queue.Name, body)
+	if err != nil {
+		return nil, &response{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	spec.QueueSettings = queue.Settings()
+	return spec, checkSpecSize(spec, maxRecordBytes)
+}
+
 // checkSpecSize returns the response to a job whose specification exceeds a record of the store,
 // or nil.
 func checkSpecSize(spec *chervilv2.JobSpec, maxRecordBytes int) *response {
--- a/internal/jobentry/clients_test.go
+++ b/internal/jobentry/clients_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/operatorconfig"
 	"chervilridge/platform"
 )
 
@@ -33,6 +35,14 @@
 	}
 }
 
+func TestJobIsBoundToItsQueueBeforeTheOwnerIsAsked(t *testing.T) {
+	queue := operatorconfig.NewConfig(7, []operatorconfig.Queue{{Name: "quotes", Service: "desk", MaxAttempts: 3}}, nil, operatorconfig.Limits{}).Queue("quotes")
+	spec, rejection := newSpec(queue, "5c0e7a21d94b36f8", []byte(`{"task-groups":[{"count":1}]}`), 1000)
+	assert.Assert(t, rejection == nil)
+	assert.Equal(t, spec.Queue, "quotes")
+	assert.Assert(t, proto.Equal(spec.QueueSettings, &chervilv2.QueueSettings{ConfigVersion: 7, Service: "desk", MaxAttempts: 3}))
+}
+
 func TestJobThatExceedsARecordIsRejected(t *testing.T) {
 	const recordBytes = 1000
 	for padding, rejected := range map[int]bool{recordBytes / 2: false, recordBytes: true} {
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -326,18 +326,6 @@
 	return out
 }
 
-// failureCount returns the failures of a task, or of all members of its gang.
-func failureCount(step *Step, task *Task) int {
-	if !step.Spec.Gang {
-		return int(task.Failures)
-	}
-	n := 0
-	for i := range step.Tasks {
-		n += int(step.Tasks[i].Failures)
-	}
-	return n
-}
-
 // completeTask marks a task as done, or all tasks of a gang, and then the step, the
 // occurrence and the job if nothing is left of them.
 func (j *Job) completeTask(ref TaskRef, step *Step, task *Task, out *EndEffect, nowUnixMs int64) {
--- a/internal/operatorconfig/operatorconfig.go
+++ b/internal/operatorconfig/operatorconfig.go
@@ -10,7 +10,10 @@
 // Queue accepts the jobs that are submitted to a host and path prefix, and names the service
 // whose workers run them.
 type Queue struct {
-	Name       string
+	Name string
+	// ConfigVersion is the version of the configuration that the queue is from.
+	ConfigVersion int64
+
 	Host       string
 	PathPrefix string
 	Service    string
@@ -67,13 +70,15 @@
 	byName map[string]int
 }
 
-// NewConfig returns a configuration with its queues indexed by host and name.
+// NewConfig returns a configuration with its queues indexed by host and name. It sets their
+// ConfigVersion.
 func NewConfig(version int64, queues []Queue, services map[string]Service, limits Limits) *Config {
 	c := &Config{
 		Version: version, Queues: queues, Services: services, Limits: limits,
 		byHost: map[string][]int{}, byName: map[string]int{},
 	}
 	for i, q := range queues {
+		queues[i].ConfigVersion = version
 		c.byHost[strings.ToLower(q.Host)] = append(c.byHost[strings.ToLower(q.Host)], i)
 		c.byName[q.Name] = i
 	}
