--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -151,7 +151,7 @@
 		}
 	}
 	present := e.updateWorker(n, r.Worker)
-	if present {
+	if present && r.Worker.GetId() != "" {
 		for _, end := range r.Ends {
 			e.handleEnd(n, end)
 		}
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -187,7 +187,7 @@
 		a.mu.Unlock()
 		return
 	}
-	hold, sentAt := platform.LeaseRenewal{Fence: ownerEpoch, AckedEndNumber: inc.storedEnd}, a.clock()
+	hold, sentAt := platform.LeaseRenewal{Fence: ownerEpoch, AckedEndNumber: inc.endToAcknowledge()}, a.clock()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, finalHoldTimeout)
 	defer cancel()
@@ -234,10 +234,7 @@
 		return unansweredPause
 	}
 	unconfirmed := a.unconfirmedResults
-	hold := platform.LeaseRenewal{ExpiresAt: a.leaseEnd(inc), Fence: a.ownerEpoch}
-	if inc.confirmed && inc.unansweredHolds == 0 { // otherwise the next incarnation may take it for its own ends
-		hold.AckedEndNumber = inc.storedEnd
-	}
+	hold := platform.LeaseRenewal{ExpiresAt: a.leaseEnd(inc), Fence: a.ownerEpoch, AckedEndNumber: inc.endToAcknowledge()}
 	if len(inc.pendingEnds) == 0 && len(unconfirmed) == 0 && inc.listed && inc.unansweredHolds == 0 {
 		hold.Wait = holdWait
 		if inc.draining {
@@ -333,14 +330,14 @@
 // ends, decides on the unconfirmed start results, and adjusts the paces. The caller holds mu.
 func (a *Agent) handleHoldReply(ctx context.Context, inc *incarnation, sentAt boottime.Instant, runs platform.RunReport, unconfirmed []*chervilv2.StartResult) {
 	now := a.clock()
-	if inc.unansweredHolds >= 2 {
-		events.WorkerResponsive.Log("worker", inc.id, "silent", now.Sub(inc.lastAnswer), "runs", len(runs.Running), "ends", len(runs.Ended))
-	}
 	if inc.bornUnixMs != 0 && runs.BornUnixMs != 0 && runs.BornUnixMs != inc.bornUnixMs {
 		if inc = a.replaceIncarnation(ctx, inc, sentAt, runs); inc == nil {
 			return
 		}
 	}
+	if inc.unansweredHolds >= 2 {
+		events.WorkerResponsive.Log("worker", inc.id, "silent", now.Sub(inc.lastAnswer), "runs", len(runs.Running), "ends", len(runs.Ended))
+	}
 	if !inc.confirmed {
 		inc.confirmed, inc.bornUnixMs = true, max(inc.bornUnixMs, runs.BornUnixMs)
 	}
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,6 +73,16 @@
 	return len(inc.pendingEnds) > 0 && (inc.goneAt == 0 || now.Sub(inc.goneAt) < goneEndsTimeout)
 }
 
+// endToAcknowledge returns the number of the newest run end to acknowledge to the worker; 0
+// acknowledges none. Another incarnation with the same id may have taken the place of one that
+// left a call unanswered, and would take the number for its own ends.
+func (inc *incarnation) endToAcknowledge() int64 {
+	if !inc.confirmed || inc.unansweredHolds > 0 {
+		return 0
+	}
+	return inc.storedEnd
+}
+
 // matches reports whether the heartbeat is of this incarnation. Unknown values match any.
 func (inc *incarnation) matches(h platform.Heartbeat) bool {
 	return (inc.id == "" || inc.id == h.WorkerID) && (inc.bornUnixMs == 0 || h.BornUnixMs == 0 || inc.bornUnixMs == h.BornUnixMs)
@@ -143,10 +154,16 @@
 	inc.id, inc.bornUnixMs = id, bornUnixMs
 	a.recordCrash(old)
 	a.incarnation, a.reportAllRuns = inc, true
+	for key, confirmedAt := range old.unlisted {
+		if confirmedAt >= sentAt {
+			a.unansweredStarts[key] = confirmedAt
+		}
+	}
 	infos := map[runKey]runInfo{}
 	for _, run := range list.Running {
 		key := runKey{run.Task, run.Attempt}
 		a.survived(key)
+		delete(a.unansweredStarts, key)
 		if info, known := a.runInfos[key]; known {
 			infos[key] = info
 		}
@@ -161,20 +178,21 @@
 	clear(a.paceOrders)
 	clear(a.servingStates)
 	a.lastUsage = nil
-	for key, confirmedAt := range old.unlisted {
-		if confirmedAt >= sentAt {
-			a.unansweredStarts[key] = confirmedAt
-		}
-	}
-	for key, calledAt := range a.unansweredStarts {
-		if a.pendingOrders[key] == nil && inc.lastAnswer.Sub(calledAt) < unansweredStartTTL {
+	a.pruneUnansweredStarts()
+	for key := range a.unansweredStarts {
+		if a.pendingOrders[key] == nil {
 			a.beginStop(context.WithoutCancel(ctx), key)
 		}
 	}
-	clear(a.unansweredStarts)
 	return inc
 }
 
+// pruneUnansweredStarts forgets the starts that no call carries out any more. The caller holds mu.
+func (a *Agent) pruneUnansweredStarts() {
+	now := a.clock()
+	maps.DeleteFunc(a.unansweredStarts, func(_ runKey, calledAt boottime.Instant) bool { return now.Sub(calledAt) > unansweredStartTTL })
+}
+
 // ended reports whether the worker has listed the end of a run that the owner has not stored.
 func (inc *incarnation) ended(key runKey) bool {
 	return slices.ContainsFunc(inc.pendingEnds, func(e platform.RunEnd) bool { return e.Task == key.task && e.Attempt == key.attempt })
--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -154,3 +154,57 @@
 	assert.Equal(t, r.Worker.Id, workerID)
 	assert.Equal(t, len(r.Crashes), 0)
 }
+
+func TestStartWithoutAnswerIsRejectedByTheNextLife(t *testing.T) {
+	h := newAddressHarness(t, workerID, time.Minute)
+	h.register(workerID)
+	h.worker.SetFaults(taskworker.Faults{Hang: true})
+	h.start(task1, 1)
+	time.Sleep(2 * startTimeout)
+	h.replaceWorker(workerID)
+	h.register(workerID)
+	client := platform.NewWorkerClient(strings.TrimPrefix(h.server.URL, "http://"))
+	late := platform.StartRequest{Task: task1, Attempt: 1, LeaseExpiresAt: time.Hour, Fence: 1}
+	for end := time.Now().Add(waitTimeout); ; time.Sleep(10 * time.Millisecond) {
+		h.agent.mu.Lock()
+		decided := len(h.agent.pendingOrders) == 0
+		h.agent.mu.Unlock()
+		if decided {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end), "the start is never decided")
+	}
+	_, err := client.Start(context.Background(), workerID, late)
+	assert.Equal(t, platform.KindOf(err), platform.Superseded, "%v", err)
+}
+
+// renewalRecorder is a worker that leaves calls unanswered while silent is set.
+type renewalRecorder struct {
+	Worker
+	silent   atomic.Bool
+	renewals chan platform.LeaseRenewal
+}
+
+func (w *renewalRecorder) RenewLease(_ context.Context, _ string, r platform.LeaseRenewal) (platform.RunReport, error) {
+	w.renewals <- r
+	if w.silent.Load() {
+		return platform.RunReport{}, &platform.Error{Kind: platform.NoAnswer, Cause: context.DeadlineExceeded}
+	}
+	return platform.RunReport{Clock: time.Second, BornUnixMs: 7}, nil
+}
+
+func TestEndsOfAnEarlierLifeAreNotAcknowledgedToTheNextOne(t *testing.T) {
+	w := &renewalRecorder{renewals: make(chan platform.LeaseRenewal, 1)}
+	a := NewAgent(&platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second}}, w, boottime.Now)
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: 1})
+	a.holdOnce(t.Context())
+	<-w.renewals
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, StoredEnd: 40, WorkerId: workerID, BornUnixMs: 7}, 0)
+	a.holdOnce(t.Context())
+	assert.Equal(t, (<-w.renewals).AckedEndNumber, int64(40))
+	w.silent.Store(true)
+	a.holdOnce(t.Context())
+	<-w.renewals
+	a.holdOnce(t.Context())
+	assert.Equal(t, (<-w.renewals).AckedEndNumber, int64(0), "another life may answer after a call without an answer")
+}
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -268,6 +268,7 @@
 	inc := a.incarnation
 	if err != nil {
 		if kind := platform.KindOf(err); kind == platform.NoAnswer || kind == platform.Undecodable {
+			a.pruneUnansweredStarts()
 			a.unansweredStarts[key] = a.clock()
 		}
 		return false
