--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -155,50 +155,90 @@
 	assert.Equal(t, len(r.Crashes), 0)
 }
 
-func TestStartWithoutAnswerIsRejectedByTheNextLife(t *testing.T) {
-	h := newAddressHarness(t, workerID, time.Minute)
-	h.register(workerID)
-	h.worker.SetFaults(taskworker.Faults{Hang: true})
-	h.start(task1, 1)
-	time.Sleep(2 * startTimeout)
-	h.replaceWorker(workerID)
-	h.register(workerID)
-	client := platform.NewWorkerClient(strings.TrimPrefix(h.server.URL, "http://"))
-	late := platform.StartRequest{Task: task1, Attempt: 1, LeaseExpiresAt: time.Hour, Fence: 1}
-	for end := time.Now().Add(waitTimeout); ; time.Sleep(10 * time.Millisecond) {
-		h.agent.mu.Lock()
-		decided := len(h.agent.pendingOrders) == 0
-		h.agent.mu.Unlock()
-		if decided {
-			break
-		}
-		assert.Assert(t, time.Now().Before(end), "the start is never decided")
-	}
-	_, err := client.Start(context.Background(), workerID, late)
-	assert.Equal(t, platform.KindOf(err), platform.Superseded, "%v", err)
-}
-
-// renewalRecorder is a worker that leaves calls unanswered while silent is set.
-type renewalRecorder struct {
+// scriptedWorker records renewals and stops. It answers as the life born at the time, refuses
+// connections if that is 0, and leaves calls unanswered while silent is set.
+type scriptedWorker struct {
 	Worker
 	silent   atomic.Bool
+	born     atomic.Int64
 	renewals chan platform.LeaseRenewal
+	stops    chan string
+}
+
+func newScriptedWorker(born int64) *scriptedWorker {
+	w := &scriptedWorker{renewals: make(chan platform.LeaseRenewal, 100), stops: make(chan string, 100)}
+	w.born.Store(born)
+	return w
 }
 
-func (w *renewalRecorder) RenewLease(_ context.Context, _ string, r platform.LeaseRenewal) (platform.RunReport, error) {
+func (w *scriptedWorker) failure() error {
+	switch {
+	case w.silent.Load():
+		return &platform.Error{Kind: platform.NoAnswer, Cause: context.DeadlineExceeded}
+	case w.born.Load() == 0:
+		return &platform.Error{Kind: platform.ConnectionRefused}
+	}
+	return nil
+}
+
+func (w *scriptedWorker) RenewLease(_ context.Context, _ string, r platform.LeaseRenewal) (platform.RunReport, error) {
 	w.renewals <- r
-	if w.silent.Load() {
-		return platform.RunReport{}, &platform.Error{Kind: platform.NoAnswer, Cause: context.DeadlineExceeded}
+	return platform.RunReport{Clock: time.Second, BornUnixMs: w.born.Load()}, w.failure()
+}
+
+func (w *scriptedWorker) Start(context.Context, string, platform.StartRequest) (time.Duration, error) {
+	return time.Second, w.failure()
+}
+
+func (w *scriptedWorker) Stop(_ context.Context, _, task string, _ uint32, _ uint64) (time.Duration, error) {
+	if err := w.failure(); err != nil {
+		return 0, err
 	}
-	return platform.RunReport{Clock: time.Second, BornUnixMs: 7}, nil
+	w.stops <- task
+	return time.Second, nil
 }
 
-func TestEndsOfAnEarlierLifeAreNotAcknowledgedToTheNextOne(t *testing.T) {
-	w := &renewalRecorder{renewals: make(chan platform.LeaseRenewal, 1)}
-	a := NewAgent(&platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second}}, w, boottime.Now)
-	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: 1})
+// newScriptedAgent returns an agent that knows the life of the worker born at the time.
+func newScriptedAgent(t *testing.T, w *scriptedWorker, born int64) *Agent {
+	a := NewAgent(&platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: time.Minute}}, w, boottime.Now)
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: born, Service: "desk", Sequence: 1, CPUMilli: 1000})
 	a.holdOnce(t.Context())
 	<-w.renewals
+	return a
+}
+
+func TestStartWithoutAnswerIsStoppedOnTheNextLife(t *testing.T) {
+	w := newScriptedWorker(7)
+	a := newScriptedAgent(t, w, 7)
+	w.silent.Store(true)
+	start := &chervilv2.StartOrder{Task: task1, Attempt: 1, WorkerId: workerID}
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{start}}, boottime.Now())
+	eventually(t, "the start stays without answer", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.unansweredStarts) == 1
+	})
+	w.silent.Store(false)
+	w.born.Store(0)
+	a.holdOnce(t.Context())
+	a.holdOnce(t.Context())
+	eventually(t, "the start counts as not carried out", func() bool {
+		return resultOf(a.buildReport(), task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+	w.born.Store(8)
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 8, Service: "desk", Sequence: 1, CPUMilli: 1000})
+	a.confirmPendingHeartbeat(t.Context())
+	select {
+	case task := <-w.stops:
+		assert.Equal(t, task, task1)
+	case <-time.After(waitTimeout):
+		t.Fatal("the next life would carry out the start")
+	}
+}
+
+func TestEndsOfAnEarlierLifeAreNotAcknowledgedToTheNextOne(t *testing.T) {
+	w := newScriptedWorker(7)
+	a := newScriptedAgent(t, w, 7)
 	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, StoredEnd: 40, WorkerId: workerID, BornUnixMs: 7}, 0)
 	a.holdOnce(t.Context())
 	assert.Equal(t, (<-w.renewals).AckedEndNumber, int64(40))
@@ -208,3 +248,14 @@
 	a.holdOnce(t.Context())
 	assert.Equal(t, (<-w.renewals).AckedEndNumber, int64(0), "another life may answer after a call without an answer")
 }
+
+// eventually fails the test if the condition does not become true within waitTimeout.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s: condition not met within %v", what, waitTimeout)
+}
