schedulestore: a sequence number belongs to one append until its outcome is known

Cause: the writer counted the confirmation of its epoch, an append without records, as a sequence number; the store does not. The append after each confirmation went out under a number too high by one, was answered 409, and was sent again under the number that the store expected. A copy of the first sending that had got no answer was still under way under the higher number, which the following append then carried. If the copy came first, the store stored it a second time, took the following append for its repeat and answered 200 without storing it.

Change: an append without records takes no number. The number of an append stays with it until the store has stored it or has answered all copies; meanwhile the writer refuses to append anything else (ErrOutcomeUnknown). The number of the store is taken over only before the first append of an epoch and only while no copy is under way. Any other sequence error ends the epoch (ErrSequenceLost): the engine stops and the elector claims the next epoch, whose fence makes the late copies void.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -33,16 +33,20 @@
 func (noPeers) Entries() []string   { return nil }
 func (noPeers) Sample(int) []string { return nil }
 
-// claimStore rejects owner records while rejectClaims is set.
+// claimStore rejects owner records while rejectClaims is set, and expects another sequence
+// number than that of any append while rejectNumbers is.
 type claimStore struct {
 	schedulestore.Store
-	rejectClaims atomic.Bool
+	rejectClaims, rejectNumbers atomic.Bool
 }
 
 func (s *claimStore) Append(ctx context.Context, a platform.AppendRequest) (int64, error) {
 	if a.Topic == platform.OwnerTopic && s.rejectClaims.Load() {
 		return 0, &platform.Error{Kind: platform.Unavailable}
 	}
+	if a.Producer != nil && s.rejectNumbers.Load() {
+		return 0, &platform.Error{Kind: platform.BadSequence, Expected: int64(a.Producer.Sequence) + 5}
+	}
 	return s.Store.Append(ctx, a)
 }
 
@@ -187,3 +191,14 @@
 	assert.Assert(t, !r.elector.peerReachesOwner(context.Background(), &chervilv2.OwnerRecord{Epoch: 1, Address: owner}))
 	assert.DeepEqual(t, peers.asked, []string{other})
 }
+
+func TestOwnerThatLostItsSequenceNumberClaimsANewEpoch(t *testing.T) {
+	r := newRig(t, 1)
+	r.run()
+	r.eventually("owner", func() bool { return r.elector.Engine() != nil })
+	first := r.elector.Engine().Epoch()
+	r.claims.rejectNumbers.Store(true)
+	r.eventually("claimed again", func() bool { return r.storedOwner().Epoch > first })
+	r.claims.rejectNumbers.Store(false)
+	r.eventually("owner again", func() bool { e := r.elector.Engine(); return e != nil && e.Epoch() > first })
+}
--- a/internal/schedulestore/writer.go
+++ b/internal/schedulestore/writer.go
@@ -3,9 +3,12 @@
 package schedulestore
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +40,15 @@
 // of the append are not stored, unless an earlier attempt of the append stored them.
 var ErrFenced = errors.New("the state topic is fenced by an owner with a newer epoch")
 
+// ErrSequenceLost is returned if the store expects another sequence number than the writer, which
+// can't take it over: copies sent under its own may still arrive, or the store named that one
+// before. Nothing more can be appended under the epoch.
+var ErrSequenceLost = errors.New("the store expects another sequence number")
+
+// ErrOutcomeUnknown is returned for an append that differs from an earlier one whose outcome is
+// unknown. Nothing has been sent.
+var ErrOutcomeUnknown = errors.New("the outcome of an earlier append is unknown")
+
 // Store is the part of the platform's store that the writer and the loader use.
 type Store interface {
 	Append(ctx context.Context, a platform.AppendRequest) (int64, error)
@@ -45,12 +57,17 @@
 
 // Writer appends to the state topic under one epoch. Only one goroutine may append.
 type Writer struct {
-	store         Store
-	epoch         uint64
+	store Store
+	epoch uint64
+	// sequence is the number of the next append of records. Empty appends carry it too, but
+	// the store does not count them.
 	sequence      uint64
-	sequenceKnown bool // set once the store accepted an append
-	// uncertain is set while an earlier attempt of the current append may be stored.
-	uncertain bool
+	sequenceKnown bool // set once the store has accepted an append or named the number
+	// unresolved holds the records that were sent under sequence and may be stored, or may be
+	// stored later. The number belongs to them until their outcome is known.
+	unresolved []platform.Record
+	// sequenceLost is the ErrSequenceLost that has ended the epoch, or nil.
+	sequenceLost error
 	// latency is the smoothed time until an append is answered, in nanoseconds.
 	latency float64
 	clock   boottime.Clock
@@ -107,17 +124,24 @@
 }
 
 // Try makes one attempt to store the records. After a RetryError the next attempt must be
-// of the same records, unless nothing was stored. It returns ErrFenced after a newer owner has fenced
-// the writer, the store's error if the store is full or rejects the records as invalid, and
-// the context's error once that is done.
+// of the same records, unless nothing was stored: otherwise it returns ErrOutcomeUnknown. It
+// returns ErrFenced after a newer owner has fenced the writer, ErrSequenceLost if a new epoch is
+// needed, the store's error if the store is full or rejects the records as invalid, and the
+// context's error once that is done.
 func (w *Writer) Try(ctx context.Context, records []platform.Record) error {
+	switch {
+	case w.sequenceLost != nil:
+		return w.sequenceLost
+	case w.unresolved != nil && !sameRecords(w.unresolved, records):
+		return ErrOutcomeUnknown
+	}
 	sent := w.clock()
 	err, answered := w.appendCopies(ctx, records)
-	w.uncertain = w.uncertain || !answered
+	if !answered && len(records) > 0 {
+		w.unresolved = records
+	}
 	if err == nil {
-		w.confirm(sent)
-		w.sequence++
-		w.sequenceKnown = true
+		w.confirm(sent, records)
 		return nil
 	}
 	kind := platform.KindOf(err)
@@ -126,23 +150,35 @@
 		return ctx.Err()
 	case kind == platform.Fenced:
 		return ErrFenced
-	case kind == platform.BadSequence && w.resolveSequence(err):
-		w.confirm(sent)
+	case kind == platform.BadSequence && w.storedBefore(err):
+		w.confirm(sent, records)
 		return nil
+	case kind == platform.BadSequence && !w.adoptSequence(err):
+		w.sequenceLost = fmt.Errorf("%w: number %d: %w", ErrSequenceLost, w.sequence, err)
+		return w.sequenceLost
 	case kind == platform.Invalid || kind == platform.StoreFull:
 		return err
 	}
-	events.StateAppendRetried.LogError(err, "epoch", w.epoch, "sequence", w.sequence, "records", len(records), "uncertain", w.uncertain)
-	return &RetryError{NothingStored: !w.uncertain, Cause: err}
+	events.StateAppendRetried.LogError(err, "epoch", w.epoch, "sequence", w.sequence, "records", len(records), "uncertain", w.Uncertain())
+	return &RetryError{NothingStored: !w.Uncertain(), Cause: err}
 }
 
 // Uncertain reports whether records of a failed Try may be stored, or may be stored later.
-func (w *Writer) Uncertain() bool { return w.uncertain }
+func (w *Writer) Uncertain() bool { return w.unresolved != nil }
 
-// confirm records that the store has confirmed the epoch by an append sent at the time.
-func (w *Writer) confirm(sent boottime.Instant) {
+// confirm records that the store has confirmed the epoch by an append sent at the time, and
+// has stored its records.
+func (w *Writer) confirm(sent boottime.Instant, records []platform.Record) {
 	w.lastConfirmed.Store(int64(sent))
-	w.uncertain = false
+	if len(records) > 0 {
+		w.sequence++
+		w.sequenceKnown = true
+		w.unresolved = nil
+	}
+}
+
+func sameRecords(a, b []platform.Record) bool {
+	return slices.EqualFunc(a, b, func(x, y platform.Record) bool { return x.Key == y.Key && bytes.Equal(x.Value, y.Value) })
 }
 
 // appendCopies makes one attempt of an append under the current sequence number. While no
@@ -221,18 +257,20 @@
 	return false
 }
 
-// resolveSequence handles a sequence error of the store. It reports whether an earlier
-// attempt stored the append, that is whether the store expects the next number. Otherwise
-// it adopts the number that the store expects.
-func (w *Writer) resolveSequence(err error) bool {
+// storedBefore reports whether a sequence error shows that a copy of the unresolved append has
+// been stored: the store expects the number after it, and no other append carried its number.
+func (w *Writer) storedBefore(err error) bool {
+	var e *platform.Error
+	return errors.As(err, &e) && w.unresolved != nil && w.sequenceKnown && e.Expected == int64(w.sequence)+1
+}
+
+// adoptSequence takes over the number that the store expects. It returns false if copies may
+// arrive under the present number, or if the store has named or accepted one before.
+func (w *Writer) adoptSequence(err error) bool {
 	var e *platform.Error
-	if !errors.As(err, &e) {
+	if !errors.As(err, &e) || w.unresolved != nil || w.sequenceKnown {
 		return false
 	}
-	if w.sequenceKnown && e.Expected == int64(w.sequence)+1 {
-		w.sequence++
-		return true
-	}
-	w.sequence = uint64(e.Expected)
-	return false
+	w.sequence, w.sequenceKnown = uint64(e.Expected), true
+	return true
 }
