--- /dev/null
+++ b/internal/schedulestore/main_test.go
@@ -0,0 +1,10 @@
+package schedulestore
+
+import (
+	"os"
+	"testing"
+
+	"chervilridge/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, fixedseed.Options{Seed: 1, Checks: 10000})) }
