standin/metastore: a repeated append receives its first response in full

No program reads the offset of that response.

Change: the result of an append is kept and returned as it was.

Before: store_test.go:30: assertion failed: {200 4 0 0} (repeat metastore.appendResult) != {200 4 2 0} (first[i+1] metastore.appendResult). After: the test passes.

--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -8,7 +8,7 @@
 )
 
 // recentAppends is how many of a producer's last appends are recognized when they are
-// retried. A retry is not stored again and returns the end offset of the first call.
+// retried. A retry is not stored again and returns the result of the first call.
 const recentAppends = 5
 
 // record is one record of a partition. A nil value deletes the key.
@@ -27,10 +27,10 @@
 	recent       []acceptedAppend
 }
 
-// acceptedAppend is an append that took effect, and the end offset in its response.
+// acceptedAppend is an append that took effect, and its result.
 type acceptedAppend struct {
 	sequence uint64
-	end      int64
+	result   appendResult
 }
 
 // partition is the log of one topic. Topics of the stand-in have a single partition.
@@ -108,9 +108,10 @@
 	for _, r := range records {
 		p.appendRecord(r)
 	}
-	if sender != nil && len(records) > 0 {
+	out := appendResult{status: 200, end: p.endOffset(), offset: offset}
+	if sender != nil && len(records) > 0 { // an empty append takes no number
 		sender.nextSequence, sender.hasNext = c.sequence+1, true
-		sender.recent = append(sender.recent, acceptedAppend{c.sequence, p.endOffset()})
+		sender.recent = append(sender.recent, acceptedAppend{c.sequence, out})
 		if len(sender.recent) > recentAppends {
 			sender.recent = sender.recent[1:]
 		}
@@ -119,7 +120,7 @@
 		close(p.appended)
 		p.appended = make(chan struct{})
 	}
-	return appendResult{status: 200, end: p.endOffset(), offset: offset}
+	return out
 }
 
 // checkSequence fences an append of an older epoch, and detects retries and gaps by the
@@ -133,7 +134,7 @@
 	}
 	for _, a := range p.recent {
 		if a.sequence == c.sequence {
-			return appendResult{status: 200, end: a.end}, true
+			return a.result, true
 		}
 	}
 	if p.hasNext && c.sequence != p.nextSequence {
