The soak replaces workers under their id, and restarts agents beside silent workers

Both faults are drawn from a source of their own, so that the other faults of a seed stay. Sites of two test processes use different loopback networks, and a worker's address is listened on again once the former listener is closed (both seen as 'address already in use').

--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -61,6 +61,9 @@
 	return m.Run()
 }
 
+// loopbackNet is the second byte of all addresses, so that two test processes seldom share some.
+var loopbackNet = 20 + os.Getpid()%200
+
 // siteCount counts the sites of this test process. A site's number is part of its IP
 // addresses, so that no two sites share one.
 var siteCount atomic.Int32
@@ -100,6 +103,7 @@
 	// onTaskStart is called at each start of a task, with the number of its worker.
 	onTaskStart      func(worker int, task string)
 	heartbeatCancels []context.CancelFunc
+	workerIDs        []string
 	startsMu         sync.Mutex
 	startCounts      []int // runs started, by worker
 }
@@ -152,7 +156,9 @@
 	}
 }
 
-func (s *site) ip(machine int) string { return fmt.Sprintf("127.77.%d.%d", s.number, machine) }
+func (s *site) ip(machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", loopbackNet, s.number, machine)
+}
 
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
@@ -261,10 +267,15 @@
 
 // startWorker starts a new incarnation of the worker of agent i.
 func (s *site) startWorker(i int) {
+	s.startWorkerAs(i, fmt.Sprintf("i-%d-%d", i, time.Now().UnixNano()))
+}
+
+// startWorkerAs is startWorker for an incarnation with the id.
+func (s *site) startWorkerAs(i int, id string) {
 	ip := s.ip(i + 1)
 	address := fmt.Sprintf("%s:%d", ip, appPort)
 	w := taskworker.New(taskworker.Config{
-		ID: fmt.Sprintf("i-%d-%d", i, time.Now().UnixNano()), Service: serviceName, Address: address, DataCentre: fmt.Sprintf("zone-%d", i),
+		ID: id, Service: serviceName, Address: address, DataCentre: fmt.Sprintf("zone-%d", i),
 		CPUMilli: 8000, MemoryMB: workerMemoryMB, Labels: []string{"a", "r1-" + fmt.Sprint(i)}, MaxRuns: s.maxRuns, ClockRate: clockRates[i%len(clockRates)],
 	}, func(task string) time.Duration {
 		s.startsMu.Lock() // mu may be held by a call that waits for this worker
@@ -274,6 +285,9 @@
 		return time.Duration(s.taskDuration.Load())
 	}, s.journal)
 	l, err := net.Listen("tcp", address)
+	for end := time.Now().Add(time.Second); err != nil && time.Now().Before(end); l, err = net.Listen("tcp", address) {
+		time.Sleep(time.Millisecond) // the listener of the previous incarnation is being closed
+	}
 	assert.NilError(s.t, err)
 	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: w.Handler()}}
 	server.Start()
@@ -282,9 +296,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if i < len(s.workers) { // another incarnation
-		s.workers[i], s.workerServers[i], s.heartbeatCancels[i] = w, server, cancel
+		s.workers[i], s.workerServers[i], s.heartbeatCancels[i], s.workerIDs[i] = w, server, cancel, id
 		return
 	}
+	s.workerIDs = append(s.workerIDs, id)
 	s.workers, s.workerServers, s.heartbeatCancels = append(s.workers, w), append(s.workerServers, server), append(s.heartbeatCancels, cancel)
 }
 
--- a/internal/sitetest/soak_faults_test.go
+++ b/internal/sitetest/soak_faults_test.go
@@ -36,6 +36,9 @@
 		if k.shrinkRandom.IntN(shrinkInterval) == 0 {
 			k.shrinkWorker()
 		}
+		if k.lifeRandom.IntN(lifeFaultInterval) == 0 {
+			k.replaceWorkerOrAgent()
+		}
 		time.Sleep(time.Duration(50+k.faultRandom.IntN(900)) * time.Millisecond)
 	}
 }
@@ -208,6 +211,36 @@
 	})
 }
 
+// replaceWorkerOrAgent replaces a worker by another incarnation with the same id, after it has
+// left calls unanswered, or restarts an agent whose worker then leaves calls unanswered.
+func (k *soak) replaceWorkerOrAgent() {
+	i, worker := k.lifeRandom.IntN(k.agents), k.lifeRandom.IntN(2) == 0
+	silent := time.Duration(200+k.lifeRandom.IntN(1500)) * time.Millisecond
+	agent := k.agentName(i)
+	if !k.reserve(agent) {
+		return
+	}
+	hang := func(hangs bool) {
+		k.site.mu.Lock()
+		defer k.site.mu.Unlock()
+		k.workers[i].SetFaults(taskworker.Faults{Hang: hangs})
+	}
+	if worker {
+		k.injectFault(silent, fmt.Sprintf("worker %d returns under its id", i), func() { hang(true) }, func() {
+			k.crashWorker(i)
+			k.startWorkerAs(i, k.workerIDs[i])
+			k.release(agent)
+		})
+		return
+	}
+	k.injectFault(silent, fmt.Sprintf("agent %d restarts beside a silent worker", i), func() {
+		k.kill(agent)
+		k.startProgram(agent)
+		time.Sleep(silent / 4)
+		hang(true)
+	}, func() { hang(false); k.release(agent) })
+}
+
 // shrinkWorker takes most of a worker's capacity away, for longer than starts may still use it.
 func (k *soak) shrinkWorker() {
 	i, cores := k.shrinkRandom.IntN(k.agents), 1+k.shrinkRandom.IntN(3)
--- a/internal/sitetest/soak_test.go
+++ b/internal/sitetest/soak_test.go
@@ -41,6 +41,8 @@
 	deadlyInterval = 12
 	// shrinkInterval is how many faults come with one worker that shrinks, on average.
 	shrinkInterval = 6
+	// lifeFaultInterval is how many faults come with one worker or agent that is replaced.
+	lifeFaultInterval = 5
 	// requestDeadline is the deadline that clients send with their requests.
 	requestDeadline = 3 * time.Second
 )
@@ -98,12 +100,14 @@
 	// shrinkRandom draws the workers that shrink, so that the other faults of a seed that failed
 	// before this kind was added stay as they were.
 	shrinkRandom *rand.Rand
-	entries      int
-	agents       int
-	startTime    time.Time
-	clientsDone  chan struct{} // closed when fault injection ends, to stop the clients
-	wg           sync.WaitGroup
-	taskCrashes  sync.WaitGroup
+	// lifeRandom draws the workers and agents that are replaced, for the same reason.
+	lifeRandom  *rand.Rand
+	entries     int
+	agents      int
+	startTime   time.Time
+	clientsDone chan struct{} // closed when fault injection ends, to stop the clients
+	wg          sync.WaitGroup
+	taskCrashes sync.WaitGroup
 
 	mu             sync.Mutex
 	jobs           map[string]*soakJob
@@ -132,7 +136,8 @@
 // newSoak starts a site with proxies and checked task starts.
 func newSoak(t *testing.T, seed uint64, entries, agents int) *soak {
 	k := &soak{
-		site: newSite(t, agents), faultRandom: rand.New(rand.NewPCG(seed, seed)), shrinkRandom: rand.New(rand.NewPCG(seed, ^seed)), entries: entries, agents: agents,
+		site: newSite(t, agents), faultRandom: rand.New(rand.NewPCG(seed, seed)), shrinkRandom: rand.New(rand.NewPCG(seed, ^seed)), lifeRandom: rand.New(rand.NewPCG(^seed, seed)),
+		entries: entries, agents: agents,
 		jobs: map[string]*soakJob{}, clientsDone: make(chan struct{}), faultFreeSince: time.Now(),
 	}
 	k.useProxies, k.maxRuns, k.onTaskStart = true, 8, k.checkTaskStart
