--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 FUZZ_CHECKS ?= 20000
 
 .PHONY: build test lint demo generate mechanisms fuzz fuzz-jobs fuzz-request fuzz-ledger \
-	bench-routing bench-request bench-heartbeat
+	fuzz-entries bench-routing bench-request bench-heartbeat
 
 build:
 	go build -o bin/ ./cmd/...
@@ -37,13 +37,18 @@
 
 # Property-based tests with many generated cases, and fuzzing. SEED=n repeats the
 # generated cases of a run.
-fuzz: fuzz-jobs fuzz-request fuzz-ledger
+fuzz: fuzz-jobs fuzz-entries fuzz-request fuzz-ledger
 
 fuzz-jobs:
 	go test -count=1 -run TestRandomJobHistories ./internal/jobstate -rapid.checks=$(FUZZ_CHECKS) -rapid.seed=$(SEED)
 	go test -count=1 -run TestNoWorkerIsGrantedBeyondItsCapacity ./internal/plan -rapid.checks=$(FUZZ_CHECKS) -rapid.seed=$(SEED)
 	go test -count=1 -run xxx -fuzz FuzzDecodeJob -fuzztime 30s ./platform
 
+# What other writers and the platform may leave.
+fuzz-entries:
+	for target in FuzzDecodeHeartbeat FuzzDecodeRuns FuzzDecodeMachines FuzzDecodeConfig FuzzDecodePage; do \
+		go test -count=1 -run xxx -fuzz "^$$target$$" -fuzztime 15s ./platform || exit 1; done
+
 fuzz-request:
 	go test -count=1 -run 'TestRequestProtocol$$' ./internal/request/faulttest -rapid.checks=$(FUZZ_CHECKS) -rapid.seed=$(SEED)
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -279,7 +279,7 @@
 // tryClaim claims the ownership, unless the store holds a newer owner or a peer still
 // reaches an owner that this process does not.
 func (e *Elector) tryClaim(ctx context.Context, cutOff bool) {
-	owner, end, err := schedulestore.ReadOwner(ctx, e.store)
+	owner, end, minEpoch, err := e.ownerBeforeClaim(ctx)
 	if err != nil { // no claim is possible without the store, but a peer may know a newer owner
 		e.askPeersForOwner(ctx, e.Owner())
 		return
@@ -297,7 +297,7 @@
 		}
 	}
 	if e.waitBeforeClaim(ctx, owner == nil) && !e.hasResigned() {
-		e.claim(ctx, owner, end)
+		e.claim(ctx, owner, end, minEpoch)
 	}
 }
 
@@ -346,12 +346,11 @@
 	}
 }
 
-// claim appends a claim for the next epoch and takes over if the claim succeeded.
-func (e *Elector) claim(ctx context.Context, previous *chervilv2.OwnerRecord, end int64) {
-	record := &chervilv2.OwnerRecord{Epoch: 1, Node: e.self.Node, Address: e.self.Address, Nonce: ulid.Make().String()}
-	if previous != nil {
-		record.Epoch = previous.Epoch + 1
-	}
+// claim appends a claim for the next epoch, at least minEpoch, and takes over if the claim
+// succeeded.
+func (e *Elector) claim(ctx context.Context, previous *chervilv2.OwnerRecord, end int64, minEpoch uint64) {
+	record := &chervilv2.OwnerRecord{Node: e.self.Node, Address: e.self.Address, Nonce: ulid.Make().String()}
+	record.Epoch = max(previous.GetEpoch()+1, minEpoch)
 	if !e.writeRecord(ctx, record, end) {
 		return
 	}
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -57,6 +57,7 @@
 	MaintenanceOrdered      = define(7108, Info, "maintenance of a machine ordered")
 	MaintenanceCallFailed   = define(7109, Warning, "maintenance call to the machine API failed")
 	WaveCompleted           = define(7110, Info, "maintenance wave completed")
+	MachineIgnored          = define(7111, Warning, "malformed entry in the list of machines ignored")
 	AgentReachableAgain     = define(7324, Info, "agent recorded as unreachable reports again")
 	AgentAttached           = define(7301, Info, "agent attached")
 	AgentDetached           = define(7302, Warning, "agent detached")
--- a/internal/jobentry/peers.go
+++ b/internal/jobentry/peers.go
@@ -63,9 +63,9 @@
 	return &Peers{node: n.Name, self: InternalAddress(n), pool: pool, lastSeen: map[string]time.Time{}, seeds: SeedAddresses(n)}
 }
 
-// MarkSeen records that an entry is alive.
+// MarkSeen records that an entry is alive. It ignores a malformed address.
 func (p *Peers) MarkSeen(address string) {
-	if address == "" || address == p.self {
+	if address == p.self || !peer.ValidAddress(address) {
 		return
 	}
 	p.mu.Lock()
--- a/internal/jobentry/peers_test.go
+++ b/internal/jobentry/peers_test.go
@@ -97,3 +97,11 @@
 	}
 	assert.Equal(t, len(p.Sample(10*fleetSize)), fleetSize)
 }
+
+func TestOddAddressIsNoPeer(t *testing.T) {
+	p := newTestPeers(t, &fleet{})
+	for _, address := range []string{"", "10.0.0.2", "10.0.0.2:", ":7720", "10.0.0.2:0", "10.0.0.2:-1", "10.0.0.2:99999", "10.0.0.2:1e3", "unix:///x", "10.0.0.3:7720"} {
+		p.MarkSeen(address)
+	}
+	assert.DeepEqual(t, p.Entries(), []string{"10.0.0.3:7720"})
+}
--- a/internal/operator/follower.go
+++ b/internal/operator/follower.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
@@ -49,14 +50,15 @@
 
 	mu         sync.Mutex
 	records    map[string]platform.Record
-	offset     int64        // next offset to read
-	lastAnswer atomic.Int64 // boottime.Instant of the last successful read
+	ignored    map[string]int64 // offset of the newest malformed record that was logged, by key
+	offset     int64            // next offset to read
+	lastAnswer atomic.Int64     // boottime.Instant of the last successful read
 }
 
 // NewFollower returns a follower that has no view yet. If peers is nil, only the store is
 // read.
 func NewFollower(store Store, peers PeerReader) *Follower {
-	return &Follower{store: store, peers: peers, records: map[string]platform.Record{}}
+	return &Follower{store: store, peers: peers, records: map[string]platform.Record{}, ignored: map[string]int64{}}
 }
 
 // View returns the newest view, or nil before the first one.
@@ -164,7 +166,7 @@
 	defer f.mu.Unlock()
 	changed := f.view.Load() == nil
 	for _, r := range records {
-		if old, ok := f.records[r.Key]; ok && old.Offset >= r.Offset {
+		if old, ok := f.records[r.Key]; ok && old.Offset >= r.Offset || !followed(r.Key) {
 			continue
 		}
 		f.records[r.Key] = r
@@ -183,6 +185,13 @@
 	}
 }
 
+// followed reports whether the system uses the record with the key. A key that is no text can't
+// be sent to a peer.
+func followed(key string) bool {
+	kind, _ := platform.ClassifyOperatorKey(key)
+	return kind != platform.RecordOther && utf8.ValidString(key)
+}
+
 // publishView builds a view from the records and replaces the current one. The caller
 // holds mu.
 func (f *Follower) publishView() {
@@ -198,7 +207,7 @@
 		kind, name := platform.ClassifyOperatorKey(key)
 		switch kind {
 		case platform.RecordConfig:
-			next.Config = newerConfig(next.Config, r)
+			next.Config = f.newerConfig(next.Config, r)
 		case platform.RecordEvacuation:
 			next.Evacuated[name] = true
 			if old == nil || !old.Evacuated[name] {
@@ -207,7 +216,7 @@
 		case platform.RecordWave:
 			wave, err := platform.DecodeWave(r.Value)
 			if err != nil {
-				events.OperatorRecordIgnored.LogError(err, "key", key, "offset", r.Offset)
+				f.logIgnored(r, err)
 				continue
 			}
 			next.Waves[name] = wave
@@ -223,13 +232,22 @@
 	f.view.Store(next)
 }
 
+// logIgnored logs a malformed record once. The caller holds mu.
+func (f *Follower) logIgnored(r platform.Record, err error) {
+	if offset, logged := f.ignored[r.Key]; logged && offset == r.Offset {
+		return
+	}
+	f.ignored[r.Key] = r.Offset
+	events.OperatorRecordIgnored.LogError(err, "key", r.Key, "offset", r.Offset)
+}
+
 // newerConfig returns the configuration of the record if it is valid and has a higher
 // version than the current one, and the current one otherwise. So the version in effect
-// never decreases.
-func newerConfig(current *operatorconfig.Config, r platform.Record) *operatorconfig.Config {
+// never decreases. The caller holds mu.
+func (f *Follower) newerConfig(current *operatorconfig.Config, r platform.Record) *operatorconfig.Config {
 	config, err := platform.DecodeConfig(r.Value)
 	if err != nil {
-		events.OperatorRecordIgnored.LogError(err, "key", r.Key, "offset", r.Offset)
+		f.logIgnored(r, err)
 		return current
 	}
 	if current != nil && config.Version <= current.Version {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,6 +37,16 @@
 	serverPingTimeout = 5 * time.Second
 )
 
+// ValidAddress reports whether the address is HOST:PORT, with a port from 1 to 65535.
+func ValidAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n != 0
+}
+
 // Pool holds one connection for each address. It drops a connection that becomes
 // unresponsive while calls are in flight on it. It is safe for concurrent use.
 type Pool struct {
--- a/internal/schedulestore/state.go
+++ b/internal/schedulestore/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -9,7 +11,6 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/events"
-	"chervilridge/internal/fault"
 	"chervilridge/internal/jobstate"
 	"chervilridge/platform"
 )
@@ -186,8 +187,11 @@
 	return store.Newest(ctx, topic, after)
 }
 
+// ErrOwnerUnreadable is returned if the owner topic holds a record that is no claim.
+var ErrOwnerUnreadable = errors.New("the stored record of the owner cannot be read")
+
 // ReadOwner returns the newest claim of ownership, or nil if there is none, and the end of
-// the owner topic, which WriteOwner needs.
+// the owner topic, which WriteOwner needs. The end is valid with ErrOwnerUnreadable too.
 func ReadOwner(ctx context.Context, store Store) (*chervilv2.OwnerRecord, int64, error) {
 	page, err := readPage(ctx, store, platform.OwnerTopic, "")
 	if err != nil {
@@ -199,7 +203,10 @@
 		}
 		owner := &chervilv2.OwnerRecord{}
 		if err := proto.Unmarshal(r.Value, owner); err != nil {
-			return nil, 0, fault.Wrap(err, fault.CodeInternal, fault.StepRestore, r.Key, "cannot decode the owner record")
+			return nil, page.End, fmt.Errorf("%w: offset %d: %w", ErrOwnerUnreadable, r.Offset, err)
+		}
+		if owner.Epoch == 0 || owner.Address == "" {
+			return nil, page.End, fmt.Errorf("%w: offset %d: no epoch or address", ErrOwnerUnreadable, r.Offset)
 		}
 		return owner, page.End, nil
 	}
--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -137,9 +137,10 @@
 	}
 	for i := range agents {
 		ip := s.ip(i + 1)
+		app := s.viaProxy(workerLink(i), s.workerAddress(i))
 		s.startWorker(i)
 		s.addProgram(s.agentName(i), "chervil-agent", ip, s.writeSettings(s.agentName(i), ip, i, seeds,
-			fmt.Sprintf("listen.control=%s:%d\napp=%s\nbackend=%s\n", ip, controlPort, s.viaProxy(workerLink(i), fmt.Sprintf("%s:%d", ip, appPort)), serviceName)))
+			fmt.Sprintf("listen.control=%s:%d\napp=%s\nbackend=%s\n", ip, controlPort, app, serviceName)))
 	}
 	for i := range entries {
 		ip := s.ip(100 + i)
@@ -154,6 +155,9 @@
 
 func (s *site) ip(machine int) string { return fmt.Sprintf("127.77.%d.%d", s.number, machine) }
 
+// workerAddress returns the address at which the worker of agent i listens.
+func (s *site) workerAddress(i int) string { return fmt.Sprintf("%s:%d", s.ip(i+1), appPort) }
+
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func (s *site) agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
@@ -262,9 +266,12 @@
 // startWorker starts a new incarnation of the worker of agent i.
 func (s *site) startWorker(i int) {
 	ip := s.ip(i + 1)
-	address := fmt.Sprintf("%s:%d", ip, appPort)
+	address, announced := s.workerAddress(i), s.workerAddress(i)
+	if link, ok := s.links[workerLink(i)]; ok {
+		announced = link.Address()
+	}
 	w := taskworker.New(taskworker.Config{
-		ID: fmt.Sprintf("i-%d-%d", i, time.Now().UnixNano()), Service: serviceName, Address: address, DataCentre: fmt.Sprintf("zone-%d", i),
+		ID: fmt.Sprintf("i-%d-%d", i, time.Now().UnixNano()), Service: serviceName, Address: announced, DataCentre: fmt.Sprintf("zone-%d", i),
 		CPUMilli: 8000, MemoryMB: workerMemoryMB, Labels: []string{"a", "r1-" + fmt.Sprint(i)}, MaxRuns: s.maxRuns, ClockRate: clockRates[i%len(clockRates)],
 	}, func(task string) time.Duration {
 		s.startsMu.Lock() // mu may be held by a call that waits for this worker
--- a/internal/workeragent/module.go
+++ b/internal/workeragent/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -119,8 +120,11 @@
 			return
 		}
 		h, err := platform.DecodeHeartbeat(g.Param("id"), body)
+		if err == nil {
+			err = checkSender(a.node, h)
+		}
 		if err != nil {
-			events.HeartbeatRejected.LogError(err, "worker", g.Param("id"))
+			events.HeartbeatRejected.LogError(err, "worker", fmt.Sprintf("%.100q", g.Param("id")))
 			g.JSON(http.StatusBadRequest, platform.ErrorBody{Error: err.Error()})
 			return
 		}
--- /dev/null
+++ b/internal/workeragent/registration_test.go
@@ -0,0 +1,114 @@
+package workeragent
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	"chervilridge/internal/boottime"
+	"chervilridge/platform"
+)
+
+const (
+	appAddress = "10.1.0.14:8165"
+	// maxLogLineBytes bounds what is logged for one odd heartbeat.
+	maxLogLineBytes = 2000
+)
+
+// registration is an agent whose worker listens at appAddress.
+type registration struct {
+	t       *testing.T
+	agent   *Agent
+	handler http.Handler
+}
+
+func newRegistration(t *testing.T) *registration {
+	node := &platform.NodeSettings{Name: "side-1", WorkerAddress: appAddress, Service: "desk", Bounds: platform.Bounds{MaxLease: 6 * time.Second}}
+	a := NewAgent(node, platform.NewWorkerClient(appAddress), boottime.Now)
+	return &registration{t, a, registrationHandler(a)}
+}
+
+// put sends a heartbeat and returns the status of the response and the size of its body.
+func (r *registration) put(id, body string) (status, bytes int) {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPut, platform.PathWorkerPrefix+"x", strings.NewReader(body))
+	request.URL.Path = platform.PathWorkerPrefix + id
+	r.handler.ServeHTTP(recorder, request)
+	return recorder.Code, recorder.Body.Len()
+}
+
+func heartbeat(service, address string, sequence int, more string) string {
+	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"pnw-a","version":"v1","slots":8,"state":"ready","cold-left-ms":0,`+
+		`"capacity":{"cpu":16000,"mem-mb":32768,"gpus":0},"labels":["a"],"clock-ms":482113,"seq":%d,"born":1796461062123%s}`, service, address, sequence, more)
+}
+
+func TestHeartbeatOfAnotherWriterChangesNothing(t *testing.T) {
+	born := `,"born":1796461063123` // later than the worker's
+	nested := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	for name, odd := range map[string]struct{ id, body string }{
+		"service not named":  {"i-9", heartbeat("nosuch-desk", appAddress, 4, born)},
+		"service of case":    {"i-9", heartbeat("Desk", appAddress, 4, born)},
+		"long service":       {"i-9", heartbeat(strings.Repeat("x", 1000), appAddress, 4, born)},
+		"another port":       {"i-9", heartbeat("desk", "10.1.0.14:8080", 4, born)},
+		"port out of range":  {"i-9", heartbeat("desk", "10.1.0.14:99999", 4, born)},
+		"port 0":             {"i-9", heartbeat("desk", "10.1.0.14:0", 4, born)},
+		"no port":            {"i-9", heartbeat("desk", "10.1.0.14", 4, born)},
+		"nested":             {"i-9", nested},
+		"nested field":       {"i-9", heartbeat("desk", appAddress, 4, born+`,"other":`+nested)},
+		"number too large":   {"i-9", heartbeat("desk", appAddress, 4, born+`,"cold-left-ms":1e300`)},
+		"larger number":      {"i-9", heartbeat("desk", appAddress, 4, born+`,"clock-ms":1e400`)},
+		"long number":        {"i-9", heartbeat("desk", appAddress, 4, born+`,"seq":`+strings.Repeat("9", 1<<20))},
+		"known id":           {"i-1", heartbeat("nosuch-desk", appAddress, 9, `,"state":"draining"`)},
+		"known id, too late": {"i-1", heartbeat("desk", appAddress, 9, `,"remaining-ms":1e300,"state":"draining"`)},
+		"id of no text":      {"i-\xff", heartbeat("desk", appAddress, 4, born)},
+		"id of a header":     {"i-9\r\nx: y", heartbeat("desk", appAddress, 4, born)},
+		"long id":            {strings.Repeat("i", 1<<19), heartbeat("desk", appAddress, 4, born)},
+		"id of many parts":   {"i/9", heartbeat("desk", appAddress, 4, born)},
+		"too long":           {"i-9", heartbeat("desk", appAddress, 4, born+`,"other":"`+strings.Repeat("x", platform.MaxHeartbeatBytes)+`"`)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistration(t)
+			status, _ := r.put("i-1", heartbeat("desk", appAddress, 4, ""))
+			assert.Equal(t, status, http.StatusOK)
+			before := r.agent.buildReport().Worker
+			log := captureLog(t)
+			status, size := r.put(odd.id, odd.body)
+			assert.Assert(t, status >= http.StatusBadRequest, "answered %d", status)
+			assert.Assert(t, size <= maxLogLineBytes, "answered with %d bytes", size)
+			klog.Flush()
+			assert.Assert(t, log.Len() <= maxLogLineBytes && bytes.Count(log.Bytes(), []byte("\n")) <= 1, "logged %d bytes: %.300s", log.Len(), log)
+			after := r.agent.buildReport().Worker
+			before.SilentMs, after.SilentMs = 0, 0
+			assert.Equal(t, after.String(), before.String())
+			status, _ = r.put("i-1", heartbeat("desk", appAddress, 5, ""))
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, r.agent.incarnation.heartbeat.Sequence, int64(5), "the worker's next heartbeat")
+		})
+	}
+}
+
+// captureLog redirects the log to the returned buffer until the test ends.
+func captureLog(t *testing.T) *bytes.Buffer {
+	out := &bytes.Buffer{}
+	restore := klog.CaptureState()
+	klog.LogToStderr(false)
+	klog.SetOutput(out)
+	t.Cleanup(restore.Restore)
+	return out
+}
+
+func TestHeartbeatOfTheNextIncarnationIsAccepted(t *testing.T) {
+	r := newRegistration(t)
+	for i, id := range []string{"i-1", "i-2"} {
+		status, _ := r.put(id, heartbeat("desk", appAddress, 1, fmt.Sprintf(`,"born":%d`, 1796461062123+i)))
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, r.agent.buildReport().Worker.Id, id)
+	}
+}
--- a/internal/workeragent/search.go
+++ b/internal/workeragent/search.go
@@ -8,6 +8,7 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/jobentry"
+	"chervilridge/internal/peer"
 	"chervilridge/internal/schedulestore"
 )
 
@@ -150,12 +151,12 @@
 	l.addEntries(entries)
 }
 
-// addEntries adds the addresses to the known entries.
+// addEntries adds the addresses to the known entries. It ignores malformed ones.
 func (l *OwnerLink) addEntries(entries []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range entries {
-		if !slices.Contains(l.entries, e) {
+		if peer.ValidAddress(e) && !slices.Contains(l.entries, e) {
 			l.entries = append(l.entries, e)
 		}
 	}
--- a/internal/workeragent/search_test.go
+++ b/internal/workeragent/search_test.go
@@ -91,3 +91,10 @@
 	link.replaceEntries(nil)
 	assert.DeepEqual(t, link.entries, []string{"10.0.0.1:7720", "10.0.0.3:7720"})
 }
+
+func TestOddAddressIsNoEntry(t *testing.T) {
+	node := &platform.NodeSettings{Name: "side-1"}
+	link := NewOwnerLink(NewAgent(node, nil, boottime.Now), unreachableStore{}, nil, node)
+	link.addEntries([]string{"", "10.0.0.2", "10.0.0.2:", ":7720", "10.0.0.2:0", "10.0.0.2:-1", "10.0.0.2:99999", "10.0.0.2:1e3", "unix:///x", "10.0.0.3:7720"})
+	assert.DeepEqual(t, link.entries, []string{"10.0.0.3:7720"})
+}
