A fresh process doesn't take what it has not seen for absent: stops, starts, paces, drains

- An agent that has just started answered a stop without a call, since it knew no worker yet, and a start that it or the worker refused without a fence, though a call of its predecessor could still be carried out (TWICE).
It now stops the run at whichever worker answers before it reports that.
- A run that its predecessor had halted stayed halted: no order of a pace was taken for full pace (LOST).
- A new owner began the upkeep of a machine whose agent had not reported to it, with serving tasks on it (AVAIL).
The runs granted to the worker name it.
- A late deregistration of an earlier life took the present one out of use for good.
A newer heartbeat clears it.
- A run that ended on the next life was also reported as crashed with the last one.
- An unproved life was named to the owner; one of the build before would drop the present runs for it.
- Data race: the id of the worker was read without the lock (go test -race, older than this work).

A stop of unconfirmed starts by the owner (tried, reverted): the answer dropped the run without a count of the crash, and TestTaskThatEndsItsAgentsTooIsGivenUp failed.

Tests changed: the worker that no list has proved is nil in two reports; the tests check the id that the agent holds instead, and that nothing is named.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -170,14 +170,15 @@
 	return out
 }
 
-// nodeOnMachine returns the node whose worker runs on the machine, or nil.
+// nodeOnMachine returns the node whose worker runs on the machine, or nil. A worker that has not
+// reported to this owner is known by the runs granted to it.
 func (e *Engine) nodeOnMachine(machine string, listed []platform.Machine) *node {
 	for _, m := range listed {
 		if m.Name != machine || m.WorkerID == "" {
 			continue
 		}
 		for _, n := range e.nodes {
-			if n.key.ID == m.WorkerID {
+			if n.key.ID == m.WorkerID || n.key.ID == "" && n.hasRunOn(m.WorkerID) {
 				return n
 			}
 		}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// hasRunOn reports whether a run is granted to the worker with the id.
+func (n *node) hasRunOn(workerID string) bool {
+	for _, tr := range n.runs {
+		if tr.run.Worker.ID == workerID {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *node) adjustUse(tr *trackedRun, sign int64) {
 	needs := plan.Needs(tr.step)
 	n.used = n.used.Add(plan.Resources{CPUMilli: sign * needs.CPUMilli, MemoryMB: sign * needs.MemoryMB, GPUs: sign * needs.GPUs})
--- /dev/null
+++ b/internal/dispatch/restart_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/operatorconfig"
+)
+
+func TestNewOwnerDoesNotTakeAMachineForIdleWhoseAgentHasNotReportedYet(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1")
+	wave := r.view.Waves["7"]
+	r.view.Waves = nil // not requested yet
+	a := r.attach("side-1", 4000)
+	r.submit(&chervilv2.JobSpec{Id: jobID(1), Queue: testQueue, Steps: []*chervilv2.Step{{Tasks: 1, CpuMilli: 1000, LongRunning: true, TargetLatencyMs: 50, MayMiss: 1}}})
+	eventually(t, "starts", func() bool { return len(a.started()) == 1 })
+	s := a.started()[0]
+	a.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: s.Task, Attempt: s.Attempt, Percent: 100}}})
+	r.settle()
+	r.engine.Abandon()
+	<-r.engine.Done()
+	r.view = testView(operatorconfig.Queue{})
+	r.view.Waves = map[string]operatorconfig.Wave{"7": wave}
+	r.start(2)
+	time.Sleep(3 * waveInterval) // an agent attaches within a second or so
+	assert.Equal(t, machines.startedCount(), 0, "upkeep began on a machine whose serving task was not stopped")
+}
+
+func TestRunWithoutAConfirmedStartIsStoppedOnTheLifeThatFollowsWhileItsAgentRestarts(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	b := r.attach("side-2", 32000)
+	r.disconnect(a)
+	r.clock.advance(500 * time.Millisecond)
+	c := r.attachIncarnation("side-1", "2", nextIncarnation(a.worker)) // knows nothing of the calls of its predecessor
+	r.settle()
+	again := len(b.started()) + len(c.started())
+	assert.Assert(t, again == 0 || len(c.stopped()) > 0, "started again, though a call of the previous agent may reach the new life")
+}
+
+// The wall clock of the worker's machine was set back between its two lives. The owner was paused
+// and reads what the earlier agent process sent last after the reports of the present one.
+func TestLastReportOfAnEarlierAgentProcessDoesNotEndTheRunsOfThePresentLife(t *testing.T) {
+	r := newRig(t)
+	a := r.attachWith("side-1", life(&chervilv2.Worker{Id: "worker", Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000}, 9, true))
+	c := r.attachIncarnation("side-1", "2", life(a.worker, 3, true))
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started())+len(c.started()) == 1 })
+	b := r.attach("side-2", 32000)
+	a.worker = gone(life(a.worker, 9, false))
+	a.report(&chervilv2.AgentReport{})
+	r.settle()
+	assert.Equal(t, len(b.started()), 0, "the run still runs on the present life")
+}
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -117,9 +117,10 @@
 
 // Agent manages the runs of one worker. It is safe for concurrent use.
 type Agent struct {
-	node   *platform.NodeSettings
-	worker Worker
-	clock  boottime.Clock
+	node      *platform.NodeSettings
+	worker    Worker
+	clock     boottime.Clock
+	startedAt boottime.Instant // of this process
 
 	mu               sync.Mutex
 	incarnation      *incarnation
@@ -152,7 +153,7 @@
 // NewAgent returns an agent that knows no worker yet.
 func NewAgent(node *platform.NodeSettings, worker Worker, clock boottime.Clock) *Agent {
 	a := &Agent{
-		node: node, worker: worker, clock: clock, pendingOrders: map[runKey]*pendingOrder{}, paceOrders: map[runKey]*paceOrder{}, runInfos: map[runKey]runInfo{},
+		node: node, worker: worker, clock: clock, startedAt: clock(), pendingOrders: map[runKey]*pendingOrder{}, paceOrders: map[runKey]*paceOrder{}, runInfos: map[runKey]runInfo{},
 		pacers: map[string]*pacer{}, model: interference.New(), servingStates: map[runKey]*servingState{}, rejectedRuns: map[runKey]boottime.Instant{}, unansweredStarts: map[runKey]boottime.Instant{},
 		wakeReport: make(chan struct{}, 1), wakeHold: make(chan struct{}, 1), orderSlots: make(chan struct{}, orderConcurrency),
 	}
@@ -242,11 +243,11 @@
 		}
 	}
 	inc.latestLeaseEnd = max(inc.latestLeaseEnd, hold.ExpiresAt)
-	sentAt := a.clock()
+	id, sentAt := inc.id, a.clock()
 	a.mu.Unlock()
 
 	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+holdReplySlack)
-	runs, err := a.worker.RenewLease(callCtx, inc.id, hold)
+	runs, err := a.worker.RenewLease(callCtx, id, hold)
 	cancel()
 
 	a.mu.Lock()
@@ -338,6 +339,9 @@
 	if inc.unansweredHolds >= 2 {
 		events.WorkerResponsive.Log("worker", inc.id, "silent", now.Sub(inc.lastAnswer), "runs", len(runs.Running), "ends", len(runs.Ended))
 	}
+	if !inc.gone {
+		inc.goneAt = 0
+	}
 	if !inc.confirmed {
 		inc.confirmed, inc.bornUnixMs = true, max(inc.bornUnixMs, runs.BornUnixMs)
 	}
--- a/internal/workeragent/agent_test.go
+++ b/internal/workeragent/agent_test.go
@@ -213,9 +213,10 @@
 	go h.agent.RenewLeases(ctx)
 	h.waitFor("gone", func(r *chervilv2.AgentReport) bool { return r.Worker.GetGone() })
 	h.agent.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, Service: "desk", Sequence: 1})
+	assert.Equal(t, h.agent.incarnation.id, workerID)
 	r := h.agent.buildReport()
-	assert.Equal(t, r.Worker.Id, workerID)
-	assert.Assert(t, !r.Worker.Gone)
+	assert.Assert(t, !r.Worker.GetGone())
+	assert.Assert(t, r.Worker == nil, "it has not answered a call yet")
 }
 
 func TestHeartbeatOfAnEarlierIncarnationIsRejected(t *testing.T) {
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -41,6 +41,7 @@
 		inc.id, inc.bornUnixMs = h.WorkerID, max(inc.bornUnixMs, h.BornUnixMs)
 		events.WorkerRegistered.Log("worker", h.WorkerID, "born", inc.bornUnixMs, "service", h.Service, "sequence", h.Sequence,
 			"cpuMilli", h.CPUMilli, "memoryMB", h.MemoryMB, "labels", h.Labels, "confirmed", inc.confirmed)
+		inc.refusedConnections = 0
 		wake(a.wakeHold)
 		wake(a.wakeReport)
 	}
@@ -52,6 +53,9 @@
 		inc.leasesExpired = true
 		a.retractCrash(inc)
 	}
+	if h.Sequence > inc.heartbeat.Sequence && !h.Draining {
+		inc.deregistered = false // the deregistration was of an earlier incarnation
+	}
 	if h.Draining && !inc.draining {
 		events.WorkerDraining.Log("worker", h.WorkerID, "remaining", h.DrainRemaining, "sequence", h.Sequence)
 	}
@@ -159,6 +163,9 @@
 			a.unansweredStarts[key] = confirmedAt
 		}
 	}
+	for _, end := range list.Ended {
+		a.survived(runKey{end.Task, end.Attempt})
+	}
 	infos := map[runKey]runInfo{}
 	for _, run := range list.Running {
 		key := runKey{run.Task, run.Attempt}
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -68,6 +68,7 @@
 		a.runInfos[runKey{r.Task, r.Attempt}] = runInfo{
 			bestEffort: r.Fills, targetMs: r.TargetLatencyMs, image: r.Image, cpuMilli: r.CpuMilli,
 			reserved: reserved(r.Fills, r.CpuMilli, r.MemoryMb, r.Gpus), updatedAt: a.clock(),
+			startedHere: a.runInfos[runKey{r.Task, r.Attempt}].startedHere,
 		}
 	}
 	for _, s := range o.Starts {
@@ -80,6 +81,7 @@
 		a.runInfos[key] = runInfo{
 			bestEffort: s.Fills, targetMs: s.TargetLatencyMs, image: s.Image, cpuMilli: s.CpuMilli,
 			reserved: reserved(s.Fills, s.CpuMilli, s.MemoryMb, s.Gpus), updatedAt: a.clock(),
+			startedHere: a.runInfos[key].startedHere,
 		}
 		if a.pendingOrders[key] == nil {
 			order := &pendingOrder{start: s, bornUnixMs: a.grantedBirth(o, s)}
@@ -131,6 +133,9 @@
 			a.incarnation.unlisted[key] = a.clock()
 		}
 		a.startResults = append(a.startResults, r)
+		info := a.runInfos[key]
+		info.startedHere = !a.predecessorMayCall()
+		a.runInfos[key] = info
 		a.paceStartedRun(ctx, key)
 		wake(a.wakeReport)
 		return
@@ -164,7 +169,7 @@
 	for try := 1; try <= maxStartCalls; try++ {
 		start, id, reason := a.prepareStart(key, order)
 		if reason != "" {
-			if try == 1 { // no start call was made
+			if try == 1 && !a.predecessorMayCall() { // no start call was made
 				events.StartResolved.Log("task", key.task, "attempt", key.attempt, "answer", "not tried", "reason", reason)
 				a.recordOutcome(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 				return
@@ -177,7 +182,10 @@
 		if a.endStartCall(key, order, err) {
 			break
 		}
-		if answer, known := startAnswer(err, try); known {
+		if answer, known := startAnswer(err, try); known && try == 1 && answer != chervilv2.StartAnswer_START_ANSWER_STARTED && a.predecessorMayCall() {
+			a.fenceOff(ctx, key, answer)
+			return
+		} else if known {
 			events.StartResolved.Log("task", key.task, "attempt", key.attempt, "worker", id, "born", a.bornOf(id), "answer", answer, "try", try, "err", err)
 			if answer == chervilv2.StartAnswer_START_ANSWER_STARTED && a.stopRequested(order) {
 				break
@@ -191,9 +199,13 @@
 		}
 		time.Sleep(orderRetryInterval)
 	}
-	a.fenceOff(ctx, key)
+	a.fenceOff(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 }
 
+// predecessorMayCall reports whether start calls of an earlier agent process may still be carried
+// out.
+func (a *Agent) predecessorMayCall() bool { return a.clock().Sub(a.startedAt) < unansweredStartTTL }
+
 // bornOf returns the time of birth of the worker with the id, as known now; 0 if it is unknown.
 func (a *Agent) bornOf(workerID string) int64 {
 	a.mu.Lock()
@@ -306,16 +318,16 @@
 func (a *Agent) executeStop(ctx context.Context, key runKey) {
 	a.orderSlots <- struct{}{}
 	defer func() { <-a.orderSlots }()
-	a.fenceOff(ctx, key)
+	a.fenceOff(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
 }
 
-// fenceOff repeats a stop call until the worker answers or is gone. Afterwards the run
-// has ended, is ending, or can never start.
-func (a *Agent) fenceOff(ctx context.Context, key runKey) {
+// fenceOff repeats a stop call until the worker answers or is gone, and records the outcome.
+// Afterwards the run has ended, is ending, or can never start.
+func (a *Agent) fenceOff(ctx context.Context, key runKey, outcome chervilv2.StartAnswer) {
 	for ctx.Err() == nil {
-		workerID, ownerEpoch := a.stopTarget()
-		if workerID == "" {
-			a.recordOutcome(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
+		workerID, ownerEpoch, canRun := a.stopTarget()
+		if !canRun {
+			a.recordOutcome(ctx, key, outcome)
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
@@ -326,7 +338,7 @@
 			kind = platform.KindOf(err)
 		}
 		if err == nil || kind == platform.Superseded {
-			a.recordOutcome(ctx, key, chervilv2.StartAnswer_START_ANSWER_NOT_STARTED)
+			a.recordOutcome(ctx, key, outcome)
 			return
 		}
 		events.StopUnconfirmed.LogError(err, "task", key.task, "attempt", key.attempt, "worker", workerID)
@@ -334,14 +346,16 @@
 	}
 }
 
-// stopTarget returns the ID of the worker to stop runs on, or "" if nothing can run, and the
-// owner's epoch.
-func (a *Agent) stopTarget() (workerID string, ownerEpoch uint64) {
+// stopTarget returns the ID of the worker to stop runs on and the owner's epoch. The ID is empty
+// if it is not known yet; a call then reaches any worker at the address. canRun is false if
+// nothing can run there.
+func (a *Agent) stopTarget() (workerID string, ownerEpoch uint64, canRun bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	inc := a.incarnation
-	if inc == nil || inc.gone || inc.leasesExpired {
-		return "", a.ownerEpoch
+	if inc == nil {
+		return "", a.ownerEpoch, true
 	}
-	return inc.id, a.ownerEpoch
+	absent := inc.id == "" && inc.refusedConnections >= maxRefusedConnections
+	return inc.id, a.ownerEpoch, !inc.gone && !inc.leasesExpired && !absent
 }
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -206,8 +206,8 @@
 }
 
 // buildReport returns a report of the worker, its unstored run ends and the queued start
-// results, which it takes off the queue. If no worker has registered and nothing listens at
-// its address, all runs of earlier incarnations have ended. If a full report is requested and the worker has
+// results, which it takes off the queue. It names no worker that has not answered a call. If nothing
+// listens at the worker's address then, all runs of earlier incarnations have ended. If a full report is requested and the worker has
 // listed its runs, it includes the list of runs.
 func (a *Agent) buildReport() *chervilv2.AgentReport {
 	a.mu.Lock()
@@ -215,7 +215,7 @@
 	r := &chervilv2.AgentReport{Results: a.startResults, Crashes: a.unconfirmedCrashes()}
 	a.startResults = nil
 	inc := a.incarnation
-	if inc == nil || inc.id == "" || inc.gone && !inc.confirmed {
+	if inc == nil || inc.id == "" || !inc.confirmed {
 		if inc != nil && inc.refusedConnections >= maxRefusedConnections {
 			r.Worker = &chervilv2.Worker{Gone: true}
 		}
--- a/internal/workeragent/paceorder.go
+++ b/internal/workeragent/paceorder.go
@@ -31,7 +31,7 @@
 }
 
 // needed reports whether a pace has to be ordered. A nil order is that of a run that has its
-// full pace since its start.
+// full pace since this process started it.
 func (o *paceOrder) needed(percent uint32, now boottime.Instant) bool {
 	if o == nil {
 		return percent != fullPace
--- a/internal/workeragent/pacer.go
+++ b/internal/workeragent/pacer.go
@@ -35,6 +35,8 @@
 	cpuMilli   uint32 // requested CPU, in thousandths of a core
 	reserved   resources
 	updatedAt  boottime.Instant
+	// startedHere is set once this process has confirmed the start: nobody has changed the pace.
+	startedHere bool
 }
 
 // pacer sets the pace of the best-effort runs of one image, so that serving runs on the
@@ -99,7 +101,7 @@
 				"leastHeadroom", co.leastHeadroom(), "share", co.fullPaceUsage[image], "halt", halt, "fills", len(keys))
 		}
 		for _, key := range keys {
-			if a.paceOrders[key].needed(percent, now) {
+			if a.paceOrders[key].needed(percent, now) || a.paceOrders[key] == nil && !a.runInfos[key].startedHere {
 				a.orderPace(ctx, inc, key, percent)
 			}
 		}
--- a/internal/workeragent/registration_test.go
+++ b/internal/workeragent/registration_test.go
@@ -77,6 +77,7 @@
 			r := newRegistration(t)
 			status, _ := r.put("i-1", heartbeat("desk", appAddress, 4, ""))
 			assert.Equal(t, status, http.StatusOK)
+			r.agent.incarnation.confirmed = true
 			before := r.agent.buildReport().Worker
 			log := captureLog(t)
 			status, size := r.put(odd.id, odd.body)
@@ -110,7 +111,7 @@
 		status, _ := r.put(id, heartbeat("desk", appAddress, 1, fmt.Sprintf(`,"born":%d`, 1796461062123+i)))
 		assert.Equal(t, status, http.StatusOK)
 	}
-	assert.Equal(t, r.agent.buildReport().Worker.Id, "i-1", "until the worker answers as the next incarnation")
+	assert.Equal(t, r.agent.incarnation.id, "i-1", "until the worker answers as the next incarnation")
 	assert.Equal(t, r.agent.pendingHeartbeat.WorkerID, "i-2")
 	r.agent.worker = newScriptedWorker(1796461062124)
 	r.agent.confirmPendingHeartbeat(t.Context())
--- /dev/null
+++ b/internal/workeragent/restart_test.go
@@ -0,0 +1,181 @@
+package workeragent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/boottime"
+	"chervilridge/platform"
+)
+
+// listingWorker answers holds with a list, and records all other calls.
+type listingWorker struct {
+	Worker
+	mu       sync.Mutex
+	report   platform.RunReport
+	startErr error
+	calls    []string
+}
+
+func (w *listingWorker) record(call string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, call)
+}
+
+func (w *listingWorker) called(call string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Contains(w.calls, call)
+}
+
+func (w *listingWorker) RenewLease(context.Context, string, platform.LeaseRenewal) (platform.RunReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.report, nil
+}
+
+func (w *listingWorker) Start(_ context.Context, _ string, s platform.StartRequest) (time.Duration, error) {
+	w.record("start " + s.Task)
+	return time.Second, w.startErr
+}
+
+func (w *listingWorker) Stop(_ context.Context, _, task string, _ uint32, _ uint64) (time.Duration, error) {
+	w.record("stop " + task)
+	return time.Second, nil
+}
+
+func (w *listingWorker) Pace(_ context.Context, _, task string, _, _ uint32, _ uint64) error {
+	w.record("pace " + task)
+	return nil
+}
+
+func freshAgent(w Worker) *Agent {
+	return NewAgent(&platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: time.Minute}}, w, boottime.Now)
+}
+
+func freshBeat(a *Agent, sequence int64) {
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: sequence, CPUMilli: 1000, MemoryMB: 1000})
+}
+
+// notStarted drives the agent until it reports the run as not started.
+func notStarted(t *testing.T, a *Agent) {
+	t.Helper()
+	eventually(t, "reported as not started", func() bool {
+		a.holdOnce(t.Context())
+		return resultOf(a.buildReport(), task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED
+	})
+}
+
+func TestRestartedAgentRestoresThePaceThatItsPredecessorLowered(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7, Running: []platform.Run{{Task: task1, Attempt: 1}}}}
+	a := freshAgent(w)
+	freshBeat(a, 1)
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Runs: []*chervilv2.RunInfo{{Task: task1, Attempt: 1, Fills: true, Image: "x", CpuMilli: 500}}}, boottime.Now())
+	for range 20 {
+		a.holdOnce(t.Context())
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Assert(t, w.called("pace "+task1), "the predecessor may have halted the run; nobody sets its pace again")
+}
+
+func TestRestartedAgentFencesOffAStartThatItRefuses(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
+	a := freshAgent(w)
+	freshBeat(a, 1)
+	a.holdOnce(t.Context())
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID}}}, boottime.Now()) // no lease yet
+	notStarted(t, a)
+	assert.Assert(t, w.called("stop "+task1), "a call of the predecessor may still be carried out")
+}
+
+func TestRestartedAgentFencesOffAStartThatTheWorkerRefuses(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}, startErr: &platform.Error{Kind: platform.Unavailable}}
+	a := freshAgent(w)
+	freshBeat(a, 1)
+	a.holdOnce(t.Context())
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID}}}, boottime.Now())
+	notStarted(t, a)
+	assert.Assert(t, w.called("stop "+task1), "a call of the predecessor may still be carried out")
+}
+
+func TestRestartedAgentAnswersNoStopBeforeItHasCalledTheWorker(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
+	a := freshAgent(w)
+	a.holdOnce(t.Context()) // listed, but no heartbeat yet
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Stops: []*chervilv2.StopOrder{{Task: task1, Attempt: 1}}}, boottime.Now())
+	deadline := time.Now().Add(2 * time.Second)
+	for time.Now().Before(deadline) && !w.called("stop "+task1) {
+		a.holdOnce(t.Context())
+		if resultOf(a.buildReport(), task1) == chervilv2.StartAnswer_START_ANSWER_NOT_STARTED {
+			t.Fatal("the stop is answered, but the worker was not called")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestRestartedAgentCountsListedRunsOfUnknownSize(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7, Running: []platform.Run{{Task: "0000000000000002.0.0.0", Attempt: 1}}}}
+	a := freshAgent(w)
+	freshBeat(a, 1)
+	a.holdOnce(t.Context())
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID, CpuMilli: 1000, MemoryMb: 1000}}}, boottime.Now())
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, !w.called("start "+task1), "started beside a run of unknown size, with the worker's whole capacity")
+}
+
+func TestDeregistrationOfAnEarlierLifeDoesNotEndTheNextOneForGood(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
+	a := freshAgent(w)
+	freshBeat(a, 1)
+	a.holdOnce(t.Context())
+	a.Deregister(workerID) // late, of the life before
+	freshBeat(a, 2)
+	a.holdOnce(t.Context())
+	freshBeat(a, 3)
+	a.holdOnce(t.Context())
+	assert.Assert(t, !a.buildReport().Worker.Draining, "the worker goes on, but gets no task ever again")
+}
+
+func TestFirstHeartbeatIsNotOlderThanTheListOfRuns(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: 10 * time.Second, BornUnixMs: 7}}
+	a := freshAgent(w)
+	a.holdOnce(t.Context())
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: 1, Clock: 3 * time.Second, CPUMilli: 4000, MemoryMB: 4000}) // 7 s late
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID, CpuMilli: 4000, MemoryMb: 4000}}}, boottime.Now())
+	a.node.Bounds.ReactionTime = time.Second
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, !w.called("start "+task1), "started by a capacity that is 7 s old")
+}
+
+func TestRunThatEndedOnTheNextLifeIsNotReportedAsCrashedWithTheLast(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
+	a := freshAgent(w)
+	freshBeat(a, 1)
+	a.holdOnce(t.Context())
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID}}}, boottime.Now())
+	eventually(t, "started", func() bool { return resultOf(a.buildReport(), task1) == chervilv2.StartAnswer_START_ANSWER_STARTED })
+	w.mu.Lock()
+	w.report = platform.RunReport{Clock: time.Second, BornUnixMs: 8, Ended: []platform.RunEnd{{Number: 1, Task: task1, Attempt: 1, Kind: platform.EndFailed}}}
+	w.mu.Unlock()
+	a.holdOnce(t.Context())
+	r := a.buildReport()
+	assert.Equal(t, len(r.Ends), 1)
+	for _, crash := range r.Crashes {
+		for _, run := range crash.Runs {
+			assert.Assert(t, run.Task != task1, "its end was listed by the life that ran it")
+		}
+	}
+}
+
+func TestUnconfirmedLifeIsNotNamedToTheOwner(t *testing.T) {
+	a := freshAgent(&listingWorker{})
+	freshBeat(a, 1)
+	assert.Assert(t, a.buildReport().Worker == nil, "an owner of the previous release drops the runs of the present life for it")
+}
