--- a/internal/standin/taskworker/http.go
+++ b/internal/standin/taskworker/http.go
@@ -29,7 +29,8 @@
 // intercept injects Faults.Hang and rejects, with status 421, calls that are meant for
 // another instance, such as an earlier incarnation at the same address.
 func (w *Worker) intercept(next http.HandlerFunc) http.HandlerFunc {
-	return func(rw http.ResponseWriter, r *http.Request) {
+	return func(plain http.ResponseWriter, r *http.Request) {
+		rw := replyWriter{plain, w}
 		w.mu.Lock()
 		hang := w.faults.Hang
 		w.mu.Unlock()
@@ -47,6 +48,20 @@
 	}
 }
 
+// replyWriter breaks the connection instead of answering once the worker has crashed.
+type replyWriter struct {
+	http.ResponseWriter
+	worker *Worker
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (rw replyWriter) WriteHeader(status int) {
+	if rw.worker.crashed() {
+		panic(http.ErrAbortHandler)
+	}
+	rw.ResponseWriter.WriteHeader(status)
+}
+
 // writeReply sends a JSON object with the worker's clock, its start time and the extra
 // fields.
 func (w *Worker) writeReply(rw http.ResponseWriter, status int, extra map[string]any) {
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -134,6 +134,16 @@
 	w.running = map[string]*run{}
 }
 
+// crashed reports whether the worker was closed.
+func (w *Worker) crashed() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Running returns the number of runs that have not ended.
 func (w *Worker) Running() int {
 	w.mu.Lock()
@@ -198,10 +208,14 @@
 // startRun starts a run unless it runs already, and extends the lease up to the deadline.
 // A rejected start returns its reason: "fence" for an old fence, "late" for a deadline that
 // has passed, "old" for an attempt that was stopped or has ended, is older than such a one,
-// or meets another running attempt of the task.
+// or meets another running attempt of the task. A crashed worker starts nothing; its call
+// gets no answer.
 func (w *Worker) startRun(task string, attempt uint32, deadline time.Duration, fence uint64) (reason string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed() {
+		return ""
+	}
 	if fence < w.fence {
 		return "fence"
 	}
