A repeated start of a run that no list shows yet is not reported as not started

Full reports leave it out, and the owner repeats the start (7212) while the store is down; the copies leave together. The first is refused, 'beyond the worker's capacity', which the run itself fills, and waits for a list. The next finds the run among the refused ones and is reported as not started at once. The owner starts it elsewhere.

Cause, the same class: a run that no list shows yet counted as absent. A confirmed start answers its repetitions, is part of the full report, and a refusal is reported from memory only after a list has confirmed it. A list that shows the run takes the refusal back.

Before: TestRepeatedStartOfARunThatIsNotListedYetIsNotReportedAsNotStarted, both cases.

--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -205,6 +205,16 @@
 	return slices.ContainsFunc(inc.pendingEnds, func(e platform.RunEnd) bool { return e.Task == key.task && e.Attempt == key.attempt })
 }
 
+// hasStarted reports whether the worker has listed the run, or has confirmed its start since.
+func (inc *incarnation) hasStarted(key runKey) bool {
+	if inc == nil {
+		return false
+	}
+	_, listed := inc.runs[key]
+	_, unlisted := inc.unlisted[key]
+	return listed || unlisted
+}
+
 // confirmResults ends the orders whose outcome was known before the list of runs was
 // made. A result is reported only if the list shows neither the run nor its end.
 func (a *Agent) confirmResults(inc *incarnation, unconfirmed []*chervilv2.StartResult) {
@@ -215,13 +225,10 @@
 	for _, r := range unconfirmed {
 		key := runKey{r.Task, r.Attempt}
 		delete(a.pendingOrders, key)
-		if _, runs := inc.runs[key]; runs {
-			a.survived(key)
-			continue // its end is still to come
-		}
-		if inc.ended(key) {
+		if inc.hasStarted(key) || inc.ended(key) { // its end is, or will be, reported instead
 			a.survived(key)
-			continue // the end is reported instead
+			delete(a.rejectedRuns, key)
+			continue
 		}
 		a.startResults = append(a.startResults, r)
 	}
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -73,7 +73,12 @@
 	}
 	for _, s := range o.Starts {
 		key := runKey{s.Task, s.Attempt}
-		if _, rejected := a.rejectedRuns[key]; rejected {
+		if inc.hasStarted(key) {
+			a.startResults = append(a.startResults, &chervilv2.StartResult{Task: key.task, Attempt: key.attempt, Answer: chervilv2.StartAnswer_START_ANSWER_STARTED})
+			wake(a.wakeReport)
+			continue
+		}
+		if _, rejected := a.rejectedRuns[key]; rejected && a.pendingOrders[key] == nil { // otherwise a list decides
 			a.startResults = append(a.startResults, &chervilv2.StartResult{Task: key.task, Attempt: key.attempt, Answer: chervilv2.StartAnswer_START_ANSWER_NOT_STARTED})
 			wake(a.wakeReport)
 			continue
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -241,6 +241,11 @@
 		}
 		r.Runs = append(r.Runs, reported)
 	}
+	for key := range inc.unlisted {
+		if _, listed := inc.runs[key]; !listed && a.pendingOrders[key] == nil {
+			r.Runs = append(r.Runs, &chervilv2.Run{Task: key.task, Attempt: key.attempt, Starting: true})
+		}
+	}
 	for key := range a.pendingOrders {
 		if _, listed := inc.runs[key]; !listed {
 			r.Runs = append(r.Runs, &chervilv2.Run{Task: key.task, Attempt: key.attempt, Starting: true})
--- a/internal/workeragent/restart_test.go
+++ b/internal/workeragent/restart_test.go
@@ -179,3 +179,50 @@
 	freshBeat(a, 1)
 	assert.Assert(t, a.buildReport().Worker == nil, "an owner of the previous release drops the runs of the present life for it")
 }
+
+func TestRepeatedStartOfARunThatIsNotListedYetIsNotReportedAsNotStarted(t *testing.T) {
+	for name, copies := range map[string]int{"one message": 3, "after the list": 1} {
+		t.Run(name, func(t *testing.T) {
+			w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
+			a := freshAgent(w)
+			a.startedAt = a.startedAt.Add(-2 * unansweredStartTTL)
+			freshBeat(a, 1)
+			a.holdOnce(t.Context())
+			order := func(copies int) {
+				o := &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000}
+				for range copies {
+					o.Starts = append(o.Starts, &chervilv2.StartOrder{Task: task1, Attempt: 1, WorkerId: workerID, CpuMilli: 600, MemoryMb: 600})
+				}
+				a.HandleOrders(t.Context(), o, boottime.Now())
+			}
+			order(1)
+			eventually(t, "started", func() bool {
+				return resultOf(a.buildReport(), task1) == chervilv2.StartAnswer_START_ANSWER_STARTED
+			})
+			freshBeatOf(a, 2, 500) // no room for a start
+			never := func(what string) {
+				for end := time.Now().Add(200 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+					a.requestFullReport()
+					r := a.buildReport()
+					assert.Assert(t, resultOf(r, task1) != chervilv2.StartAnswer_START_ANSWER_NOT_STARTED, what)
+					named := slices.ContainsFunc(r.Runs, func(run *chervilv2.Run) bool { return run.Task == task1 })
+					assert.Assert(t, named, "a run whose start is confirmed is missing from the report")
+				}
+			}
+			for range copies {
+				order(2)
+				never("reported as not started before a list")
+			}
+			w.mu.Lock()
+			w.report.Running = []platform.Run{{Task: task1, Attempt: 1}}
+			w.mu.Unlock()
+			a.holdOnce(t.Context())
+			order(2)
+			never("reported as not started though it is listed")
+		})
+	}
+}
+
+func freshBeatOf(a *Agent, sequence int64, cpuMilli uint32) {
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: sequence, CPUMilli: cpuMilli, MemoryMB: 1000})
+}
