dispatch: late crashes of a lasting task are kept by age, and it is given up

Cause: checkSuspect forgot all crashes of a lasting task once a run had outlived 10 s, so that crashes at higher ages never added up.

Change: a crash that counts against a lasting task at 1 s to 1 h is kept with its age, in the job's stored progress (new field crash_ages_ms of TaskRecord, at most 8; older builds ignore it, and records without it are read as before). A run removes only crashes at less than half of its age. From two on, the next start is isolated, which spreads tasks that share crashes. The task is given up at the fourth or fifth crash at one age if no other run on the worker fits as well, or at the fifth at ages within a factor of two if there is no other explanation (jobstate.RepeatsCrash, a pure function; docs/DESIGN.md, section 7). The crashes that it caused are then taken back from the others.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -19,6 +19,8 @@
 	// service, that crash at the same moment if the cause lies outside of them.
 	minCommonCause     = 3
 	commonCausePercent = 10
+	// maxReportedAge caps the ages of runs in the reports of agents.
+	maxReportedAge = 10 * time.Second
 	// maxLoggedSuspects bounds the suspects named in a log line.
 	maxLoggedSuspects = 20
 )
@@ -31,9 +33,18 @@
 	started bool
 }
 
-// crashedRuns returns the runs on the node that ended in the crash, youngest first. A run
-// that the agent does not know was never started.
-func (n *node) crashedRuns(crash *chervilv2.WorkerCrash) []crashedRun {
+// ageAt returns the age of the run at the crash of its worker, at least. Agents report ages up to
+// maxReportedAge.
+func (tr *trackedRun) ageAt(crash boottime.Instant, reported time.Duration) time.Duration {
+	if reported < maxReportedAge || tr.startedAt == 0 {
+		return reported
+	}
+	return max(reported, crash.Sub(tr.startedAt))
+}
+
+// crashedRuns returns the runs on the node that ended in the crash at the given time, youngest
+// first. A run that the agent does not know was never started.
+func (n *node) crashedRuns(crash *chervilv2.WorkerCrash, at boottime.Instant) []crashedRun {
 	worker := jobstate.WorkerKey{Node: n.name, ID: crash.WorkerId, BornUnixMs: crash.BornUnixMs}
 	var out []crashedRun
 	for _, r := range crash.Runs {
@@ -43,7 +54,7 @@
 			continue
 		}
 		if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil && tr.run.Worker == worker {
-			out = append(out, crashedRun{tracked: tr, age: time.Duration(r.AgeMs) * time.Millisecond, started: r.Started})
+			out = append(out, crashedRun{tracked: tr, age: tr.ageAt(at, time.Duration(r.AgeMs)*time.Millisecond), started: r.Started})
 		}
 	}
 	slices.SortFunc(out, func(a, b crashedRun) int { return cmp.Compare(a.age, b.age) })
@@ -62,7 +73,9 @@
 // handleCrash ends the runs of a crashed worker, as reported by its agent, with what the
 // crash says about their tasks.
 func (e *Engine) handleCrash(n *node, crash *chervilv2.WorkerCrash) {
-	runs := n.crashedRuns(crash)
+	now := e.clock()
+	at := now.Add(-time.Duration(crash.AgoMs) * time.Millisecond)
+	runs := n.crashedRuns(crash, at)
 	if len(runs) == 0 {
 		return // the crash was reported before, or hit no run
 	}
@@ -72,16 +85,28 @@
 		}
 		return
 	}
-	now := e.clock()
 	suspects := suspectCount(runs)
-	record := newCrashRecord(n, runs, suspects, now.Add(-time.Duration(crash.AgoMs)*time.Millisecond))
+	cause := e.repeatedCause(n.serviceName(), runs, suspects, at)
+	record := newCrashRecord(n, runs, suspects, at)
+	if cause != nil {
+		record = newCrashRecord(n, runs, 0, at)
+		record.retracted = true
+	}
 	n.isolationCrashedAt = max(n.isolationCrashedAt, isolationCrash(runs, now))
 	e.crashes.add(record, now)
 	workerCrashes.increment(n.serviceName())
 	events.WorkerCrashed.Log("node", n.name, "worker", crash.WorkerId, "born", crash.BornUnixMs, "runs", len(runs),
 		"youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(runs[:suspects]), "suspectCount", suspects)
 	for i, r := range runs {
-		e.crashRun(n, r, evidence(runs[:suspects], i))
+		switch {
+		case cause == nil:
+			e.crashRun(n, r, evidence(runs[:suspects], i))
+		case r.tracked == cause:
+			e.crashRun(n, r, jobstate.CrashRepeated)
+			e.removeCrashesCausedBy(r)
+		default:
+			e.crashRun(n, r, jobstate.CrashExplained)
+		}
 	}
 	e.retractCommonCause(record)
 	e.replan()
@@ -114,11 +139,14 @@
 	if r.started {
 		en.job.ConfirmStart(run)
 	}
+	if evidence == jobstate.CrashUnexplained && en.job.AddCrashAge(run.Ref, r.age) {
+		evidence = jobstate.CrashAged
+	}
 	effect := en.job.CrashRun(run.Ref, run.Attempt, evidence, e.wall().UnixMilli())
 	_, task := en.job.Task(run.Ref)
 	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "cause", "worker crashed",
 		"ageMs", r.age.Milliseconds(), "started", r.started, "isolated", run.Isolated,
-		"crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures, "suspect", task.Suspect)
+		"crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures, "lateCrashes", len(task.CrashAges), "suspect", task.Suspect)
 	if task.Suspect {
 		taskSuspects.increment(en.job.Spec.Queue)
 	}
@@ -130,7 +158,7 @@
 		}
 		e.forgetExposures(exposed)
 		tasksGivenUp.increment(en.job.Spec.Queue)
-		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures,
+		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures, "lateCrashes", len(task.CrashAges),
 			"node", n.name, "worker", run.Worker.ID, "isolated", run.Isolated)
 		events.JobEnded.Log("job", run.Ref.Job, "phase", en.job.Phase, "queue", en.job.Spec.Queue, "cause", "a task crashed its workers",
 			"tookMs", en.job.EndedUnixMs-en.job.Spec.AcceptedUnixMs)
@@ -195,18 +223,32 @@
 	for _, ref := range others(c.allSuspects()) {
 		e.exposeSuspect(ref, "many workers crashed at once")
 	}
-	exposed := slices.DeleteFunc(others(c.exposed), func(r jobstate.TaskRef) bool { return !e.crashes.mayRetract(r, c.at) })
-	if !c.unexplained {
-		e.forgetExposures(exposed)
-		return
-	}
-	for _, ref := range exposed {
-		if en := e.jobs[ref.Job]; en != nil && en.job.RetractCrash(ref) {
+	for _, ref := range others(c.exposed) {
+		en, age := e.jobs[ref.Job], c.ages[ref]
+		if en == nil || !e.crashes.mayRetract(ref, c.at, retractionTime(en, ref, age)) {
+			continue
+		}
+		changed := false
+		if c.unexplained {
+			changed = en.job.RemoveCrashAge(ref, age) || en.job.RetractCrash(ref)
+		} else {
+			changed = en.job.ForgetExposure(ref)
+		}
+		if changed {
 			e.markDirty(ref.Job, en)
 		}
 	}
 }
 
+// retractionTime returns the time in which one crash with an outside cause may be taken back from the
+// task, whose run had the age at the crash.
+func retractionTime(en *jobEntry, ref jobstate.TaskRef, age time.Duration) time.Duration {
+	if step, _ := en.job.Task(ref); step == nil || !step.Spec.LongRunning {
+		return crashRecordTTL
+	}
+	return max(crashRecordTTL, retractedRuns*age)
+}
+
 // clearSuspect takes back the suspicion of a task whose run has outlived its start. The crashes
 // that raised it are then counted against the other runs that they ended, once no suspect is left.
 func (e *Engine) clearSuspect(ref jobstate.TaskRef) {
@@ -217,9 +259,11 @@
 	events.SuspectCleared.Log("task", ref.String(), "reason", "outlived the start")
 	suspectsCleared.increment(en.job.Spec.Queue)
 	e.markDirty(ref.Job, en)
-	for _, other := range e.crashes.clear(ref) {
-		if en := e.jobs[other.Job]; en != nil && en.job.CountCrash(other) {
-			e.markDirty(other.Job, en)
+	for _, c := range e.crashes.clear(ref) {
+		for _, other := range c.exposed {
+			if en := e.jobs[other.Job]; en != nil && en.job.CountCrash(other, c.ages[other]) {
+				e.markDirty(other.Job, en)
+			}
 		}
 	}
 }
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -12,8 +12,15 @@
 const (
 	// crashRecordTTL is how long suspects are expected to be cleared or to crash again.
 	crashRecordTTL = 30 * time.Second
+	// retractedRuns is the number of runs up to the age at a crash in the time of which one crash is taken
+	// back from a long-running task.
+	retractedRuns = 5
 	// sameMoment is the time between two crashes with one cause outside the workers, at most.
 	sameMoment = 100 * time.Millisecond
+	// recordedRuns is the number of runs up to the highest age at an unexplained crash for which the crash
+	// is recorded.
+	recordedRuns    = 5
+	maxCrashRecords = 512
 	// alertTime is how long further crashes are expected after one that has suspects.
 	alertTime = 10 * time.Second
 	// maxStartingOnAlert bounds the tasks that a worker starts at a time while further crashes are
@@ -25,8 +32,8 @@
 // counts of the tasks are stored.
 type crashLog struct {
 	records []*crashRecord
-	// retractedAt is when a crash with an outside cause was last taken back from a task.
-	retractedAt map[jobstate.TaskRef]boottime.Instant
+	// retractedUntil is until when no further crash with an outside cause is taken back from a task.
+	retractedUntil map[jobstate.TaskRef]boottime.Instant
 	// retained are the tasks that keep crashes of which they are no longer suspected.
 	retained map[jobstate.TaskRef]retainedCrashes
 }
@@ -40,12 +47,15 @@
 // crashRecord is a crash whose cause may not be known yet.
 type crashRecord struct {
 	at      boottime.Instant
+	ttl     time.Duration
 	node    string
 	service string
 	// suspected are the runs that had just started and have not been cleared, with their ages
 	// at the crash, exposed those that had run for longer.
 	suspected map[jobstate.TaskRef]time.Duration
 	exposed   []jobstate.TaskRef
+	// ages are those of the exposed runs at the crash.
+	ages map[jobstate.TaskRef]time.Duration
 	// unexplained is set if no run had just started, so that the crash is counted against all.
 	unexplained bool
 	// retracted is set once the crash counts against no run, since many workers crashed with it.
@@ -57,8 +67,11 @@
 // newCrashRecord returns the record of a crash. The first runs are the suspects.
 func newCrashRecord(n *node, runs []crashedRun, suspects int, at boottime.Instant) *crashRecord {
 	c := &crashRecord{
-		at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{},
-		unexplained: suspects == 0, closed: suspects == 0,
+		at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{}, ages: map[jobstate.TaskRef]time.Duration{},
+		unexplained: suspects == 0, closed: suspects == 0, ttl: crashRecordTTL,
+	}
+	if c.unexplained && len(runs) > 0 {
+		c.ttl = max(crashRecordTTL, recordedRuns*runs[len(runs)-1].age)
 	}
 	for i, r := range runs {
 		if i < suspects {
@@ -66,6 +79,7 @@
 			continue
 		}
 		c.exposed = append(c.exposed, r.tracked.run.Ref)
+		c.ages[r.tracked.run.Ref] = r.age
 	}
 	return c
 }
@@ -87,8 +101,9 @@
 
 // add appends a record and drops those that are outdated.
 func (l *crashLog) add(c *crashRecord, now boottime.Instant) {
-	l.records = slices.DeleteFunc(l.records, func(old *crashRecord) bool { return now.Sub(old.at) > crashRecordTTL })
-	maps.DeleteFunc(l.retractedAt, func(_ jobstate.TaskRef, at boottime.Instant) bool { return now.Sub(at) > crashRecordTTL })
+	l.records = slices.DeleteFunc(l.records, func(old *crashRecord) bool { return now.Sub(old.at) > old.ttl })
+	l.records = l.records[max(len(l.records)-maxCrashRecords, 0):]
+	maps.DeleteFunc(l.retractedUntil, func(_ jobstate.TaskRef, until boottime.Instant) bool { return now > until })
 	maps.DeleteFunc(l.retained, func(_ jobstate.TaskRef, a retainedCrashes) bool { return now.Sub(a.lastAt) > crashRecordTTL })
 	l.records = append(l.records, c)
 }
@@ -101,17 +116,16 @@
 	})
 }
 
-// mayRetract reports whether a crash with an outside cause may be taken back from a task: once
-// per crashRecordTTL. Tasks that crash their workers together would otherwise be started
-// without a limit.
-func (l *crashLog) mayRetract(ref jobstate.TaskRef, crashedAt boottime.Instant) bool {
-	if last, ok := l.retractedAt[ref]; ok && crashedAt.Sub(last) <= crashRecordTTL {
+// mayRetract reports whether a crash with an outside cause may be taken back from a task: once in
+// the given time. Tasks that crash their workers together would otherwise be started without a limit.
+func (l *crashLog) mayRetract(ref jobstate.TaskRef, crashedAt boottime.Instant, once time.Duration) bool {
+	if until, ok := l.retractedUntil[ref]; ok && crashedAt <= until {
 		return false
 	}
-	if l.retractedAt == nil {
-		l.retractedAt = map[jobstate.TaskRef]boottime.Instant{}
+	if l.retractedUntil == nil {
+		l.retractedUntil = map[jobstate.TaskRef]boottime.Instant{}
 	}
-	l.retractedAt[ref] = crashedAt
+	l.retractedUntil[ref] = crashedAt.Add(once)
 	return true
 }
 
@@ -160,10 +174,9 @@
 	return suspectAge
 }
 
-// clear removes a suspect from all crashes. It returns the tasks that were exposed to those
-// that have no suspect left.
-func (l *crashLog) clear(ref jobstate.TaskRef) []jobstate.TaskRef {
-	var out []jobstate.TaskRef
+// clear removes a suspect from all crashes. It returns those that have no suspect left.
+func (l *crashLog) clear(ref jobstate.TaskRef) []*crashRecord {
+	var out []*crashRecord
 	for _, c := range l.records {
 		if c.closed || !c.suspects(ref) {
 			continue
@@ -171,7 +184,7 @@
 		delete(c.suspected, ref)
 		if len(c.suspected) == 0 {
 			c.closed = true
-			out = append(out, c.exposed...)
+			out = append(out, c)
 		}
 	}
 	return out
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -5,15 +5,20 @@
 	"time"
 
 	"chervilridge/internal/boottime"
+	"chervilridge/internal/jobstate"
 )
 
 const (
-	// soundAge is the age from which a long-running task has no part in earlier crashes, and up
-	// to which a task is isolated because of many crashes.
+	// soundAge is the age from which a long-running task has no part in earlier crashes at lower
+	// ages, and up to which a task is isolated because of many crashes.
 	soundAge = 10 * time.Second
 	// maxIsolatedPercent bounds the workers of a service with isolated tasks at once, and thus
 	// the loss to a burst of tasks that crash their workers.
 	maxIsolatedPercent = 40
+	// maxIsolationAge bounds the isolation because of the ages at crashes, maxLongIsolations the
+	// tasks for each worker that may be isolated for so long.
+	maxIsolationAge   = 5 * time.Second
+	maxLongIsolations = 2
 	// workerReturnTime is how long a crashed worker usually takes to return, at most.
 	workerReturnTime = 5 * time.Second
 )
@@ -33,15 +38,45 @@
 		}
 		e.dropRetainedCrashes(tr.run.Ref)
 	}
-	if tr.step.LongRunning && outlived > soundAge && en.job.ForgetCrashes(tr.run.Ref) {
-		e.markDirty(tr.run.Ref.Job, en)
+	if tr.step.LongRunning && outlived > soundAge {
+		forgotten := en.job.ForgetCrashes(tr.run.Ref)
+		if en.job.OutliveCrashes(tr.run.Ref, outlived) || forgotten {
+			e.markDirty(tr.run.Ref.Job, en)
+		}
 	}
-	if tr.run.Isolated && (outlived > soundAge || outlived > suspectAge && !task.NeedsIsolation()) {
+	if tr.run.Isolated && (outlived > soundAge || outlived > max(suspectAge, e.isolationAge(task)) && !task.CrashesAtStart()) {
 		tr.run.Isolated = false
 		e.replan()
 	}
 }
 
+// isolationAge returns the age up to which a run of the task is isolated because of the ages at its
+// crashes, so that it can be told from runs that are started after it on its worker. If many tasks need
+// that, they are spread over the workers without.
+func (e *Engine) isolationAge(task *jobstate.Task) time.Duration {
+	age := task.IsolationAge()
+	if age == 0 {
+		return 0
+	}
+	tasks := 0
+	count := func(t *jobstate.Task) {
+		if t.IsolationAge() > 0 {
+			tasks++
+		}
+	}
+	for _, en := range e.activeJobs {
+		en.job.ForEachWaitingTask(func(_ jobstate.TaskRef, _ *jobstate.Step, t *jobstate.Task) { count(t) })
+		en.job.ForEachRun(func(r *jobstate.Run) {
+			_, t := en.job.Task(r.Ref)
+			count(t)
+		})
+	}
+	if tasks > maxLongIsolations*len(e.nodes) {
+		return 0
+	}
+	return min(age, maxIsolationAge)
+}
+
 // maxIsolated returns the most workers of a service that may have an isolated task, without
 // those that such tasks have crashed and that are not back yet: maxIsolatedPercent of the
 // service, or the idle part of it if that is more.
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -1,6 +1,10 @@
 package jobstate
 
-import chervilv2 "chervilridge/api/chervil/v2"
+import (
+	"time"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
 
 const (
 	// crashesToIsolate is the number of crashes from which a task is isolated although none
@@ -37,14 +41,22 @@
 	// CrashUnreported means the same of a worker whose agent could not report the crash, as when
 	// the machine of both fails.
 	CrashUnreported
+	// CrashAged means that the crash is kept by the age of the run, see Job.AddCrashAge.
+	CrashAged
+	// CrashRepeated means that the crash is one too many for the task, see Task.RepeatsCrash.
+	CrashRepeated
 )
 
 // NeedsIsolation reports whether no other task may be started beside the task's next run,
 // so that a further crash has only one possible cause.
 func (t *Task) NeedsIsolation() bool {
-	return t.Suspect || t.allCrashes() >= crashesToIsolate
+	return t.CrashesAtStart() || len(t.CrashAges) >= agedCrashesToIsolate
 }
 
+// CrashesAtStart reports whether the task needs isolation because of crashes that are counted, not
+// kept by age.
+func (t *Task) CrashesAtStart() bool { return t.Suspect || t.allCrashes() >= crashesToIsolate }
+
 // allCrashes returns the number of crashes that ended a run of the task and whose cause is not
 // known to lie elsewhere.
 func (t *Task) allCrashes() uint32 { return t.Crashes + t.UnconfirmedCrashes + t.Exposures }
@@ -52,10 +64,10 @@
 // addCrash counts a crash by its evidence.
 func (t *Task) addCrash(evidence CrashEvidence) {
 	switch evidence {
-	case CrashExplained:
+	case CrashExplained, CrashAged:
 	case CrashExposed:
 		t.Exposures++
-	case CrashUnexplained:
+	case CrashUnexplained, CrashRepeated:
 		t.Crashes++
 	case CrashSuspected, CrashAlone:
 		t.Crashes, t.Suspect = t.Crashes+1, true
@@ -93,6 +105,10 @@
 // run is suspected, and in any case at maxCrashesAndExposures.
 func (t *Task) crashesWorkers(evidence CrashEvidence, isolated bool) bool {
 	switch {
+	case evidence == CrashAged:
+		return false
+	case evidence == CrashRepeated:
+		return true
 	case t.Crashes+t.Exposures < minConfirmedCrashes:
 		return t.UnconfirmedCrashes >= maxCrashes
 	case t.allCrashes() >= maxCrashesAndExposures:
@@ -105,11 +121,15 @@
 	return evidence == CrashAlone || t.Crashes+t.UnconfirmedCrashes >= maxCrashes
 }
 
-// CountCrash counts a crash to which the task was exposed as one that it may have caused,
-// once the suspects have turned out not to be its cause. It reports whether that changed the
+// CountCrash counts or keeps a crash to which the task was exposed at the age as one that it may
+// have caused, once the suspects have turned out not to be its cause. It reports whether that changed the
 // job.
-func (j *Job) CountCrash(ref TaskRef) bool {
-	if !j.ForgetExposure(ref) {
+func (j *Job) CountCrash(ref TaskRef, age time.Duration) bool {
+	forgotten := j.ForgetExposure(ref)
+	if j.AddCrashAge(ref, age) {
+		return true
+	}
+	if !forgotten {
 		return false
 	}
 	_, task := j.Task(ref)
@@ -185,7 +205,7 @@
 	return true
 }
 
-// ForgetCrashes clears the crashes of a task. It reports whether there were any.
+// ForgetCrashes clears the crashes of a task that are counted. It reports whether there were any.
 func (j *Job) ForgetCrashes(ref TaskRef) bool {
 	_, task := j.Task(ref)
 	if task == nil || task.allCrashes() == 0 && !task.Suspect {
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
 )
@@ -79,8 +80,11 @@
 	// the task had started.
 	Crashes, UnconfirmedCrashes, Exposures uint32
 	Suspect                                bool
-	Checkpoint                             string
-	Runs                                   []*Run
+	// CrashAges are the ages at which runs of a long-running task ended in further crashes that it
+	// may have caused, oldest crash first; see Job.AddCrashAge.
+	CrashAges  []time.Duration
+	Checkpoint string
+	Runs       []*Run
 }
 
 // Waiting reports whether the task is neither done nor has a run.
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
 )
@@ -53,6 +54,7 @@
 			record.Tasks = append(record.Tasks, &chervilv2.TaskRecord{
 				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: checkpoint,
 				Crashes: t.Crashes, UnconfirmedCrashes: t.UnconfirmedCrashes, Exposures: t.Exposures, Suspect: t.Suspect,
+				CrashAgesMs: milliseconds(t.CrashAges),
 			})
 		}
 	}
@@ -62,6 +64,24 @@
 	return record
 }
 
+// milliseconds returns durations in milliseconds.
+func milliseconds(durations []time.Duration) []uint32 {
+	var out []uint32
+	for _, d := range durations {
+		out = append(out, uint32(d.Milliseconds()))
+	}
+	return out
+}
+
+// durations is the inverse of milliseconds.
+func durations(milliseconds []uint32) []time.Duration {
+	var out []time.Duration
+	for _, ms := range milliseconds {
+		out = append(out, time.Duration(ms)*time.Millisecond)
+	}
+	return out
+}
+
 // RecordWithoutCheckpoints returns the stored form of the job's progress, from which its tasks
 // begin again instead of resuming.
 func (j *Job) RecordWithoutCheckpoints() *chervilv2.JobProgress {
@@ -119,6 +139,7 @@
 		}
 		task.Attempt, task.Failures, task.Checkpoint = t.Attempt, t.Failures, t.Checkpoint
 		task.Crashes, task.UnconfirmedCrashes, task.Exposures, task.Suspect = t.Crashes, t.UnconfirmedCrashes, t.Exposures, t.Suspect
+		task.CrashAges = durations(t.CrashAgesMs)
 	}
 	for _, p := range r.Placements {
 		if int(p.Task) >= len(step.Tasks) || int(p.Worker) >= len(workers) {
