An answer to a call without an id proves no id of the worker

Cause: an agent that has just started calls whoever listens at the address. A delayed heartbeat that came while that call was in flight named the incarnation, and the answer, of another time of birth, began one with the id of the heartbeat and the birth of the present worker. The next call was rejected (421), so that the worker counted as gone and its runs were started elsewhere.

Change: an answer proves the id that was called; without one it proves the time of birth only, and the heartbeat of that birth gives the id.

Before: TestAnswerToACallWithoutAnIDProvesNoID, 'the worker that answered is not the one of the heartbeat'.

--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -200,7 +200,7 @@
 		return
 	}
 	if a.incarnation == inc {
-		a.handleHoldReply(ctx, inc, sentAt, runs, nil)
+		a.handleHoldReply(ctx, inc, workerID, sentAt, runs, nil)
 		wake(a.wakeReport)
 	}
 }
@@ -258,7 +258,7 @@
 	if err != nil {
 		return a.handleHoldError(inc, err)
 	}
-	a.handleHoldReply(ctx, inc, sentAt, runs, unconfirmed)
+	a.handleHoldReply(ctx, inc, id, sentAt, runs, unconfirmed)
 	if len(inc.pendingEnds) > 0 {
 		return pendingEndsPause
 	}
@@ -327,12 +327,12 @@
 	a.confirmResults(inc, a.unconfirmedResults)
 }
 
-// handleHoldReply processes the reply to a hold call sent at the time: it updates runs and run
-// ends, decides on the unconfirmed start results, and adjusts the paces. The caller holds mu.
-func (a *Agent) handleHoldReply(ctx context.Context, inc *incarnation, sentAt boottime.Instant, runs platform.RunReport, unconfirmed []*chervilv2.StartResult) {
+// handleHoldReply processes the reply to a hold call to the worker with the id, or to any worker
+// at the address if that is empty, which was sent at the time: it updates runs and run ends, decides on the unconfirmed start results, and adjusts the paces. The caller holds mu.
+func (a *Agent) handleHoldReply(ctx context.Context, inc *incarnation, calledID string, sentAt boottime.Instant, runs platform.RunReport, unconfirmed []*chervilv2.StartResult) {
 	now := a.clock()
 	if inc.bornUnixMs != 0 && runs.BornUnixMs != 0 && runs.BornUnixMs != inc.bornUnixMs {
-		if inc = a.replaceIncarnation(ctx, inc, sentAt, runs); inc == nil {
+		if inc = a.replaceIncarnation(ctx, inc, calledID, sentAt, runs); inc == nil {
 			return
 		}
 	}
@@ -342,9 +342,7 @@
 	if !inc.gone {
 		inc.goneAt = 0
 	}
-	if !inc.confirmed {
-		inc.confirmed, inc.bornUnixMs = true, max(inc.bornUnixMs, runs.BornUnixMs)
-	}
+	inc.confirm(calledID, runs.BornUnixMs)
 	if runs.Clock < inc.workerClock {
 		return // a newer reply was processed before
 	}
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -38,7 +38,9 @@
 // updateHeartbeat stores the newest heartbeat of an incarnation. The caller holds mu.
 func (a *Agent) updateHeartbeat(inc *incarnation, h platform.Heartbeat) {
 	if inc.heartbeatAt == 0 {
-		inc.id, inc.bornUnixMs = h.WorkerID, max(inc.bornUnixMs, h.BornUnixMs)
+		inc.id = h.WorkerID
+		inc.confirmed = inc.confirmed || inc.listed && h.BornUnixMs != 0 && h.BornUnixMs == inc.bornUnixMs
+		inc.bornUnixMs = max(inc.bornUnixMs, h.BornUnixMs)
 		events.WorkerRegistered.Log("worker", h.WorkerID, "born", inc.bornUnixMs, "service", h.Service, "sequence", h.Sequence,
 			"cpuMilli", h.CPUMilli, "memoryMB", h.MemoryMB, "labels", h.Labels, "confirmed", inc.confirmed)
 		inc.refusedConnections = 0
@@ -65,6 +67,17 @@
 	inc.heartbeat, inc.heartbeatAt, inc.draining = h, a.clock(), h.Draining
 }
 
+// confirm records that the worker has answered a hold call to the id. Without an id the answer
+// proves the time of birth only; 0 is an unknown one.
+func (inc *incarnation) confirm(calledID string, bornUnixMs int64) {
+	if calledID == inc.id && inc.bornUnixMs == 0 {
+		inc.bornUnixMs = bornUnixMs
+	}
+	if inc.id != "" && (calledID == inc.id || bornUnixMs != 0 && bornUnixMs == inc.bornUnixMs) {
+		inc.confirmed = true
+	}
+}
+
 // revive takes back that the incarnation has ended.
 func (inc *incarnation) revive() {
 	inc.gone, inc.goneAt, inc.leasesExpired, inc.refusedConnections = false, 0, false, 0
@@ -123,7 +136,7 @@
 	default:
 		inc := a.beginIncarnation(ctx, h.WorkerID, max(h.BornUnixMs, runs.BornUnixMs), sentAt, runs)
 		a.updateHeartbeat(inc, *h)
-		a.handleHoldReply(ctx, inc, sentAt, runs, nil)
+		a.handleHoldReply(ctx, inc, h.WorkerID, sentAt, runs, nil)
 	}
 	a.pendingHeartbeat = nil
 }
@@ -132,9 +145,9 @@
 	events.HeartbeatRejected.Log("worker", h.WorkerID, "born", h.BornUnixMs, "service", h.Service, "sequence", h.Sequence, "reason", reason)
 }
 
-// replaceIncarnation begins the incarnation that answered a hold call for another one with the
-// same id. It returns nil while run ends of the present one are not stored. The caller holds mu.
-func (a *Agent) replaceIncarnation(ctx context.Context, inc *incarnation, sentAt boottime.Instant, runs platform.RunReport) *incarnation {
+// replaceIncarnation begins the incarnation that answered a hold call for another one. The call was
+// to the worker with the id; if that is empty, the id of the answering one is not known. It returns nil while run ends of the present one are not stored. The caller holds mu.
+func (a *Agent) replaceIncarnation(ctx context.Context, inc *incarnation, calledID string, sentAt boottime.Instant, runs platform.RunReport) *incarnation {
 	if inc.goneAt == 0 {
 		events.WorkerAnsweredAsAnother.Log("worker", inc.id, "known", inc.bornUnixMs, "answered", runs.BornUnixMs, "confirmed", inc.confirmed,
 			"runs", len(inc.runs), "listed", len(runs.Running), "pendingOrders", len(a.pendingOrders))
@@ -146,7 +159,7 @@
 		wake(a.wakeReport)
 		return nil
 	}
-	return a.beginIncarnation(ctx, inc.id, runs.BornUnixMs, sentAt, runs)
+	return a.beginIncarnation(ctx, calledID, runs.BornUnixMs, sentAt, runs)
 }
 
 // beginIncarnation replaces the present incarnation by one that has answered a hold call sent at
--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -163,6 +163,8 @@
 	born     atomic.Int64
 	renewals chan platform.LeaseRenewal
 	stops    chan string
+	// entered is closed by the first renewal, which then waits for release; nil lets it pass.
+	entered, release chan struct{}
 }
 
 func newScriptedWorker(born int64) *scriptedWorker {
@@ -182,6 +184,11 @@
 }
 
 func (w *scriptedWorker) RenewLease(_ context.Context, _ string, r platform.LeaseRenewal) (platform.RunReport, error) {
+	if w.entered != nil {
+		close(w.entered)
+		<-w.release
+		w.entered = nil
+	}
 	w.renewals <- r
 	return platform.RunReport{Clock: time.Second, BornUnixMs: w.born.Load()}, w.failure()
 }
@@ -249,6 +256,24 @@
 	assert.Equal(t, (<-w.renewals).AckedEndNumber, int64(0), "another life may answer after a call without an answer")
 }
 
+// A hold call without an id, in flight when a delayed heartbeat arrives, proves no id.
+func TestAnswerToACallWithoutAnIDProvesNoID(t *testing.T) {
+	w := newScriptedWorker(9)
+	w.entered, w.release = make(chan struct{}), make(chan struct{})
+	a := NewAgent(&platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second}}, w, boottime.Now)
+	done := make(chan struct{})
+	go func() { a.holdOnce(t.Context()); close(done) }()
+	<-w.entered
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: "i-earlier", BornUnixMs: 7, Service: "desk", Sequence: 9})
+	close(w.release)
+	<-done
+	assert.Assert(t, a.buildReport().Worker == nil, "the worker that answered is not the one of the heartbeat")
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 9, Service: "desk", Sequence: 1})
+	r := a.buildReport()
+	assert.Equal(t, r.Worker.GetId(), workerID)
+	assert.Assert(t, r.Worker.GetListed())
+}
+
 // eventually fails the test if the condition does not become true within waitTimeout.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
