The next life of a worker is reported with the crash of the last one, not before

Change: while a crash is held back, the agent names neither the next life as listed nor the last one as gone; one report then brings the crash and the list.

Before: TestNextLifeIsNotReportedBeforeTheCrashOfTheLastOne, full report of the next life without the crash.

--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -142,6 +142,11 @@
 	return slices.ContainsFunc(c.runs, func(r *chervilv2.CrashedRun) bool { return a.pendingOrders[runKey{r.Task, r.Attempt}] != nil })
 }
 
+// crashUndecided reports whether a crash can't be reported yet. The caller holds mu.
+func (a *Agent) crashUndecided() bool {
+	return slices.ContainsFunc(a.crashes, func(c *crashReport) bool { return !c.confirmed && a.undecided(c) })
+}
+
 // survived removes a run that lives from the crashes to report. The caller holds mu.
 func (a *Agent) survived(key runKey) {
 	for _, c := range a.crashes {
--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -159,10 +159,11 @@
 // connections if that is 0, and leaves calls unanswered while silent is set.
 type scriptedWorker struct {
 	Worker
-	silent   atomic.Bool
-	born     atomic.Int64
-	renewals chan platform.LeaseRenewal
-	stops    chan string
+	silent          atomic.Bool
+	stopsUnanswered atomic.Bool
+	born            atomic.Int64
+	renewals        chan platform.LeaseRenewal
+	stops           chan string
 	// entered is closed by the first renewal, which then waits for release; nil lets it pass.
 	entered, release chan struct{}
 }
@@ -201,6 +202,9 @@
 	if err := w.failure(); err != nil {
 		return 0, err
 	}
+	if w.stopsUnanswered.Load() {
+		return 0, &platform.Error{Kind: platform.NoAnswer, Cause: context.DeadlineExceeded}
+	}
 	w.stops <- task
 	return time.Second, nil
 }
@@ -243,6 +247,43 @@
 	}
 }
 
+func TestNextLifeIsNotReportedBeforeTheCrashOfTheLastOne(t *testing.T) {
+	w := newScriptedWorker(7)
+	a := newScriptedAgent(t, w, 7)
+	order := func(task string) {
+		start := &chervilv2.StartOrder{Task: task, Attempt: 1, WorkerId: workerID}
+		a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{start}}, boottime.Now())
+	}
+	order(task1)
+	eventually(t, "started", func() bool {
+		return resultOf(a.buildReport(), task1) == chervilv2.StartAnswer_START_ANSWER_STARTED
+	})
+	w.silent.Store(true)
+	order(task2)
+	eventually(t, "the start stays without answer", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.unansweredStarts) == 1
+	})
+	w.stopsUnanswered.Store(true)
+	w.silent.Store(false)
+	w.born.Store(8)
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 8, Service: "desk", Sequence: 1, CPUMilli: 1000})
+	a.confirmPendingHeartbeat(t.Context())
+	a.requestFullReport()
+	r := a.buildReport()
+	assert.Assert(t, !r.Full && !r.Worker.GetListed() && !r.Worker.GetGone(), "the owner would end runs whose crash it does not know: %v", r)
+	w.stopsUnanswered.Store(false)
+	eventually(t, "the next life is reported", func() bool {
+		a.holdOnce(t.Context())
+		r = a.buildReport()
+		return r.Worker.GetListed()
+	})
+	assert.Assert(t, r.Full)
+	assert.Equal(t, len(r.Crashes), 1)
+	assert.Equal(t, len(r.Crashes[0].Runs), 2)
+}
+
 func TestEndsOfAnEarlierLifeAreNotAcknowledgedToTheNextOne(t *testing.T) {
 	w := newScriptedWorker(7)
 	a := newScriptedAgent(t, w, 7)
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -222,15 +222,16 @@
 		return r
 	}
 	hb := inc.heartbeat
+	undecided := a.crashUndecided() // no report may end the runs of a crash before the crash is reported
 	r.Worker = &chervilv2.Worker{
 		Id: inc.id, BornUnixMs: inc.bornUnixMs, Service: hb.Service, Zone: hb.DataCentre, CpuMilli: hb.CPUMilli, MemoryMb: hb.MemoryMB, Gpus: hb.GPUs,
 		Labels: hb.Labels, Draining: inc.draining || inc.deregistered, Machine: hb.Machine, SilentMs: a.clock().Sub(inc.lastAnswer).Milliseconds(),
-		ColdLeftMs: hb.WarmUpRemaining.Milliseconds(), Listed: inc.listed && !inc.gone, Gone: (inc.gone || inc.leasesExpired) && !a.callingStart(),
+		ColdLeftMs: hb.WarmUpRemaining.Milliseconds(), Listed: inc.listed && !inc.gone && !undecided, Gone: (inc.gone || inc.leasesExpired) && !undecided && !a.callingStart(),
 	}
 	for _, e := range inc.pendingEnds {
 		r.Ends = append(r.Ends, &chervilv2.RunEnd{Number: e.Number, Task: e.Task, Attempt: e.Attempt, Kind: endKinds[e.Kind], Checkpoint: e.Checkpoint})
 	}
-	if !a.reportAllRuns || !inc.listed {
+	if !a.reportAllRuns || !r.Worker.Listed {
 		return r
 	}
 	a.reportAllRuns, r.Full = false, true
