--- a/internal/schedulestore/model_test.go
+++ b/internal/schedulestore/model_test.go
@@ -85,7 +85,7 @@
 	return s.next
 }
 
-// owners plays a history of owners over one store and remembers what each was told.
+// owners plays a history of owners over one store and records the replies to each.
 type owners struct {
 	store  *modelStore
 	writer *Writer
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -146,7 +146,8 @@
 }
 
 // replaceIncarnation begins the incarnation that answered a hold call for another one. The call was
-// to the worker with the id; if that is empty, the id of the answering one is not known. It returns nil while run ends of the present one are not stored. The caller holds mu.
+// to the worker with the id; if that is empty, the id of the answering one is not known. It returns
+// nil while run ends of the present one are not stored. The caller holds mu.
 func (a *Agent) replaceIncarnation(ctx context.Context, inc *incarnation, calledID string, sentAt boottime.Instant, runs platform.RunReport) *incarnation {
 	if inc.goneAt == 0 {
 		events.WorkerAnsweredAsAnother.Log("worker", inc.id, "known", inc.bornUnixMs, "answered", runs.BornUnixMs, "confirmed", inc.confirmed,
--- a/internal/workeragent/pacer.go
+++ b/internal/workeragent/pacer.go
@@ -35,7 +35,7 @@
 	cpuMilli   uint32 // requested CPU, in thousandths of a core
 	reserved   resources
 	updatedAt  boottime.Instant
-	// startedHere is set once this process has confirmed the start: nobody has changed the pace.
+	// startedHere is set once this process has confirmed the start, and so knows the pace.
 	startedHere bool
 }
 
