--- a/internal/schedulestore/model_store_test.go
+++ b/internal/schedulestore/model_store_test.go
@@ -31,8 +31,9 @@
 	calls   int
 
 	// lastCounts makes the first append of an epoch follow the last one of the epoch before.
-	// emptyChecked checks the sequence number of empty appends too.
-	lastCounts, emptyChecked bool
+	// emptyChecked checks the sequence number of empty appends too, and repeatsOutliveEpochs keeps
+	// the last five numbers at a change of epoch.
+	lastCounts, emptyChecked, repeatsOutliveEpochs bool
 
 	epoch    uint64
 	next     uint64
@@ -87,7 +88,10 @@
 	case p.Epoch < s.epoch:
 		return &platform.Error{Kind: platform.Fenced}
 	case p.Epoch > s.epoch:
-		s.epoch, s.repeated = p.Epoch, nil
+		s.epoch = p.Epoch
+		if !s.repeatsOutliveEpochs {
+			s.repeated = nil
+		}
 		s.nextSet = s.nextSet && s.lastCounts
 	}
 	empty := len(a.Records) == 0
--- a/internal/schedulestore/model_test.go
+++ b/internal/schedulestore/model_test.go
@@ -104,7 +104,9 @@
 func (o *owners) restart(ahead uint64) {
 	for epoch := o.store.highestEpoch() + 1; ; epoch++ {
 		o.writer = NewWriter(o.store, epoch, bubbleClock)
-		o.writer.sequence = o.store.expected() + ahead
+		if !o.store.repeatsOutliveEpochs { // otherwise the numbers of an epoch must be its own
+			o.writer.sequence = o.store.expected() + ahead
+		}
 		if o.writer.Fence(context.Background()) == nil {
 			break
 		}
@@ -211,9 +213,10 @@
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 14).Draw(rt, "steps")
 		deliveries := rapid.SliceOfN(rapid.Custom(drawDelivery), 0, 40).Draw(rt, "deliveries")
 		lastCounts, emptyChecked := rapid.Bool().Draw(rt, "last counts"), rapid.Bool().Draw(rt, "empty checked")
+		repeatsOutliveEpochs := rapid.Bool().Draw(rt, "repeats outlive epochs")
 		var violations []string
 		synctest.Test(t, func(*testing.T) {
-			store := &modelStore{lastCounts: lastCounts, emptyChecked: emptyChecked, deliver: func(call int) delivery {
+			store := &modelStore{lastCounts: lastCounts, emptyChecked: emptyChecked, repeatsOutliveEpochs: repeatsOutliveEpochs, deliver: func(call int) delivery {
 				if call >= len(deliveries) {
 					return delivery{}
 				}
--- a/internal/schedulestore/sequence_test.go
+++ b/internal/schedulestore/sequence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,3 +101,24 @@
 	assert.Equal(t, store.calls[0].Producer.Sequence, store.calls[1].Producer.Sequence)
 	assert.Equal(t, store.calls[1].Producer.Sequence+1, store.calls[2].Producer.Sequence)
 }
+
+// Guards against acknowledged records that are not stored: the store may take the first append of
+// an owner for a repeat of one of the last five, which an owner before it made.
+func TestFirstNumberOfAnEpochIsNotOneOfAnEarlierOwner(t *testing.T) {
+	const draws = 1 << 23 // in 2^20 numbers, five are met in almost every series of as many draws
+	ctx := context.Background()
+	store := &modelStore{repeatsOutliveEpochs: true}
+	w := NewWriter(store, 1, bubbleClock)
+	for i := range 6 {
+		assert.NilError(t, w.Append(ctx, recordsOf(fmt.Sprint("a", i))))
+	}
+	next := NewWriter(store, 2, bubbleClock)
+	for range draws {
+		if slices.Contains(store.repeated, next.sequence) {
+			break
+		}
+		next = NewWriter(store, 2, bubbleClock)
+	}
+	assert.NilError(t, next.Append(ctx, recordsOf("b")))
+	assert.DeepEqual(t, store.stored(), []string{"a0", "a1", "a2", "a3", "a4", "a5", "b"})
+}
--- a/internal/schedulestore/writer.go
+++ b/internal/schedulestore/writer.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -32,6 +31,8 @@
 	maxCopyDelay     = 400 * time.Millisecond
 	// latencyGain is the weight of the latest append in the smoothed latency.
 	latencyGain = 0.2
+	// epochSequenceBits is the size of an epoch's range of sequence numbers, in bits.
+	epochSequenceBits = 32
 	// MaxBatchBytes is the most that one append may carry; the store accepts 2 MiB.
 	MaxBatchBytes = 1 << 20
 )
@@ -76,10 +77,11 @@
 	lastConfirmed atomic.Int64
 }
 
-// NewWriter returns a writer that has not fenced older epochs yet. Its first sequence number
-// is random; the store's answer corrects it.
+// NewWriter returns a writer that has not fenced older epochs yet. Each epoch has a range of
+// sequence numbers of its own, since the store may take a number of an earlier epoch for a
+// repeat; the store's answer corrects the first number.
 func NewWriter(store Store, epoch uint64, clock boottime.Clock) *Writer {
-	return &Writer{store: store, epoch: epoch, sequence: uint64(rand.Uint32N(1 << 20)), clock: clock}
+	return &Writer{store: store, epoch: epoch, sequence: epoch << epochSequenceBits, clock: clock}
 }
 
 // Epoch returns the epoch under which the writer appends.
