--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -26,12 +26,12 @@
 	drainTime = 2500 * time.Millisecond
 )
 
-// Machines is the platform's machine API, and where the state of maintenance waves is
-// published.
+// Machines is the platform's machine API, and where an owner publishes the state of
+// maintenance waves.
 type Machines interface {
 	List(ctx context.Context) ([]platform.Machine, error)
 	StartMaintenance(ctx context.Context, machine string, wave int64, fence uint64) error
-	PublishWave(ctx context.Context, wave string, completed bool) error
+	PublishWave(ctx context.Context, epoch uint64, wave string, completed bool) error
 }
 
 // wave is the progress of a maintenance wave.
@@ -266,7 +266,7 @@
 func (e *Engine) publishWave(ctx context.Context, name string, completed bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, machineCallTimeout)
 	defer cancel()
-	if err := e.settings.Machines.PublishWave(ctx, name, completed); err != nil {
+	if err := e.settings.Machines.PublishWave(ctx, e.Epoch(), name, completed); err != nil {
 		events.MaintenanceCallFailed.LogError(err, "wave", name, "step", "announce", "completed", completed)
 		return false
 	}
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -59,7 +59,7 @@
 	return nil
 }
 
-func (m *testMachines) PublishWave(_ context.Context, _ string, completed bool) error {
+func (m *testMachines) PublishWave(_ context.Context, _ uint64, _ string, completed bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.published = append(m.published, completed)
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -2,7 +2,7 @@
 
 // Events of the stored schedule, its ownership and the log output.
 var (
-	StateAppendRetried   = define(7001, Warning, "append to the state topic failed, retrying")
+	StateAppendRetried   = define(7001, Warning, "append of the owner failed, retrying")
 	StoreRecordIgnored   = define(7002, Warning, "unknown or malformed record in the store ignored")
 	OwnershipClaimed     = define(7003, Info, "ownership of the schedule claimed")
 	OwnershipLost        = define(7004, Warning, "ownership of the schedule lost")
--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -104,12 +104,12 @@
 // the store.
 type maintenanceAPI struct {
 	*platform.MachineClient
-	store *platform.Store
+	waves *schedulestore.WavePublisher
 }
 
-// PublishWave publishes the state of a maintenance wave.
-func (m maintenanceAPI) PublishWave(ctx context.Context, wave string, completed bool) error {
-	return m.store.PublishWaveStatus(ctx, wave, completed)
+// PublishWave publishes the state of a maintenance wave; see schedulestore.WavePublisher.
+func (m maintenanceAPI) PublishWave(ctx context.Context, epoch uint64, wave string, completed bool) error {
+	return m.waves.Publish(ctx, epoch, wave, completed)
 }
 
 func newElector(n *platform.NodeSettings, store *platform.Store, peers *Peers, f *operator.Follower) *election.Elector {
@@ -119,7 +119,7 @@
 		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
 	}
 	if n.MachinesAddress != "" {
-		settings.Machines = maintenanceAPI{platform.NewMachineClient(n.MachinesAddress, n.Name), store}
+		settings.Machines = maintenanceAPI{platform.NewMachineClient(n.MachinesAddress, n.Name), schedulestore.NewWavePublisher(store, boottime.Now)}
 	}
 	newEngine := func(w *schedulestore.Writer, restored *schedulestore.State) *dispatch.Engine {
 		return dispatch.New(settings, w, restored, f.View, boottime.Now)
--- a/internal/schedulestore/model_test.go
+++ b/internal/schedulestore/model_test.go
@@ -174,7 +174,7 @@
 	case "restart":
 		o.restart(s.ahead)
 	case "rival":
-		rival := platform.Producer{Name: producerName, Epoch: o.store.highestEpoch() + 1, Sequence: o.store.expected()}
+		rival := platform.Producer{Name: stateProducer, Epoch: o.store.highestEpoch() + 1, Sequence: o.store.expected()}
 		_ = o.store.execute(platform.AppendRequest{Producer: &rival})
 		_ = o.store.execute(platform.AppendRequest{Producer: &rival, Records: recordsOf("rival")})
 	case "pause":
--- a/internal/schedulestore/writer.go
+++ b/internal/schedulestore/writer.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	producerName = "scheduler"
+	// stateProducer is the producer of the state topic.
+	stateProducer = "scheduler"
 	// appendTimeout limits one attempt of an append; a healthy store answers within some
 	// milliseconds.
 	appendTimeout = 1200 * time.Millisecond
@@ -39,7 +40,7 @@
 
 // ErrFenced is returned once an owner with a newer epoch has fenced the writer. The records
 // of the append are not stored, unless an earlier attempt of the append stored them.
-var ErrFenced = errors.New("the state topic is fenced by an owner with a newer epoch")
+var ErrFenced = errors.New("the topic is fenced by an owner with a newer epoch")
 
 // ErrSequenceLost is returned if the store expects another sequence number than the writer, which
 // can't take it over: copies sent under its own may still arrive, or the store named that one
@@ -56,10 +57,12 @@
 	Newest(ctx context.Context, topic, after string) (platform.Page, error)
 }
 
-// Writer appends to the state topic under one epoch. Only one goroutine may append.
+// Writer appends to a topic as one producer and under one epoch. Only one goroutine may append.
 type Writer struct {
-	store Store
-	epoch uint64
+	store    Store
+	topic    string
+	producer string
+	epoch    uint64
 	// sequence is the number of the next append of records. Empty appends carry it too, but
 	// the store does not count them.
 	sequence      uint64
@@ -77,11 +80,16 @@
 	lastConfirmed atomic.Int64
 }
 
-// NewWriter returns a writer that has not fenced older epochs yet. Each epoch has a range of
+// NewWriter returns a writer of the state topic that has not fenced older epochs yet.
+func NewWriter(store Store, epoch uint64, clock boottime.Clock) *Writer {
+	return newWriter(store, platform.StateTopic, stateProducer, epoch, clock)
+}
+
+// newWriter returns a writer that has not fenced older epochs yet. Each epoch has a range of
 // sequence numbers of its own, since the store may take a number of an earlier epoch for a
 // repeat; the store's answer corrects the first number.
-func NewWriter(store Store, epoch uint64, clock boottime.Clock) *Writer {
-	return &Writer{store: store, epoch: epoch, sequence: epoch << epochSequenceBits, clock: clock}
+func newWriter(store Store, topic, producer string, epoch uint64, clock boottime.Clock) *Writer {
+	return &Writer{store: store, topic: topic, producer: producer, epoch: epoch, sequence: epoch << epochSequenceBits, clock: clock}
 }
 
 // Epoch returns the epoch under which the writer appends.
@@ -161,7 +169,7 @@
 	case kind == platform.Invalid || kind == platform.StoreFull:
 		return err
 	}
-	events.StateAppendRetried.LogError(err, "epoch", w.epoch, "sequence", w.sequence, "records", len(records), "uncertain", w.Uncertain())
+	events.StateAppendRetried.LogError(err, "topic", w.topic, "epoch", w.epoch, "sequence", w.sequence, "records", len(records), "uncertain", w.Uncertain())
 	return &RetryError{NothingStored: !w.Uncertain(), Cause: err}
 }
 
@@ -192,8 +200,8 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	request := platform.AppendRequest{
-		Topic: platform.StateTopic, Records: records,
-		Producer: &platform.Producer{Name: producerName, Epoch: w.epoch, Sequence: w.sequence},
+		Topic: w.topic, Records: records,
+		Producer: &platform.Producer{Name: w.producer, Epoch: w.epoch, Sequence: w.sequence},
 	}
 	type result struct {
 		err  error
