--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -9,6 +9,7 @@
 package workeragent
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -360,6 +361,7 @@
 		inc.runs[runKey{r.Task, r.Attempt}] = r
 	}
 	fresh := slices.DeleteFunc(runs.Ended, func(e platform.RunEnd) bool { return e.Number <= inc.storedEnd })
+	slices.SortFunc(fresh, func(x, y platform.RunEnd) int { return cmp.Compare(x.Number, y.Number) })
 	if len(fresh) > len(inc.pendingEnds) || len(fresh) > 0 && len(inc.pendingEnds) > 0 && fresh[len(fresh)-1].Number != inc.pendingEnds[len(inc.pendingEnds)-1].Number {
 		wake(a.wakeReport)
 	}
