--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -338,14 +338,26 @@
 	return s.startCounts[i]
 }
 
+// route is a route of the configuration.
+type route struct{ name, prefix string }
+
 // putConfig writes a configuration with a route for each queue.
 func (s *site) putConfig(version int, queues ...string) {
-	var routes []string
+	var routes []route
 	for _, q := range queues {
-		routes = append(routes, fmt.Sprintf(`{"name":"r-%s","hostname":"%s","path-prefix":"/%s/","backend":"%s","timeout-ms":3000,"target-latency-ms":250,"max-attempts":4,"stretch":2}`, q, routeHost, q, serviceName))
+		routes = append(routes, route{name: "r-" + q, prefix: "/" + q + "/"})
+	}
+	s.putRoutes(version, routes...)
+}
+
+// putRoutes writes a configuration with the routes.
+func (s *site) putRoutes(version int, routes ...route) {
+	var encoded []string
+	for _, r := range routes {
+		encoded = append(encoded, fmt.Sprintf(`{"name":"%s","hostname":"%s","path-prefix":"%s","backend":"%s","timeout-ms":3000,"target-latency-ms":250,"max-attempts":4,"stretch":2}`, r.name, routeHost, r.prefix, serviceName))
 	}
 	s.state.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":"%s"}],"limits":{"max-body-bytes":65536}}`,
-		version, strings.Join(routes, ","), serviceName))
+		version, strings.Join(encoded, ","), serviceName))
 }
 
 func jobID(i int) string { return fmt.Sprintf("%016x", i+1) }
