--- a/internal/dispatch/bound_queue_test.go
+++ b/internal/dispatch/bound_queue_test.go
@@ -18,6 +18,7 @@
 	})
 }
 
+// Guards against an accepted job whose owner has the newer configuration already.
 func TestJobThatAnEntryAcceptedBeforeTheRouteWasRemovedIsFinished(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
@@ -31,6 +32,7 @@
 	r.waitPhase(jobID(1), jobCompleted)
 }
 
+// Guards against an accepted job whose service is unknown.
 func TestJobOfAnUnknownRouteIsNotAccepted(t *testing.T) {
 	r := newRig(t)
 	r.configure(2)
@@ -39,6 +41,7 @@
 	assert.Assert(t, reply.RetryAfterMs > 0)
 }
 
+// Guards against settings that a lagging owner replaces by older ones.
 func TestOwnerWithAnOldConfigurationKeepsNewerSettings(t *testing.T) {
 	r := newRig(t)
 	a, b := r.attach("side-1", 32000), r.attachOther("side-2")
@@ -52,6 +55,7 @@
 	assert.Equal(t, len(a.started()), 0)
 }
 
+// Guards against a start beyond the limit of attempts once the limit is known again.
 func TestJobThatFailedTooOftenUnderAnUnknownLimitDoesNotStartAgain(t *testing.T) {
 	r := newRig(t)
 	r.configure(2)
@@ -72,6 +76,7 @@
 	assert.Equal(t, len(a.started()), 0)
 }
 
+// Guards against an accepted job that fails because its new settings exceed a record.
 func TestChangedSettingsTooLargeForTheRecordFailNoJob(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
--- a/internal/dispatch/lives_test.go
+++ b/internal/dispatch/lives_test.go
@@ -17,6 +17,7 @@
 	}
 }
 
+// Guards against two runs of a task: a heartbeat names another life, and the present one runs on.
 func TestRunsAreNotStartedAgainForALifeThatOnlyAHeartbeatNames(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
@@ -36,6 +37,7 @@
 	assert.Equal(t, len(a.stopped()), 0)
 }
 
+// Guards against two runs of a task: a report of an earlier life ends the runs of the present one.
 func TestEndOfAnEarlierLifeDoesNotEndTheRunsOfALaterOne(t *testing.T) {
 	r := newRig(t)
 	a := r.attachWith("side-1", life(&chervilv2.Worker{Id: "worker", Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000}, 9, true))
@@ -48,6 +50,7 @@
 	assert.Equal(t, len(b.started()), 0)
 }
 
+// Guards against two runs of a task: a start that was granted to an earlier life runs on the next one.
 func TestRunThatReachedTheNextLifeIsNotStartedElsewhere(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
@@ -69,6 +72,7 @@
 	assert.Equal(t, len(a.started()), 3)
 }
 
+// Guards against ends that a worker forgets before they are stored, since its counts begin anew.
 func TestEndsOfALifeAreNotAcknowledgedByTheNumbersOfAnother(t *testing.T) {
 	s := newSession()
 	s.addOrder(order{storedEnd: 40, worker: jobstate.WorkerKey{ID: "worker", BornUnixMs: 1}})
--- a/internal/dispatch/removed_queue_test.go
+++ b/internal/dispatch/removed_queue_test.go
@@ -72,6 +72,7 @@
 	return start
 }
 
+// Guards against an accepted job that stands still once a configuration removes or renames its route.
 func TestJobOfARemovedRouteIsFinished(t *testing.T) {
 	for name, queues := range map[string][]operatorconfig.Queue{"removed": nil, "replaced by another name": {otherQueue()}} {
 		t.Run(name, func(t *testing.T) {
@@ -85,6 +86,7 @@
 	}
 }
 
+// Guards against a job of a removed route that a new owner does not know how to run.
 func TestJobOfARemovedRouteIsFinishedByANewOwner(t *testing.T) {
 	r := newRig(t)
 	r.submit(spec(jobID(1), 1))
@@ -96,6 +98,7 @@
 	r.waitPhase(jobID(1), jobCompleted)
 }
 
+// Guards against a failing task that starts again without limit once its route is removed.
 func TestJobOfARemovedRouteKeepsItsLimitOfAttempts(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
@@ -108,6 +111,7 @@
 	r.waitPhase(jobID(1), jobFailed)
 }
 
+// Guards against a job that stands still because an older release has stored no settings with it.
 func TestJobStoredByAnOlderOwnerIsFinishedOnceItsRouteIsRemoved(t *testing.T) {
 	r := newRig(t)
 	r.storeOldJob(jobID(1))
@@ -131,6 +135,7 @@
 	r.store.records[record.Key] = record.Value
 }
 
+// Guards against a job that runs on the service that its route used before it was removed.
 func TestJobOfARouteThatComesBackFollowsItsNewSettings(t *testing.T) {
 	r := newRig(t)
 	r.submit(spec(jobID(1), 1))
@@ -152,7 +157,7 @@
 	r.waitPhase(jobID(1), jobFailed)
 }
 
-// A job of an older owner whose queue no configuration names waits for the queue.
+// Guards against a stored job without settings that is lost while no configuration names its queue.
 func TestOldJobOfAnUnknownRouteIsNotForgotten(t *testing.T) {
 	r := newRig(t)
 	r.configure(2)
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -10,6 +10,7 @@
 	"chervilridge/internal/operatorconfig"
 )
 
+// Guards against serving tasks that an upkeep ends without a stop.
 func TestNewOwnerDoesNotTakeAMachineForIdleWhoseAgentHasNotReportedYet(t *testing.T) {
 	r, machines := rigWithWave(t, "side-1")
 	wave := r.view.Waves["7"]
@@ -29,6 +30,7 @@
 	assert.Equal(t, machines.startedCount(), 0, "upkeep began on a machine whose serving task was not stopped")
 }
 
+// Guards against two runs of a task: a start call of the previous agent process reaches the next life.
 func TestRunWithoutAConfirmedStartIsStoppedOnTheLifeThatFollowsWhileItsAgentRestarts(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
--- a/internal/schedulestore/sequence_test.go
+++ b/internal/schedulestore/sequence_test.go
@@ -26,7 +26,7 @@
 	return records
 }
 
-// The number of an empty append is not taken, and a late copy may arrive before the next append.
+// Guards against an accepted job that is not stored: the store takes its append for a late copy of another.
 func TestRecordsAreNotLostWhenALateCopyReusesASequenceNumber(t *testing.T) {
 	for _, copies := range []int{1, 2, 3} {
 		synctest.Test(t, func(t *testing.T) {
@@ -55,6 +55,7 @@
 	}
 }
 
+// Guards against records that are acknowledged although the store may have taken them for a repeat.
 func TestSequenceErrorIsResolvedOrEndsTheEpoch(t *testing.T) {
 	var w *Writer
 	type script = []func(context.Context) error
@@ -89,7 +90,7 @@
 	}
 }
 
-// The number of an append belongs to it until its outcome is known.
+// Guards against two appends under one number, of which the store drops the later one.
 func TestNothingElseIsAppendedWhileAnOutcomeIsUnknown(t *testing.T) {
 	w, store := newTestWriter(answers(platform.NoAnswer), stored)
 	var retry *RetryError
@@ -102,8 +103,7 @@
 	assert.Equal(t, store.calls[1].Producer.Sequence+1, store.calls[2].Producer.Sequence)
 }
 
-// Guards against acknowledged records that are not stored: the store may take the first append of
-// an owner for a repeat of one of the last five, which an owner before it made.
+// Guards against acknowledged records that the store drops as a repeat of an append of an earlier owner.
 func TestFirstNumberOfAnEpochIsNotOneOfAnEarlierOwner(t *testing.T) {
 	const draws = 1 << 23 // in 2^20 numbers, five are met in almost every series of as many draws
 	ctx := context.Background()
--- a/internal/schedulestore/wave_test.go
+++ b/internal/schedulestore/wave_test.go
@@ -14,8 +14,7 @@
 	"chervilridge/platform"
 )
 
-// Guards against a completed wave that the operator sees as running for good, since the store
-// executes an unanswered append of the earlier state after that of the completion.
+// Guards against a completed wave that is shown as running: the store executes the earlier state later.
 func TestLateStateOfAWaveDoesNotReplaceItsCompletion(t *testing.T) {
 	const late = 300 * time.Millisecond
 	for name, completedBy := range map[string]uint64{"same owner": 1, "next owner": 2} {
--- a/internal/sitetest/removed_route_test.go
+++ b/internal/sitetest/removed_route_test.go
@@ -19,8 +19,7 @@
 	}
 }
 
-// Guards against a job that is lost or cancelled by a call on its route while that is removed. All
-// calls get 404 then, as the present configuration says, and change nothing.
+// Guards against a job that is lost or cancelled by a call that is answered 404 on its removed route.
 func TestCallsOnARemovedRouteChangeNothing(t *testing.T) {
 	const entries, tasks = 2, 2
 	s := startSite(t, entries, 2)
@@ -47,8 +46,7 @@
 	s.checkAllDoneOnce(tasks)
 }
 
-// Guards against a job that can't be asked for or cancelled because another route took the place of
-// its own.
+// Guards against a job that can't be cancelled because another route has replaced its own.
 func TestJobIsFoundOnTheRouteThatReplacedItsOwn(t *testing.T) {
 	const entries = 2
 	s := startSite(t, entries, 2)
--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -93,6 +93,7 @@
 	return r.Worker.GetBornUnixMs() != granted && r.Full && !named
 }
 
+// Guards against two runs of a task: a repeated start reaches the next life, and is reported as ended.
 func TestRunIsNotReportedAsEndedWhileTheNextLifeOfItsWorkerRunsIt(t *testing.T) {
 	h := newAddressHarness(t, workerID, time.Minute)
 	h.register(workerID)
@@ -111,6 +112,7 @@
 	}
 }
 
+// Guards against two runs of a task: a restarted agent takes a delayed heartbeat for the newest one.
 func TestDelayedHeartbeatDoesNotReplaceTheWorkerThatAnswers(t *testing.T) {
 	for name, heartbeatFirst := range map[string]bool{"after the first list of runs": false, "before it": true} {
 		t.Run(name, func(t *testing.T) {
@@ -142,6 +144,7 @@
 	}
 }
 
+// Guards against two runs of a task: a heartbeat of another writer replaces the present worker.
 func TestHeartbeatOfAWorkerElsewhereDoesNotReplaceTheOneThatAnswers(t *testing.T) {
 	h := newAddressHarness(t, workerID, time.Minute)
 	h.register(workerID)
@@ -218,6 +221,7 @@
 	return a
 }
 
+// Guards against two runs of a task: a start call that outlives its worker is carried out by the next life.
 func TestStartWithoutAnswerIsStoppedOnTheNextLife(t *testing.T) {
 	w := newScriptedWorker(7)
 	a := newScriptedAgent(t, w, 7)
@@ -247,6 +251,7 @@
 	}
 }
 
+// Guards against a crash that counts against no task, and a task that crashes workers without limit.
 func TestNextLifeIsNotReportedBeforeTheCrashOfTheLastOne(t *testing.T) {
 	w := newScriptedWorker(7)
 	a := newScriptedAgent(t, w, 7)
@@ -284,6 +289,7 @@
 	assert.Equal(t, len(r.Crashes[0].Runs), 2)
 }
 
+// Guards against ends that the next life of a worker forgets before they are stored.
 func TestEndsOfAnEarlierLifeAreNotAcknowledgedToTheNextOne(t *testing.T) {
 	w := newScriptedWorker(7)
 	a := newScriptedAgent(t, w, 7)
@@ -297,7 +303,7 @@
 	assert.Equal(t, (<-w.renewals).AckedEndNumber, int64(0), "another life may answer after a call without an answer")
 }
 
-// A hold call without an id, in flight when a delayed heartbeat arrives, proves no id.
+// Guards against a delayed heartbeat that an answer to an earlier call, without an id, seems to confirm.
 func TestAnswerToACallWithoutAnIDProvesNoID(t *testing.T) {
 	w := newScriptedWorker(9)
 	w.entered, w.release = make(chan struct{}), make(chan struct{})
--- a/internal/workeragent/report_test.go
+++ b/internal/workeragent/report_test.go
@@ -35,8 +35,7 @@
 	assert.Equal(t, full, reports)
 }
 
-// Guards against an end that is never reported: the owner acknowledges all ends up to the highest
-// number that it has seen, and the worker forgets them.
+// Guards against an end that the worker forgets before it is stored, since a higher one was acknowledged.
 func TestEndsAreReportedInTheOrderOfTheirNumbers(t *testing.T) {
 	ends := []platform.RunEnd{
 		{Number: 3, Task: "0000000000000003.0.0.0", Attempt: 1, Kind: platform.EndDone},
--- a/internal/workeragent/restart_test.go
+++ b/internal/workeragent/restart_test.go
@@ -73,6 +73,7 @@
 	})
 }
 
+// Guards against a run that stays paced down although nothing disturbs it.
 func TestRestartedAgentRestoresThePaceThatItsPredecessorLowered(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7, Running: []platform.Run{{Task: task1, Attempt: 1}}}}
 	a := freshAgent(w)
@@ -85,6 +86,7 @@
 	assert.Assert(t, w.called("pace "+task1), "the predecessor may have halted the run; nobody sets its pace again")
 }
 
+// Guards against two runs of a task: a start call of the previous agent process comes late.
 func TestRestartedAgentFencesOffAStartThatItRefuses(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
 	a := freshAgent(w)
@@ -95,6 +97,7 @@
 	assert.Assert(t, w.called("stop "+task1), "a call of the predecessor may still be carried out")
 }
 
+// Guards against two runs of a task: the worker refuses a start, and an earlier call comes late.
 func TestRestartedAgentFencesOffAStartThatTheWorkerRefuses(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}, startErr: &platform.Error{Kind: platform.Unavailable}}
 	a := freshAgent(w)
@@ -105,6 +108,7 @@
 	assert.Assert(t, w.called("stop "+task1), "a call of the predecessor may still be carried out")
 }
 
+// Guards against a run that goes on after its stop was confirmed.
 func TestRestartedAgentAnswersNoStopBeforeItHasCalledTheWorker(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
 	a := freshAgent(w)
@@ -120,6 +124,7 @@
 	}
 }
 
+// Guards against a start beyond the capacity of the worker.
 func TestRestartedAgentCountsListedRunsOfUnknownSize(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7, Running: []platform.Run{{Task: "0000000000000002.0.0.0", Attempt: 1}}}}
 	a := freshAgent(w)
@@ -130,6 +135,7 @@
 	assert.Assert(t, !w.called("start "+task1), "started beside a run of unknown size, with the worker's whole capacity")
 }
 
+// Guards against a worker that gets no task any more.
 func TestDeregistrationOfAnEarlierLifeDoesNotEndTheNextOneForGood(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
 	a := freshAgent(w)
@@ -143,6 +149,7 @@
 	assert.Assert(t, !a.buildReport().Worker.Draining, "the worker goes on, but gets no task ever again")
 }
 
+// Guards against a start beyond a capacity that has shrunk.
 func TestFirstHeartbeatIsNotOlderThanTheListOfRuns(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: 10 * time.Second, BornUnixMs: 7}}
 	a := freshAgent(w)
@@ -154,6 +161,7 @@
 	assert.Assert(t, !w.called("start "+task1), "started by a capacity that is 7 s old")
 }
 
+// Guards against a run that is counted as crashed although it has ended.
 func TestRunThatEndedOnTheNextLifeIsNotReportedAsCrashedWithTheLast(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
 	a := freshAgent(w)
@@ -174,12 +182,14 @@
 	}
 }
 
+// Guards against runs that an owner of an earlier release drops for a life that a heartbeat claims.
 func TestUnconfirmedLifeIsNotNamedToTheOwner(t *testing.T) {
 	a := freshAgent(&listingWorker{})
 	freshBeat(a, 1)
 	assert.Assert(t, a.buildReport().Worker == nil, "an owner of the previous release drops the runs of the present life for it")
 }
 
+// Guards against two runs of a task: one that has started is reported as not started.
 func TestRepeatedStartOfARunThatIsNotListedYetIsNotReportedAsNotStarted(t *testing.T) {
 	for name, copies := range map[string]int{"one message": 3, "after the list": 1} {
 		t.Run(name, func(t *testing.T) {
