--- a/internal/workeragent/capacity.go
+++ b/internal/workeragent/capacity.go
@@ -29,6 +29,16 @@
 	return max(a.node.Bounds.ReactionTime, a.node.HeartbeatInterval*3/2)
 }
 
+// capacityReportedAt returns when the worker made its newest heartbeat, at the latest: one that was
+// delayed tells an earlier capacity than one received at the same time.
+func (inc *incarnation) capacityReportedAt() boottime.Instant {
+	if inc.heartbeat.Clock == 0 || inc.workerClockAt == 0 {
+		return inc.heartbeatAt
+	}
+	made := inc.workerClockAt.Add(inc.heartbeat.Clock - inc.workerClock)
+	return min(inc.heartbeatAt, made)
+}
+
 // pruneUnlisted forgets the unlisted runs that a list requested at the time covers: it names
 // the runs or their ends, or it was requested after their start.
 func (inc *incarnation) pruneUnlisted(list platform.RunReport, requestedAt boottime.Instant) {
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -243,7 +243,7 @@
 		return platform.StartRequest{}, "", "worker is draining"
 	case inc.workerClockAt == 0 || !a.renewUntil.After(now):
 		return platform.StartRequest{}, "", "no valid lease grant of the owner"
-	case now.Sub(inc.heartbeatAt) > a.maxCapacityAge():
+	case now.Sub(inc.capacityReportedAt()) > a.maxCapacityAge():
 		return platform.StartRequest{}, "", "worker's capacity was not reported lately"
 	case !a.fits(inc, key, order.start):
 		return platform.StartRequest{}, "", "beyond the worker's capacity"
--- a/internal/workeragent/restart_test.go
+++ b/internal/workeragent/restart_test.go
@@ -153,10 +153,10 @@
 func TestFirstHeartbeatIsNotOlderThanTheListOfRuns(t *testing.T) {
 	w := &listingWorker{report: platform.RunReport{Clock: 10 * time.Second, BornUnixMs: 7}}
 	a := freshAgent(w)
+	a.node.Bounds.ReactionTime = time.Second
 	a.holdOnce(t.Context())
 	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: 1, Clock: 3 * time.Second, CPUMilli: 4000, MemoryMB: 4000}) // 7 s late
 	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID, CpuMilli: 4000, MemoryMb: 4000}}}, boottime.Now())
-	a.node.Bounds.ReactionTime = time.Second
 	time.Sleep(300 * time.Millisecond)
 	assert.Assert(t, !w.called("start "+task1), "started by a capacity that is 7 s old")
 }
@@ -236,3 +236,14 @@
 func freshBeatOf(a *Agent, sequence int64, cpuMilli uint32) {
 	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: sequence, CPUMilli: cpuMilli, MemoryMB: 1000})
 }
+
+// Guards against starts that are refused although the heartbeat is recent.
+func TestHeartbeatMadeJustBeforeTheListSetsTheCapacity(t *testing.T) {
+	w := &listingWorker{report: platform.RunReport{Clock: 10 * time.Second, BornUnixMs: 7}}
+	a := freshAgent(w)
+	a.node.Bounds.ReactionTime = time.Second
+	a.holdOnce(t.Context())
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, BornUnixMs: 7, Service: "desk", Sequence: 1, Clock: 9800 * time.Millisecond, CPUMilli: 4000, MemoryMB: 4000})
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{{Task: task1, Attempt: 1, WorkerId: workerID, CpuMilli: 4000, MemoryMb: 4000}}}, boottime.Now())
+	eventually(t, "started", func() bool { return w.called("start " + task1) })
+}
