--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -46,6 +46,7 @@
 			events.RunTakenOver.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", n.key.ID,
 				"grantedTo", tr.run.Worker.BornUnixMs, "born", n.key.BornUnixMs)
 			tr.run.Worker = n.key
+			n.describe(tr)
 			e.markDirty(key.ref.Job, e.jobs[key.ref.Job])
 		}
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -201,15 +201,20 @@
 // runInfos describes the runs on the worker to an agent that attaches.
 func (n *node) runInfos() []*chervilv2.RunInfo {
 	out := make([]*chervilv2.RunInfo, 0, len(n.runs))
-	for key, tr := range n.runs {
-		out = append(out, &chervilv2.RunInfo{
-			Task: key.ref.String(), Attempt: key.attempt, Fills: tr.step.Fills, TargetLatencyMs: tr.step.TargetLatencyMs,
-			Image: tr.step.Image, CpuMilli: tr.step.CpuMilli, MemoryMb: tr.step.MemoryMb, Gpus: tr.step.Gpus,
-		})
+	for _, tr := range n.runs {
+		out = append(out, tr.info())
 	}
 	return out
 }
 
+// info describes the run to its agent.
+func (tr *trackedRun) info() *chervilv2.RunInfo {
+	return &chervilv2.RunInfo{
+		Task: tr.run.Ref.String(), Attempt: tr.run.Attempt, Fills: tr.step.Fills, TargetLatencyMs: tr.step.TargetLatencyMs,
+		Image: tr.step.Image, CpuMilli: tr.step.CpuMilli, MemoryMb: tr.step.MemoryMb, Gpus: tr.step.Gpus,
+	}
+}
+
 // pacedCPUMilli returns the CPU that a best-effort run uses at its pace, in thousandths.
 func (tr *trackedRun) pacedCPUMilli() int64 {
 	if !tr.paced {
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -30,6 +30,21 @@
 	assert.Equal(t, machines.startedCount(), 0, "upkeep began on a machine whose serving task was not stopped")
 }
 
+// Guards against a worker that gets no task while it lists a run whose size its restarted agent does
+// not know.
+func TestListedRunIsDescribedAgainOrStopped(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	start := a.started()[0]
+	odd := &chervilv2.Run{Task: "of another writer", Attempt: 1}
+	a.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: start.Task, Attempt: start.Attempt}, odd}})
+	eventually(t, "described", func() bool { return a.describes(start) })
+	eventually(t, "stopped", func() bool { return len(a.stopped()) == 1 })
+	assert.Equal(t, a.stopped()[0].Task, odd.Task)
+}
+
 // Guards against two runs of a task: a start call of the previous agent process reaches the next life.
 func TestRunWithoutAConfirmedStartIsStoppedOnTheLifeThatFollowsWhileItsAgentRestarts(t *testing.T) {
 	r := newRig(t)
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -225,6 +226,7 @@
 	mu          sync.Mutex
 	starts      []*chervilv2.StartOrder
 	stops       []*chervilv2.StopOrder
+	described   []*chervilv2.RunInfo
 	ackedEnd    int64
 	leases      int
 	// entryLists are the lists of live entries received.
@@ -240,6 +242,7 @@
 	defer a.mu.Unlock()
 	a.starts = append(a.starts, o.Starts...)
 	a.stops = append(a.stops, o.Stops...)
+	a.described = append(a.described, o.Runs...)
 	a.ackedEnd = max(a.ackedEnd, o.StoredEnd)
 	if len(o.Entries) > 0 {
 		a.entryLists = append(a.entryLists, o.Entries)
@@ -343,6 +346,15 @@
 	return append([]*chervilv2.StopOrder(nil), a.stops...)
 }
 
+// describes reports whether a message has described the run of the start.
+func (a *testAgent) describes(start *chervilv2.StartOrder) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.ContainsFunc(a.described, func(r *chervilv2.RunInfo) bool {
+		return r.Task == start.Task && r.Attempt == start.Attempt && r.CpuMilli == start.CpuMilli && r.MemoryMb == start.MemoryMb
+	})
+}
+
 func (a *testAgent) storedEnd() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -323,17 +323,16 @@
 	listed := make(map[runKey]bool, len(r.Runs))
 	for _, run := range r.Runs {
 		ref, err := jobstate.ParseTaskRef(run.Task)
-		if err != nil {
-			events.RunUnknown.LogError(err, "node", n.name)
-			continue
-		}
 		key := runKey{ref, run.Attempt}
-		listed[key] = true
 		tr, ok := n.runs[key]
-		if !ok {
+		if err != nil || !ok {
 			e.stopUnknown(n, run)
 			continue
 		}
+		listed[key] = true
+		if tr.startedAt == 0 && !run.Starting {
+			n.describe(tr)
+		}
 		e.updateProgress(tr, run, now)
 		e.checkSuspect(tr, now.Add(-time.Duration(r.Worker.GetSilentMs())*time.Millisecond))
 		if tr.run.Stopping && now.Sub(tr.orderedAt) > repeatOrderAfter {
@@ -353,6 +352,12 @@
 	}
 }
 
+// describe sends the description of a run to the agent, which may have been restarted since its start
+// was ordered. An agent starts nothing beside a listed run of unknown size.
+func (n *node) describe(tr *trackedRun) {
+	n.session.update(func(next *chervilv2.OwnerOrders) { next.Runs = append(next.Runs, tr.info()) })
+}
+
 // confirmStart records that the run has started.
 func (e *Engine) confirmStart(tr *trackedRun, now boottime.Instant) {
 	if en := e.jobs[tr.run.Ref.Job]; en != nil {
--- a/internal/workeragent/capacity.go
+++ b/internal/workeragent/capacity.go
@@ -39,6 +39,18 @@
 	return min(inc.heartbeatAt, made)
 }
 
+// listsRunOfUnknownSize reports whether the worker lists another run that the owner has not described,
+// as after a restart of the agent. The owner describes its runs, and stops those that it does not
+// know. The caller holds mu.
+func (a *Agent) listsRunOfUnknownSize(inc *incarnation, key runKey) bool {
+	for run := range inc.runs {
+		if _, described := a.runInfos[run]; run != key && !described {
+			return true
+		}
+	}
+	return false
+}
+
 // pruneUnlisted forgets the unlisted runs that a list requested at the time covers: it names
 // the runs or their ends, or it was requested after their start.
 func (inc *incarnation) pruneUnlisted(list platform.RunReport, requestedAt boottime.Instant) {
@@ -54,8 +66,7 @@
 
 // fits reports whether a start stays within the capacity that the worker last reported. The
 // owner may have granted it before the capacity shrank. Runs being stopped count until the
-// worker lists their end; what the owner has not described counts as nothing. The caller
-// holds mu.
+// worker lists their end. The caller holds mu.
 func (a *Agent) fits(inc *incarnation, key runKey, s *chervilv2.StartOrder) bool {
 	used := reserved(s.Fills, s.CpuMilli, s.MemoryMb, s.Gpus)
 	for run := range inc.runs {
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -245,6 +245,8 @@
 		return platform.StartRequest{}, "", "no valid lease grant of the owner"
 	case now.Sub(inc.capacityReportedAt()) > a.maxCapacityAge():
 		return platform.StartRequest{}, "", "worker's capacity was not reported lately"
+	case a.listsRunOfUnknownSize(inc, key):
+		return platform.StartRequest{}, "", "worker lists a run that the owner has not described"
 	case !a.fits(inc, key, order.start):
 		return platform.StartRequest{}, "", "beyond the worker's capacity"
 	}
