--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -60,8 +60,8 @@
 	assert.Assert(t, again == 0 || len(c.stopped()) > 0, "started again, though a call of the previous agent may reach the new life")
 }
 
-// The wall clock of the worker's machine was set back between its two lives. The owner was paused
-// and reads what the earlier agent process sent last after the reports of the present one.
+// Guards against two runs of a task: the wall clock was set back between two lives of a worker, and the
+// owner was paused and reads what the earlier agent process sent last after the reports of the present one.
 func TestLastReportOfAnEarlierAgentProcessDoesNotEndTheRunsOfThePresentLife(t *testing.T) {
 	r := newRig(t)
 	a := r.attachWith("side-1", life(&chervilv2.Worker{Id: "worker", Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000}, 9, true))
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -24,6 +24,8 @@
 	wakeCh  chan struct{}
 	closed  chan struct{}
 	once    sync.Once
+	// replaced is set once a later session has taken its place; Engine.mu guards it.
+	replaced bool
 }
 
 func newSession() *session {
@@ -128,12 +130,13 @@
 func (e *Engine) handleReport(s *session, r *chervilv2.AgentReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.closed {
+	if e.closed || s.replaced { // what is still read may be older than what the present session has reported
 		return
 	}
 	n := e.node(r.Node)
 	if n.session != s {
 		if n.session != nil {
+			n.session.replaced = true
 			n.session.close()
 		}
 		n.session = s
