--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -162,6 +162,7 @@
 		job.ForEachRun(func(r *jobstate.Run) {
 			_, task := job.Task(r.Ref)
 			tr := e.node(r.Worker.Node).addRun(e, r)
+			tr.inherited = true
 			if r.Stopping = job.Ended() || task.Done; r.Stopping {
 				tr.orderedAt = 0 // so that its stop is repeated as soon as the agent lists the run
 			}
--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -25,7 +25,8 @@
 
 // settleEarlierRuns decides on the runs that were granted to earlier incarnations of the worker,
 // by the full list of the present one: their start may have reached it. A run that it lists is
-// its own from now on, one whose start is not resolved stays as it is, and all others have ended.
+// its own from now on, one whose start is not resolved stays as it is, and one that a late call may
+// still start is stopped first. All others have ended.
 func (e *Engine) settleEarlierRuns(n *node, r *chervilv2.AgentReport) {
 	if r.Worker == nil || !n.leasable {
 		return
@@ -48,13 +49,16 @@
 			tr.run.Worker = n.key
 			n.describe(tr)
 			e.markDirty(key.ref.Job, e.jobs[key.ref.Job])
+		} else if run == nil && !tr.fencing && n.mayStillStart(tr) {
+			tr.fencing, tr.unreportedEnd = true, n.agentRestarted && n.endsUnreported()
+			e.orderStops([]*jobstate.Run{tr.run}, "a call of an earlier agent process may still start it")
 		}
 	}
 	if !earlier {
 		return
 	}
 	ended := func(tr *trackedRun) bool {
-		return tr.run.Worker != n.key && listed[runKey{tr.run.Ref, tr.run.Attempt}] == nil
+		return tr.run.Worker != n.key && !tr.fencing && listed[runKey{tr.run.Ref, tr.run.Attempt}] == nil
 	}
 	if n.agentRestarted {
 		e.countUnreportedEnd(n, ended, n.lastListed)
@@ -62,12 +66,37 @@
 	e.dropRuns(n, ended, "worker has a new incarnation")
 }
 
+// mayStillStart reports whether a call of an earlier agent process may start the run on the present
+// incarnation: its start was not confirmed, and the worker has kept its id, by which it would reject
+// the call otherwise. The present agent process stops what it has called itself.
+func (n *node) mayStillStart(tr *trackedRun) bool {
+	return (n.agentRestarted || tr.inherited) && !tr.run.Started && tr.run.Worker.ID == n.key.ID
+}
+
+// endUnstarted ends a run that neither runs nor can start any more, and counts the end of its worker
+// if that is due.
+func (e *Engine) endUnstarted(n *node, tr *trackedRun) {
+	if tr.unreportedEnd {
+		e.crashRun(n, crashedRun{tracked: tr}, jobstate.CrashUnreported)
+		return
+	}
+	n.removeRun(runKey{tr.run.Ref, tr.run.Attempt})
+	e.jobs[tr.run.Ref.Job].job.DropRun(tr.run.Ref, tr.run.Attempt)
+	e.markDirty(tr.run.Ref.Job, e.jobs[tr.run.Ref.Job])
+}
+
+// endsUnreported reports whether the end of the worker counts although no agent has reported it: this
+// owner has seen the worker alive, and its end was not planned.
+func (n *node) endsUnreported() bool {
+	return n.lastListed != 0 && !n.agentLeft && n.drainingSince == 0 && !n.worker.GetDraining()
+}
+
 // countUnreportedEnd counts the end of a worker that no agent has reported as a crash against
 // those of the ended runs that had just started when the worker was last seen alive. Such an end
 // is mostly that of a machine or a link, so that it makes no suspects. A worker that this owner
 // has not seen alive counts against none.
 func (e *Engine) countUnreportedEnd(n *node, ended func(*trackedRun) bool, lastAlive boottime.Instant) {
-	if n.lastListed == 0 || n.agentLeft || n.drainingSince != 0 || n.worker.GetDraining() {
+	if !n.endsUnreported() {
 		return
 	}
 	for _, tr := range n.runs {
@@ -100,10 +129,7 @@
 		if !ended(tr) {
 			continue
 		}
-		n.removeRun(key)
-		en := e.jobs[key.ref.Job]
-		en.job.DropRun(key.ref, key.attempt)
-		e.markDirty(key.ref.Job, en)
+		e.endUnstarted(n, tr)
 		events.RunLost.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", tr.run.Worker.ID, "born", tr.run.Worker.BornUnixMs,
 			"present", n.key.BornUnixMs, "cause", cause)
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -78,6 +78,12 @@
 	orderedAt boottime.Instant
 	// startedAt is when this owner learned of the start; 0 if it has not.
 	startedAt boottime.Instant
+	// fencing is set while a stop keeps late calls from starting the run on a later incarnation than
+	// the one that it was granted to. unreportedEnd is set if the end of that one is then to be
+	// counted as a crash that no agent has reported.
+	fencing, unreportedEnd bool
+	// inherited is set if an earlier owner has granted the run.
+	inherited bool
 	percent   uint32
 	// gauge is the tail latency in ms of a serving run, or the CPU use of a best-effort
 	// run in thousandths.
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -60,6 +60,34 @@
 	assert.Assert(t, again == 0 || len(c.stopped()) > 0, "started again, though a call of the previous agent may reach the new life")
 }
 
+// Guards against a task that is not started again, or whose crash is forgotten, after such a stop.
+func TestRunStoppedOnTheLifeThatFollowsStartsAgainOnceItCanNotStartThere(t *testing.T) {
+	for name, newOwner := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := r.attach("side-1", 32000)
+			r.submit(spec(jobID(1), 1))
+			eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+			r.disconnect(a)
+			if newOwner {
+				r.takeOver(2)
+			}
+			c := r.attachIncarnation("side-1", "2", nextIncarnation(a.worker))
+			eventually(t, "stopped first", func() bool { return len(c.stopped()) == 1 })
+			r.settle()
+			assert.Equal(t, len(c.started()), 0)
+			c.report(&chervilv2.AgentReport{Full: true, Results: c.answerStops()})
+			eventually(t, "started again", func() bool { return len(c.started()) == 1 })
+			assert.Equal(t, c.started()[0].Attempt, a.started()[0].Attempt+1)
+			counted := uint32(1)
+			if newOwner { // which has not seen the earlier life
+				counted = 0
+			}
+			assert.Equal(t, r.task(jobID(1)).UnconfirmedCrashes, counted)
+		})
+	}
+}
+
 // Guards against two runs of a task: the wall clock was set back between two lives of a worker, and the
 // owner was paused and reads what the earlier agent process sent last after the reports of the present one.
 func TestLastReportOfAnEarlierAgentProcessDoesNotEndTheRunsOfThePresentLife(t *testing.T) {
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -227,8 +227,10 @@
 	starts      []*chervilv2.StartOrder
 	stops       []*chervilv2.StopOrder
 	described   []*chervilv2.RunInfo
-	ackedEnd    int64
-	leases      int
+	// answeredStops is the number of stops that answerStops has answered.
+	answeredStops int
+	ackedEnd      int64
+	leases        int
 	// entryLists are the lists of live entries received.
 	entryLists [][]string
 	sequence   uint64
@@ -346,6 +348,18 @@
 	return append([]*chervilv2.StopOrder(nil), a.stops...)
 }
 
+// answerStops returns the results of the stops received since the last call, for runs that the worker
+// does not have.
+func (a *testAgent) answerStops() (results []*chervilv2.StartResult) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.stops[a.answeredStops:] {
+		results = append(results, &chervilv2.StartResult{Task: s.Task, Attempt: s.Attempt, Answer: chervilv2.StartAnswer_START_ANSWER_NOT_STARTED})
+	}
+	a.answeredStops = len(a.stops)
+	return results
+}
+
 // describes reports whether a message has described the run of the start.
 func (a *testAgent) describes(start *chervilv2.StartOrder) bool {
 	a.mu.Lock()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -313,9 +313,12 @@
 		e.discardTicket(run)
 	}
 	events.RunNotStarted.Log("task", r.Task, "attempt", r.Attempt, "node", n.name, "answer", r.Answer)
-	n.removeRun(runKey{ref, r.Attempt})
-	en.job.DropRun(ref, r.Attempt)
-	e.markDirty(ref.Job, en)
+	if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil {
+		e.endUnstarted(n, tr)
+	} else {
+		en.job.DropRun(ref, r.Attempt)
+		e.markDirty(ref.Job, en)
+	}
 	e.replan()
 }
 
