Test of unsent jobs: the first attempt is answered before the store is switched

TestOnlyJobsThatWereNotSentAreRejectedAfterAnUnansweredAppend failed once in 60 under -race beside load. Cause: the test waits until the engine has encoded the append, not until the store has left it unanswered; if the switch to 503 comes in between, the first attempt is answered 503, nothing is in doubt, and the rejection is right. The test now waits for the first failed attempt; its checks are the same. TestReplyWhenTheOwnerIsReplacedDuringAnAppend waits for it too, instead of 50 ms.

--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -89,6 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	sent := r.submitAsync(ctx, spec(jobID(1), 1))
 	r.awaitAppendAttempt(jobID(1))
+	eventually(t, "first attempt without an answer", func() bool { return r.store.failedAppends() > 0 })
 	r.store.fail(platform.Unavailable) // from now on; the first attempt stays in doubt
 	reply := r.awaitReply(r.submitAsync(context.Background(), spec(jobID(2), 1)))
 	assert.Equal(t, reply.Outcome, chervilv2.Outcome_OUTCOME_REJECTED)
@@ -114,7 +115,7 @@
 			r.store.fail(c.failure)
 			reply := r.submitAsync(context.Background(), spec(jobID(1), 1))
 			r.awaitAppendAttempt(jobID(1))
-			time.Sleep(50 * time.Millisecond) // a failed attempt
+			eventually(t, "a failed attempt", func() bool { return r.store.failedAppends() > 0 })
 			r.store.mu.Lock()
 			r.store.fenced = true
 			r.store.mu.Unlock()
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -32,6 +32,8 @@
 	// failure is the answer to appends with records that does not store them; empty stores
 	// them.
 	failure platform.ErrorKind
+	// failed is the number of appends that failure has answered.
+	failed int
 	// maxRecordBytes is the size from which on records are rejected as invalid; 0 is no limit.
 	maxRecordBytes int
 }
@@ -56,6 +58,7 @@
 	}
 	s.epoch = a.Producer.Epoch
 	if s.failure != "" && len(a.Records) > 0 {
+		s.failed++
 		return 0, &platform.Error{Kind: s.failure}
 	}
 	for _, r := range a.Records {
@@ -91,6 +94,13 @@
 	s.failure = kind
 }
 
+// failedAppends returns the number of appends that have failed by fail.
+func (s *testStore) failedAppends() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
 // holds reports whether the store holds a record.
 func (s *testStore) holds(key string) bool {
 	s.mu.Lock()
