--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -9,6 +9,9 @@
 	"chervilridge/internal/jobstate"
 )
 
+// lateCallTime is how long after a call without an answer a worker may still carry it out.
+const lateCallTime = 15 * time.Second
+
 // knowsLaterThan reports whether the node's worker, or one that it granted a run to, was born
 // after the other worker.
 func (n *node) knowsLaterThan(other jobstate.WorkerKey) bool {
@@ -49,8 +52,8 @@
 			tr.run.Worker = n.key
 			n.describe(tr)
 			e.markDirty(key.ref.Job, e.jobs[key.ref.Job])
-		} else if run == nil && !tr.fencing && n.mayStillStart(tr) {
-			tr.fencing, tr.unreportedEnd = true, n.agentRestarted && n.endsUnreported()
+		} else if run == nil && !tr.fencing && e.mayStillStart(n, tr) {
+			tr.fencing, tr.unreportedEnd = true, n.agentRestarted && n.endsUnreported() && !tr.hadOutlivedStart(n.lastListed)
 			e.orderStops([]*jobstate.Run{tr.run}, "a call of an earlier agent process may still start it")
 		}
 	}
@@ -67,17 +70,27 @@
 }
 
 // mayStillStart reports whether a call of an earlier agent process may start the run on the present
-// incarnation: its start was not confirmed, and the worker has kept its id, by which it would reject
-// the call otherwise. The present agent process stops what it has called itself.
-func (n *node) mayStillStart(tr *trackedRun) bool {
-	return (n.agentRestarted || tr.inherited) && !tr.run.Started && tr.run.Worker.ID == n.key.ID
+// incarnation: its start was not confirmed or was lately, so that an earlier call of it may be under
+// way, and the worker has kept its id, by which it would reject the call otherwise. The present agent
+// process stops what it has called itself.
+func (e *Engine) mayStillStart(n *node, tr *trackedRun) bool {
+	if !n.agentRestarted && !tr.inherited || tr.run.Worker.ID != n.key.ID {
+		return false
+	}
+	return !tr.run.Started || e.clock().Sub(max(tr.startedAt, e.epochStart)) < lateCallTime
+}
+
+// hadOutlivedStart reports whether the run had outlived the time in which suspects crash when its worker
+// was last seen alive.
+func (tr *trackedRun) hadOutlivedStart(lastAlive boottime.Instant) bool {
+	return tr.startedAt != 0 && lastAlive.Sub(tr.startedAt) > suspectAge
 }
 
 // endUnstarted ends a run that neither runs nor can start any more, and counts the end of its worker
 // if that is due.
 func (e *Engine) endUnstarted(n *node, tr *trackedRun) {
 	if tr.unreportedEnd {
-		e.crashRun(n, crashedRun{tracked: tr}, jobstate.CrashUnreported)
+		e.crashRun(n, crashedRun{tracked: tr, started: tr.startedAt != 0}, jobstate.CrashUnreported)
 		return
 	}
 	n.removeRun(runKey{tr.run.Ref, tr.run.Attempt})
@@ -100,8 +113,7 @@
 		return
 	}
 	for _, tr := range n.runs {
-		outlived := tr.startedAt != 0 && lastAlive.Sub(tr.startedAt) > suspectAge
-		if !outlived && ended(tr) {
+		if !tr.hadOutlivedStart(lastAlive) && ended(tr) {
 			e.crashRun(n, crashedRun{tracked: tr, started: tr.startedAt != 0}, jobstate.CrashUnreported)
 		}
 	}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -88,6 +88,31 @@
 	}
 }
 
+// Guards against two runs of a task: its start was answered at the second call, and the first call of the
+// previous agent process reaches the next life.
+func TestRunWithALateConfirmedStartIsStoppedOnTheLifeThatFollows(t *testing.T) {
+	for name, age := range map[string]time.Duration{"lately": time.Second, "long ago": lateCallTime} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := r.attach("side-1", 32000)
+			r.submit(spec(jobID(1), 1))
+			start, _ := r.awaitStart(jobID(1), 0, a)
+			r.confirm(a, age, start)
+			r.disconnect(a)
+			c := r.attachIncarnation("side-1", "2", nextIncarnation(a.worker))
+			r.settle()
+			if age < lateCallTime {
+				eventually(t, "stopped first", func() bool { return len(c.stopped()) == 1 })
+				assert.Equal(t, len(c.started()), 0)
+			} else {
+				assert.Equal(t, len(c.stopped()), 0)
+			}
+			c.report(&chervilv2.AgentReport{Full: true, Results: c.answerStops()})
+			eventually(t, "started again", func() bool { return len(c.started()) == 1 })
+		})
+	}
+}
+
 // Guards against two runs of a task: the wall clock was set back between two lives of a worker, and the
 // owner was paused and reads what the earlier agent process sent last after the reports of the present one.
 func TestLastReportOfAnEarlierAgentProcessDoesNotEndTheRunsOfThePresentLife(t *testing.T) {
