--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -29,7 +29,6 @@
 // jobStatus is the state of a job in the records of a batch.
 type jobStatus struct {
 	phase   chervilv2.JobPhase
-	started bool
 	changes uint64
 }
 
@@ -105,7 +104,7 @@
 		}
 		records = append(records, jobRecords...)
 		en.appended = true
-		b.jobStatus[id] = jobStatus{phase: en.job.Phase, started: en.job.Started, changes: en.changes}
+		b.jobStatus[id] = jobStatus{phase: en.job.Phase, changes: en.changes}
 	}
 	records = append(records, e.encodeSharedRecords(b)...)
 	for _, id := range b.deletedJobs {
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -155,7 +155,7 @@
 	}
 	for id, stored := range b.jobStatus {
 		if en, ok := e.jobs[id]; ok {
-			en.storedPhase, en.storedStarted, en.storedChanges = stored.phase, stored.started, stored.changes
+			en.storedPhase, en.storedChanges = stored.phase, stored.changes
 		}
 	}
 	for _, o := range b.orders {
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -121,10 +121,8 @@
 	// queueUnknown is set once that is logged.
 	queue        *operatorconfig.Queue
 	queueUnknown bool
-	// storedPhase and storedStarted reflect the job's last stored record; clients see
-	// only these.
-	storedPhase   chervilv2.JobPhase
-	storedStarted bool
+	// storedPhase is that of the job's last stored record; clients see only this one.
+	storedPhase chervilv2.JobPhase
 	// changes counts the changes of the job, storedChanges those that are stored; 0 while
 	// the job itself is not. appended is set once an append with the job has begun.
 	changes, storedChanges uint64
@@ -153,7 +151,7 @@
 	e.restoreWaves(restored.Waves)
 	e.unreachableAgents.inherited, e.unreachableAgents.stored = restored.UngrantedMs, maps.Clone(restored.UngrantedMs)
 	for id, job := range restored.Jobs {
-		en := &jobEntry{job: job, queue: storedQueue(job.Spec), storedPhase: job.Phase, storedStarted: job.Started, changes: 1, storedChanges: 1}
+		en := &jobEntry{job: job, queue: storedQueue(job.Spec), storedPhase: job.Phase, changes: 1, storedChanges: 1}
 		e.jobs[id] = en
 		if !job.Ended() {
 			en.nextDueUnixMs = job.OpenDueOccurrences(e.wall().UnixMilli())
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -192,7 +192,7 @@
 		reply.Outcome = chervilv2.Outcome_OUTCOME_NOT_OWNER
 	}
 	for _, en := range e.activeJobs {
-		if en.job.Spec.Queue == queue && !en.storedStarted && en.storedChanges > 0 && !en.job.Ended() {
+		if en.job.Spec.Queue == queue && !en.job.HasStarted() && en.storedChanges > 0 && !en.job.Ended() {
 			reply.Pending++
 		}
 	}
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -412,6 +412,9 @@
 	run.Started, j.startConfirmed = true, true
 }
 
+// HasStarted reports whether a run of the job has certainly started.
+func (j *Job) HasStarted() bool { return j.startConfirmed }
+
 // updateStarted clears Started if all runs of the job have ended without having started.
 func (j *Job) updateStarted() {
 	if j.startConfirmed {
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -106,7 +106,6 @@
 		return j, nil
 	}
 	j.Phase, j.Started, j.EndedUnixMs = progress.Phase, progress.Started, progress.EndedUnixMs
-	j.startConfirmed = j.Started
 	for _, r := range progress.Steps {
 		if int(r.Step) >= len(spec.Steps) || r.Occurrence >= j.OccurrenceCount() {
 			return nil, fmt.Errorf("job %s has no step %d of occurrence %d", spec.Id, r.Step, r.Occurrence)
@@ -118,9 +117,26 @@
 	for _, o := range j.Occurrences {
 		o.Done = !slices.ContainsFunc(o.Steps, func(s Step) bool { return !s.Done })
 	}
+	j.startConfirmed = j.Started && j.showsStart()
 	return j, nil
 }
 
+// showsStart reports whether the restored runs show that the job has started: one is confirmed, a task
+// has ended, or there are none, since Started would have been cleared with the last one otherwise.
+func (j *Job) showsStart() bool {
+	runs, shown := false, false
+	for _, o := range j.Occurrences {
+		for i := range o.Steps {
+			for k := range o.Steps[i].Tasks {
+				t := &o.Steps[i].Tasks[k]
+				runs = runs || len(t.Runs) > 0
+				shown = shown || t.Done || t.Failures > 0 || slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Started })
+			}
+		}
+	}
+	return shown || !runs
+}
+
 func (j *Job) restoreStep(r *chervilv2.StepRecord, workers []*chervilv2.WorkerRef) error {
 	step := &j.ensureOccurrence(r.Occurrence).Steps[r.Step]
 	step.Done = r.Done
