--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -22,7 +22,10 @@
 	// start that it processes after the lease has ended.
 	startValidity = 1500 * time.Millisecond
 	// maxStartCalls is how often a start call is made before a stop fences the run off.
-	maxStartCalls      = 3
+	maxStartCalls = 3
+	// maxOrderAge is how long after its receipt a start order is carried out. The owner may not want
+	// the run any more, as when the data centre has been evacuated since.
+	maxOrderAge        = 2 * time.Second
 	orderRetryInterval = 60 * time.Millisecond
 	// rejectedRunTTL is how long a rejected run is remembered. No order takes that long
 	// to arrive.
@@ -35,6 +38,7 @@
 	// bornUnixMs is the birth of the incarnation that the run was granted to; 0 if the owner did
 	// not name it and the agent does not know it.
 	bornUnixMs int64
+	receivedAt boottime.Instant
 	stopping   bool
 	calling    bool // a start call is in flight
 }
@@ -89,7 +93,7 @@
 			startedHere: a.runInfos[key].startedHere,
 		}
 		if a.pendingOrders[key] == nil {
-			order := &pendingOrder{start: s, bornUnixMs: a.grantedBirth(o, s)}
+			order := &pendingOrder{start: s, bornUnixMs: a.grantedBirth(o, s), receivedAt: a.clock()}
 			a.pendingOrders[key] = order
 			go a.executeStart(ctx, key, order)
 		}
@@ -237,6 +241,8 @@
 	switch {
 	case order.stopping:
 		return platform.StartRequest{}, "", "stop ordered"
+	case now.Sub(order.receivedAt) > maxOrderAge:
+		return platform.StartRequest{}, "", "order has waited too long"
 	case inc == nil || inc.gone || inc.leasesExpired || !order.grantedTo(inc):
 		return platform.StartRequest{}, "", "worker is gone or was replaced"
 	case inc.draining || inc.deregistered:
