A start order is not repeated in an evacuated data centre (EVAC)

Callers could see: a task that starts in a zone after its evacuation. Cause: an owner repeats the order of a run that no list shows, whatever the operator has ordered since. Change: such a run, if its start is not confirmed, is stopped instead; the task is placed anew once the stop is answered.

Evidence: TestStartIsNotRepeatedInAnEvacuatedDataCentre failed before (no stop within 10 s). Ruled out: grants, which skip evacuated nodes in each planning round.

--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -127,3 +127,23 @@
 	r.settle()
 	assert.Equal(t, len(b.started()), 0, "the run still runs on the present life")
 }
+
+// Guards against a task that starts in an evacuated data centre, since the order for it is repeated.
+func TestStartIsNotRepeatedInAnEvacuatedDataCentre(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	r.engine.mu.Lock()
+	next := *r.view
+	next.Evacuated = map[string]bool{"pnw-a": true}
+	r.view = &next
+	r.engine.mu.Unlock()
+	r.clock.advance(2 * repeatOrderAfter)
+	a.report(&chervilv2.AgentReport{Full: true})
+	eventually(t, "stopped", func() bool { return len(a.stopped()) == 1 })
+	assert.Equal(t, len(a.started()), 1)
+	b := r.attachWith("side-2", &chervilv2.Worker{Id: "worker-side-2", BornUnixMs: 1, Service: testService, Zone: "pnw-b", CpuMilli: 32000, MemoryMb: 64000, Listed: true})
+	a.report(&chervilv2.AgentReport{Full: true, Results: a.answerStops()})
+	eventually(t, "starts elsewhere", func() bool { return len(b.started()) == 1 })
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -404,7 +404,14 @@
 	n.session.addOrder(order{stop: &chervilv2.StopOrder{Task: run.Task, Attempt: run.Attempt}})
 }
 
-// repeatOrder sends a start or stop again; workers recognize duplicates by the attempt.
+// evacuated reports whether the data centre of the node is out of service.
+func (e *Engine) evacuated(n *node) bool {
+	view := e.operatorView()
+	return view != nil && n.worker != nil && view.Evacuated[n.worker.Zone]
+}
+
+// repeatOrder sends a start or stop again; workers recognize duplicates by the attempt. A start in an
+// evacuated data centre is stopped instead.
 func (e *Engine) repeatOrder(n *node, tr *trackedRun, now boottime.Instant) {
 	en, ok := e.jobs[tr.run.Ref.Job]
 	if !ok || en.storedChanges == 0 {
@@ -412,7 +419,7 @@
 	}
 	tr.orderedAt = now
 	o := order{node: n.name, run: runKey{tr.run.Ref, tr.run.Attempt}}
-	if tr.run.Stopping || en.job.Ended() {
+	if tr.run.Stopping || en.job.Ended() || !tr.run.Started && e.evacuated(n) {
 		tr.run.Stopping = true
 		o.stop = &chervilv2.StopOrder{Task: tr.run.Ref.String(), Attempt: tr.run.Attempt}
 	} else {
