--- a/internal/dispatch/incarnations.go
+++ b/internal/dispatch/incarnations.go
@@ -9,7 +9,8 @@
 	"chervilridge/internal/jobstate"
 )
 
-// lateCallTime is how long after a call without an answer a worker may still carry it out.
+// lateCallTime is how long after a call without an answer a worker may still execute it, as agents
+// assume too.
 const lateCallTime = 15 * time.Second
 
 // knowsLaterThan reports whether the node's worker, or one that it granted a run to, was born
@@ -53,7 +54,7 @@
 			n.describe(tr)
 			e.markDirty(key.ref.Job, e.jobs[key.ref.Job])
 		} else if run == nil && !tr.fencing && e.mayStillStart(n, tr) {
-			tr.fencing, tr.unreportedEnd = true, n.agentRestarted && n.endsUnreported() && !tr.hadOutlivedStart(n.lastListed)
+			tr.fencing, tr.unreportedEnd = true, n.agentRestarted && n.unreportedEndCounts() && !tr.hadOutlivedStart(n.lastListed)
 			e.orderStops([]*jobstate.Run{tr.run}, "a call of an earlier agent process may still start it")
 		}
 	}
@@ -70,9 +71,9 @@
 }
 
 // mayStillStart reports whether a call of an earlier agent process may start the run on the present
-// incarnation: its start was not confirmed or was lately, so that an earlier call of it may be under
-// way, and the worker has kept its id, by which it would reject the call otherwise. The present agent
-// process stops what it has called itself.
+// incarnation. A call may be under way until lateCallTime after the start was confirmed, and the
+// worker rejects it only if its id has changed. The present agent process stops what it has called
+// itself.
 func (e *Engine) mayStillStart(n *node, tr *trackedRun) bool {
 	if !n.agentRestarted && !tr.inherited || tr.run.Worker.ID != n.key.ID {
 		return false
@@ -86,9 +87,9 @@
 	return tr.startedAt != 0 && lastAlive.Sub(tr.startedAt) > suspectAge
 }
 
-// endUnstarted ends a run that neither runs nor can start any more, and counts the end of its worker
-// if that is due.
-func (e *Engine) endUnstarted(n *node, tr *trackedRun) {
+// dropRun drops a run that has ended or can't start any more, and counts the end of its worker if that
+// is due.
+func (e *Engine) dropRun(n *node, tr *trackedRun) {
 	if tr.unreportedEnd {
 		e.crashRun(n, crashedRun{tracked: tr, started: tr.startedAt != 0}, jobstate.CrashUnreported)
 		return
@@ -98,9 +99,9 @@
 	e.markDirty(tr.run.Ref.Job, e.jobs[tr.run.Ref.Job])
 }
 
-// endsUnreported reports whether the end of the worker counts although no agent has reported it: this
-// owner has seen the worker alive, and its end was not planned.
-func (n *node) endsUnreported() bool {
+// unreportedEndCounts reports whether an end of the worker that no agent has reported counts as a crash:
+// this owner has seen the worker alive, and its end was not planned.
+func (n *node) unreportedEndCounts() bool {
 	return n.lastListed != 0 && !n.agentLeft && n.drainingSince == 0 && !n.worker.GetDraining()
 }
 
@@ -109,7 +110,7 @@
 // is mostly that of a machine or a link, so that it makes no suspects. A worker that this owner
 // has not seen alive counts against none.
 func (e *Engine) countUnreportedEnd(n *node, ended func(*trackedRun) bool, lastAlive boottime.Instant) {
-	if !n.endsUnreported() {
+	if !n.unreportedEndCounts() {
 		return
 	}
 	for _, tr := range n.runs {
@@ -141,7 +142,7 @@
 		if !ended(tr) {
 			continue
 		}
-		e.endUnstarted(n, tr)
+		e.dropRun(n, tr)
 		events.RunLost.Log("task", key.ref.String(), "attempt", key.attempt, "node", n.name, "worker", tr.run.Worker.ID, "born", tr.run.Worker.BornUnixMs,
 			"present", n.key.BornUnixMs, "cause", cause)
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -314,7 +314,7 @@
 	}
 	events.RunNotStarted.Log("task", r.Task, "attempt", r.Attempt, "node", n.name, "answer", r.Answer)
 	if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil {
-		e.endUnstarted(n, tr)
+		e.dropRun(n, tr)
 	} else {
 		en.job.DropRun(ref, r.Attempt)
 		e.markDirty(ref.Job, en)
--- a/internal/workeragent/capacity.go
+++ b/internal/workeragent/capacity.go
@@ -29,8 +29,8 @@
 	return max(a.node.Bounds.ReactionTime, a.node.HeartbeatInterval*3/2)
 }
 
-// capacityReportedAt returns when the worker made its newest heartbeat, at the latest: one that was
-// delayed tells an earlier capacity than one received at the same time.
+// capacityReportedAt returns when the worker made its newest heartbeat, at the latest. It may have
+// been received long after that.
 func (inc *incarnation) capacityReportedAt() boottime.Instant {
 	if inc.heartbeat.Clock == 0 || inc.workerClockAt == 0 {
 		return inc.heartbeatAt
