Read as a newcomer: the name of one test

TestRunWithALateConfirmedStart... could be read as a start that was confirmed late; it is one that was confirmed a moment ago.

--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -90,7 +90,7 @@
 
 // Guards against two runs of a task: its start was answered at the second call, and the first call of the
 // previous agent process reaches the next life.
-func TestRunWithALateConfirmedStartIsStoppedOnTheLifeThatFollows(t *testing.T) {
+func TestRunWhoseStartWasConfirmedLatelyIsStoppedOnTheLifeThatFollows(t *testing.T) {
 	for name, age := range map[string]time.Duration{"lately": time.Second, "long ago": lateCallTime} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
