--- a/internal/dispatch/lives_test.go
+++ b/internal/dispatch/lives_test.go
@@ -72,7 +72,7 @@
 	assert.Equal(t, len(a.started()), 3)
 }
 
-// Guards against ends that a worker forgets before they are stored, since its counts begin anew.
+// Guards against ends that a worker forgets before they are stored, since the next life numbers them from 1 again.
 func TestEndsOfALifeAreNotAcknowledgedByTheNumbersOfAnother(t *testing.T) {
 	s := newSession()
 	s.addOrder(order{storedEnd: 40, worker: jobstate.WorkerKey{ID: "worker", BornUnixMs: 1}})
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -60,7 +60,7 @@
 	assert.Assert(t, again == 0 || len(c.stopped()) > 0, "started again, though a call of the previous agent may reach the new life")
 }
 
-// Guards against a task that is not started again, or whose crash is forgotten, after such a stop.
+// Guards against a task that is not started again, or whose crash is not counted, once the stop on the next life is answered.
 func TestRunStoppedOnTheLifeThatFollowsStartsAgainOnceItCanNotStartThere(t *testing.T) {
 	for name, newOwner := range map[string]bool{"same owner": false, "next owner": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -25,8 +25,8 @@
 type Path struct {
 	decisions []decision
 	next      int // index of the next decision
-	deviated  int // number of deviations before it
-	limit     int // of the deviations
+	deviated  int // number of deviations before that decision
+	limit     int // maximum number of deviations
 }
 
 // Choose returns one of the options, at least one. The point names the choice in an event list.
@@ -59,7 +59,7 @@
 	return strings.Join(out, "; ")
 }
 
-// advance moves on to the next path with exactly limit deviations or, on the way there, fewer. It returns
+// advance moves on to the next path, in depth-first order, with at most limit deviations. It returns
 // false after the last one.
 func (p *Path) advance() bool {
 	for i := len(p.decisions) - 1; i >= 0; i-- {
@@ -97,7 +97,7 @@
 			p.next, p.deviated = 0, 0
 			violation := scenario(p)
 			if p.deviated < limit && violation == "" {
-				continue // was played with a lower limit
+				continue // played before, with a lower limit
 			}
 			result.Paths++
 			result.Deviations = limit
--- a/internal/schedulestore/wave.go
+++ b/internal/schedulestore/wave.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	if w.Uncertain() {
+	if w.Uncertain() { // the writer accepts no other records before
 		if err := w.Append(ctx, w.unresolved); err != nil {
 			return err
 		}
--- a/internal/workeragent/lives_test.go
+++ b/internal/workeragent/lives_test.go
@@ -221,7 +221,7 @@
 	return a
 }
 
-// Guards against two runs of a task: a start call that outlives its worker is carried out by the next life.
+// Guards against two runs of a task: a start call that its worker left unanswered is executed by the next life.
 func TestStartWithoutAnswerIsStoppedOnTheNextLife(t *testing.T) {
 	w := newScriptedWorker(7)
 	a := newScriptedAgent(t, w, 7)
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -23,8 +23,8 @@
 	startValidity = 1500 * time.Millisecond
 	// maxStartCalls is how often a start call is made before a stop fences the run off.
 	maxStartCalls = 3
-	// maxOrderAge is how long after its receipt a start order is carried out. The owner may not want
-	// the run any more, as when the data centre has been evacuated since.
+	// maxOrderAge is how long after its receipt a start order is valid: the data centre may have been
+	// evacuated since.
 	maxOrderAge        = 2 * time.Second
 	orderRetryInterval = 60 * time.Millisecond
 	// rejectedRunTTL is how long a rejected run is remembered. No order takes that long
