--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -25,12 +25,16 @@
 	maxLoggedSuspects = 20
 )
 
-// crashedRun is a run that ended with its worker, and its age at the crash. started is set if
-// the worker had confirmed the start.
+// crashedRun is a run that ended with its worker.
 type crashedRun struct {
 	tracked *trackedRun
-	age     time.Duration
-	started bool
+	// age is the age of the run at the crash, at least; maxAge is the same, at most, or 0 if that is not
+	// known.
+	age, maxAge time.Duration
+	// started is set if the worker had confirmed the start, listed if a list of the worker named the run.
+	started, listed bool
+	// unseen is the time from the worker's last sign of the run to the crash, at most.
+	unseen time.Duration
 }
 
 // ageAt returns the age of the run at the crash of its worker, at least. Agents report ages up to
@@ -54,7 +58,10 @@
 			continue
 		}
 		if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil && tr.run.Worker == worker {
-			out = append(out, crashedRun{tracked: tr, age: tr.ageAt(at, time.Duration(r.AgeMs)*time.Millisecond), started: r.Started})
+			out = append(out, crashedRun{
+				tracked: tr, age: tr.ageAt(at, time.Duration(r.AgeMs)*time.Millisecond), maxAge: time.Duration(r.MaxAgeMs) * time.Millisecond,
+				started: r.Started, listed: r.Listed, unseen: time.Duration(r.UnseenMs) * time.Millisecond,
+			})
 		}
 	}
 	slices.SortFunc(out, func(a, b crashedRun) int { return cmp.Compare(a.age, b.age) })
@@ -96,7 +103,7 @@
 	e.crashes.add(record, now)
 	workerCrashes.increment(n.serviceName())
 	events.WorkerCrashed.Log("node", n.name, "worker", crash.WorkerId, "born", crash.BornUnixMs, "runs", len(runs),
-		"youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(runs[:suspects]), "suspectCount", suspects)
+		"agoMs", crash.AgoMs, "youngestMs", runs[0].age.Milliseconds(), "suspects", taskNames(runs[:suspects]), "suspectCount", suspects)
 	for i, r := range runs {
 		switch {
 		case cause == nil:
@@ -144,8 +151,9 @@
 	}
 	effect := en.job.CrashRun(run.Ref, run.Attempt, evidence, e.wall().UnixMilli())
 	_, task := en.job.Task(run.Ref)
-	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "cause", "worker crashed",
-		"ageMs", r.age.Milliseconds(), "started", r.started, "isolated", run.Isolated,
+	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "born", run.Worker.BornUnixMs, "cause", "worker crashed",
+		"evidence", evidence.String(), "ageMs", r.age.Milliseconds(), "maxAgeMs", r.maxAge.Milliseconds(), "unseenMs", r.unseen.Milliseconds(),
+		"started", r.started, "listed", r.listed, "isolated", run.Isolated,
 		"crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures, "lateCrashes", len(task.CrashAges), "suspect", task.Suspect)
 	if task.Suspect {
 		taskSuspects.increment(en.job.Spec.Queue)
@@ -159,7 +167,7 @@
 		e.forgetExposures(exposed)
 		tasksGivenUp.increment(en.job.Spec.Queue)
 		events.TaskGivenUp.Log("task", run.Ref.String(), "crashes", task.Crashes, "unconfirmedCrashes", task.UnconfirmedCrashes, "exposures", task.Exposures, "lateCrashes", len(task.CrashAges),
-			"node", n.name, "worker", run.Worker.ID, "isolated", run.Isolated)
+			"attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "born", run.Worker.BornUnixMs, "evidence", evidence.String(), "isolated", run.Isolated)
 		events.JobEnded.Log("job", run.Ref.Job, "phase", en.job.Phase, "queue", en.job.Spec.Queue, "cause", "a task crashed its workers",
 			"tookMs", en.job.EndedUnixMs-en.job.Spec.AcceptedUnixMs)
 	}
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -85,5 +85,6 @@
 	PlacementPolicyFailed   = define(7321, Warning, "placement policy call failed")
 	PlacementPolicyAnswered = define(7322, Info, "placement policy answered")
 	ServingMissIgnored      = define(7323, Info, "serving run misses its latency target with best-effort runs halted, ignored for pacing")
+	CrashRecorded           = define(7327, Warning, "crash of the worker recorded for the owner")
 	SetPaceFailed           = define(7319, Warning, "setting the pace of a run failed")
 )
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -47,6 +47,15 @@
 	CrashRepeated
 )
 
+// evidenceNames are the names of evidence in logs.
+var evidenceNames = map[CrashEvidence]string{
+	CrashExplained: "explained", CrashExposed: "exposed", CrashUnexplained: "unexplained", CrashSuspected: "suspected", CrashAlone: "alone",
+	CrashUnconfirmed: "start unconfirmed", CrashUnreported: "crash unreported", CrashAged: "kept by age", CrashRepeated: "repeated",
+}
+
+// String returns the name of the evidence in logs.
+func (e CrashEvidence) String() string { return evidenceNames[e] }
+
 // NeedsIsolation reports whether no other task may be started beside the task's next run,
 // so that a further crash has only one possible cause.
 func (t *Task) NeedsIsolation() bool {
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -100,8 +100,11 @@
 	// failedAt is the earliest time at which the worker may have crashed, by the first hold
 	// call that failed since its last answer.
 	failedAt boottime.Instant
-	// startedAt is when the agent last sent the start of each recent run.
-	startedAt map[runKey]boottime.Instant
+	// brokenAt is when that call lost its connection; 0 if it failed otherwise. refusedAt is when the
+	// first call since the last answer was refused; 0 if none was.
+	brokenAt, refusedAt boottime.Instant
+	// startedAt is when the agent last sent the start of each recent run, firstSentAt when it first did.
+	startedAt, firstSentAt map[runKey]boottime.Instant
 	// unlisted is when the worker confirmed the start of each run that no list has covered since.
 	unlisted    map[runKey]boottime.Instant
 	runs        map[runKey]platform.Run
@@ -112,7 +115,7 @@
 // newIncarnation returns an incarnation of which nothing is known yet.
 func newIncarnation(now boottime.Instant) *incarnation {
 	return &incarnation{
-		runs: map[runKey]platform.Run{}, startedAt: map[runKey]boottime.Instant{}, unlisted: map[runKey]boottime.Instant{}, lastAnswer: now,
+		runs: map[runKey]platform.Run{}, startedAt: map[runKey]boottime.Instant{}, firstSentAt: map[runKey]boottime.Instant{}, unlisted: map[runKey]boottime.Instant{}, lastAnswer: now,
 	}
 }
 
@@ -290,8 +293,8 @@
 // The caller holds mu.
 func (a *Agent) handleHoldError(inc *incarnation, err error) time.Duration {
 	inc.unansweredHolds++
-	inc.recordFailure(err, a.clock())
 	kind := platform.KindOf(err)
+	inc.recordFailure(err, a.clock())
 	if inc.unansweredHolds == 2 {
 		events.WorkerUnresponsive.LogError(err, "worker", inc.id, "silent", a.clock().Sub(inc.lastAnswer))
 	}
@@ -351,6 +354,7 @@
 		inc.latestLeaseEnd = max(inc.latestLeaseEnd, runs.Clock+a.node.Bounds.MaxLease)
 	}
 	inc.workerClock, inc.workerClockAt, inc.lastAnswer = runs.Clock, now, now
+	inc.brokenAt, inc.refusedAt = 0, 0
 	if inc.unansweredHolds > 0 || inc.refusedConnections > 0 || !inc.listed {
 		a.reportAllRuns = true
 		wake(a.wakeReport)
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -8,6 +8,8 @@
 
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
+	"chervilridge/internal/events"
+	"chervilridge/platform"
 )
 
 const (
@@ -36,18 +38,45 @@
 // recordFailure records the first failed hold call since the worker's last answer. A call
 // that fails other than by a timeout fails at the moment of the crash.
 func (inc *incarnation) recordFailure(err error, now boottime.Instant) {
+	if kind := platform.KindOf(err); inc.refusedAt == 0 && (kind == platform.ConnectionRefused || kind == platform.Superseded) {
+		inc.refusedAt = now
+	}
 	if inc.unansweredHolds > 1 {
 		return
 	}
-	inc.failedAt = now
-	if errors.Is(err, context.DeadlineExceeded) {
+	inc.failedAt, inc.brokenAt = now, 0
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		inc.failedAt = inc.lastAnswer
+	case platform.KindOf(err) == platform.NoAnswer:
+		inc.brokenAt = now
 	}
 }
 
 // earliestCrash returns the earliest time at which the incarnation may have crashed.
 func (inc *incarnation) earliestCrash() boottime.Instant { return max(inc.failedAt, inc.lastAnswer) }
 
+// latestCrash returns the latest time at which the incarnation, which has ended, may have crashed.
+func (inc *incarnation) latestCrash(now boottime.Instant) boottime.Instant {
+	if inc.refusedAt != 0 {
+		return inc.refusedAt
+	}
+	return now
+}
+
+// lastSeen returns when the worker last showed that it had the run, and whether a list named it; 0 if
+// it never did. While the worker answers, a hold call returns at the end of a run, so that a run
+// was there when the connection of that call broke.
+func (inc *incarnation) lastSeen(key runKey) (at boottime.Instant, listed bool) {
+	if _, listed = inc.runs[key]; listed {
+		return max(inc.lastAnswer, inc.brokenAt), true
+	}
+	if confirmedAt, confirmed := inc.unlisted[key]; confirmed {
+		return max(confirmedAt, inc.brokenAt), false
+	}
+	return 0, false
+}
+
 // recordCrash adds the end of an incarnation to the crashes to report, unless its end was
 // planned or nothing ran on it any more. The caller holds mu.
 func (a *Agent) recordCrash(inc *incarnation) {
@@ -55,18 +84,31 @@
 		return
 	}
 	crash := &crashReport{workerID: inc.id, bornUnixMs: inc.bornUnixMs, at: inc.earliestCrash()}
+	latest := inc.latestCrash(a.clock())
+	listedRuns, unconfirmed := 0, 0
 	for _, key := range inc.crashedRuns() {
-		_, listed := inc.runs[key]
+		seenAt, listed := inc.lastSeen(key)
 		if _, rejected := a.rejectedRuns[key]; rejected && !listed {
 			continue
 		}
-		run := &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt}
+		run := &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt, Listed: listed}
 		if run.Started = listed || !a.startPending(key); run.Started {
-			run.AgeMs = inc.runAge(key).Milliseconds()
+			run.AgeMs, run.UnseenMs = inc.runAge(key).Milliseconds(), latest.Sub(seenAt).Milliseconds()
+			if firstSentAt, known := inc.firstSentAt[key]; known {
+				run.MaxAgeMs = latest.Sub(firstSentAt).Milliseconds()
+			}
+		} else {
+			unconfirmed++
+		}
+		if listed {
+			listedRuns++
 		}
 		crash.runs = append(crash.runs, run)
 	}
 	a.crashes = append(a.crashes, crash)
+	events.CrashRecorded.Log("worker", inc.id, "born", inc.bornUnixMs, "runs", len(crash.runs), "listed", listedRuns, "unconfirmed", unconfirmed,
+		"windowMs", latest.Sub(inc.earliestCrash()).Milliseconds(), "silentMs", a.clock().Sub(inc.lastAnswer).Milliseconds(),
+		"unansweredHolds", inc.unansweredHolds, "connectionBroken", inc.brokenAt != 0)
 }
 
 // is reports whether a message describes this crash.
@@ -116,6 +158,7 @@
 	for key, startedAt := range inc.startedAt {
 		if now.Sub(startedAt) > maxRunAge {
 			delete(inc.startedAt, key)
+			delete(inc.firstSentAt, key)
 		}
 	}
 }
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -189,7 +189,7 @@
 			infos[key] = info
 		}
 		if startedAt, known := old.startedAt[key]; known {
-			inc.startedAt[key] = startedAt
+			inc.startedAt[key], inc.firstSentAt[key] = startedAt, old.firstSentAt[key]
 		}
 	}
 	for key := range a.pendingOrders {
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -260,6 +260,9 @@
 	until := inc.workerClock + end.Sub(inc.workerClockAt)*minClockRateMilli/1000
 	inc.latestLeaseEnd = max(inc.latestLeaseEnd, until)
 	inc.startedAt[key] = now
+	if _, sent := inc.firstSentAt[key]; !sent {
+		inc.firstSentAt[key] = now
+	}
 	order.calling = true
 	return platform.StartRequest{
 		Task: key.task, Attempt: key.attempt, Payload: order.start.Payload, LeaseExpiresAt: until, Fence: a.ownerEpoch,
