--- /dev/null
+++ b/internal/dispatch/crash_unproved_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chervilv2 "chervilridge/api/chervil/v2"
+)
+
+// betweenCrashes is the time from the end of a run to the next start at which the tests look, at most.
+const betweenCrashes = 10 * time.Second
+
+// requireNotGivenUp calls end each time the job's only task has been started, several times more often
+// than a task that crashes its workers may be started. end returns the agent of the next start. The job
+// must not fail, and must complete once a run is left alone.
+func (r *rig) requireNotGivenUp(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) {
+	r.t.Helper()
+	start, a := r.awaitStart(job, 0, a)
+	for range 2 * maxCrashStarts {
+		a = end(a, start)
+		start, a = r.awaitStartUnlessFailed(job, start.Attempt, a)
+	}
+	r.confirm(a, 2*suspectAge, start)
+	a.end(1, start, done)
+	r.waitPhase(job, jobCompleted)
+}
+
+// awaitStartUnlessFailed is awaitStart while the time passes. The job must not fail.
+func (r *rig) awaitStartUnlessFailed(job string, above uint32, a *testAgent) (*chervilv2.StartOrder, *testAgent) {
+	r.t.Helper()
+	const step = 100 * time.Millisecond
+	for range betweenCrashes / step {
+		a.report(&chervilv2.AgentReport{Full: true, Results: a.answerStops()})
+		r.settle()
+		assert.Assert(r.t, r.phase(job) != jobFailed, "given up after %d starts", above)
+		if start, _ := startOf(job, above, a); start != nil {
+			return start, a
+		}
+		r.clock.advance(step)
+	}
+	r.t.Fatalf("not started again within %v of start %d", betweenCrashes, above)
+	return nil, nil
+}
+
+func TestJobIsNotFailedByCrashesBeforeItsTaskHasStarted(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	r.requireNotGivenUp(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
+		a.crash(&chervilv2.CrashedRun{Task: start.Task, Attempt: start.Attempt})
+		return a
+	})
+}
+
+func TestJobIsNotFailedByCrashesAfterWhichItsRunsMayHaveEnded(t *testing.T) {
+	for name, age := range map[string]time.Duration{"just started when last seen": atStart, "older when last seen": long} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := r.attach("side-1", 32000)
+			r.submit(spec(jobID(1), 1))
+			r.requireNotGivenUp(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
+				run := crashedAt(start, age)
+				run.UnseenMs, run.MaxAgeMs = 2000, age.Milliseconds()+2000
+				a.crash(run)
+				return a
+			})
+		})
+	}
+}
+
+func TestJobIsNotFailedByWorkersThatAreOutOfReach(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	r.requireNotGivenUp(jobID(1), a, func(a *testAgent, _ *chervilv2.StartOrder) *testAgent {
+		r.disconnect(a)
+		r.clock.advance(2 * r.engine.settings.Bounds.MaxLease)
+		return r.attach(a.node+"x", 32000)
+	})
+}
