--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -149,6 +149,10 @@
 	if evidence == jobstate.CrashUnexplained && en.job.AddCrashAge(run.Ref, r.age) {
 		evidence = jobstate.CrashAged
 	}
+	if en.crashedAt == nil {
+		en.crashedAt = map[jobstate.TaskRef]boottime.Instant{}
+	}
+	en.crashedAt[run.Ref] = e.clock()
 	effect := en.job.CrashRun(run.Ref, run.Attempt, evidence, e.wall().UnixMilli())
 	_, task := en.job.Task(run.Ref)
 	events.RunLost.Log("task", run.Ref.String(), "attempt", run.Attempt, "node", n.name, "worker", run.Worker.ID, "born", run.Worker.BornUnixMs, "cause", "worker crashed",
--- a/internal/dispatch/crash_unproved_test.go
+++ b/internal/dispatch/crash_unproved_test.go
@@ -44,6 +44,27 @@
 	return nil, nil
 }
 
+// requireGivenUpOnceProved is requireNotGivenUp, but the task is only started after a pause once it has met
+// as many crashes as it takes to give it up, and then crashes two workers for certain, which is the end of it.
+func (r *rig) requireGivenUpOnceProved(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) {
+	r.t.Helper()
+	const crashesToGiveUp, provedCrashes = 4, 2
+	start, a := r.awaitStart(job, 0, a)
+	for crashes := 1; crashes <= 2*maxCrashStarts; crashes++ {
+		a = end(a, start)
+		endedAt := r.clock.read()
+		start, a = r.awaitStartUnlessFailed(job, start.Attempt, a)
+		paused := r.clock.read().Sub(endedAt)
+		assert.Assert(r.t, crashes < crashesToGiveUp || paused >= uncertainRetryInterval, "started %v after crash %d", paused, crashes)
+	}
+	for range provedCrashes - 1 {
+		a.crash(crashedAt(start, atStart))
+		start, a = r.awaitStartUnlessFailed(job, start.Attempt, a)
+	}
+	a.crash(crashedAt(start, atStart))
+	r.waitPhase(job, jobFailed)
+}
+
 func TestJobIsNotFailedByCrashesBeforeItsTaskHasStarted(t *testing.T) {
 	r := newRig(t)
 	a := r.attach("side-1", 32000)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -131,6 +131,8 @@
 	rejected *chervilv2.JobReply
 	// failedOn holds the IDs of the workers on which each task has failed.
 	failedOn map[jobstate.TaskRef]map[string]bool
+	// crashedAt is when the last run of each task ended with its worker.
+	crashedAt map[jobstate.TaskRef]boottime.Instant
 	// idleSince is when the job was first seen with waiting tasks and no run; 0
 	// otherwise.
 	idleSince boottime.Instant
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -19,6 +19,9 @@
 	// tasks for each worker that may be isolated for so long.
 	maxIsolationAge   = 5 * time.Second
 	maxLongIsolations = 2
+	// uncertainRetryInterval is the time between the starts of a task that may have crashed many workers, or
+	// none. Workers that leave starts unanswered may recover in it.
+	uncertainRetryInterval = 2 * time.Second
 	// workerReturnTime is how long a crashed worker usually takes to return, at most.
 	workerReturnTime = 5 * time.Second
 )
@@ -91,6 +94,12 @@
 	return limit
 }
 
+// awaitsRetry reports whether the task is not to be started yet, because it has met so many crashes of
+// workers of which none shows that it was there. A new owner does not know the time of the last one.
+func (e *Engine) awaitsRetry(en *jobEntry, ref jobstate.TaskRef, task *jobstate.Task) bool {
+	return task.AtCrashLimit() && e.clock().Sub(max(en.crashedAt[ref], e.epochStart)) < uncertainRetryInterval
+}
+
 // idlePercent returns the part of the CPU of a service's workers that nothing uses.
 func (e *Engine) idlePercent(service string) int {
 	var used, capacity int64
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -177,6 +177,9 @@
 		en.job.ForEachRun(func(*jobstate.Run) { runs++ })
 		runsLeft := jobstate.MaxRuns - runs
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
+			if e.awaitsRetry(en, ref, task) {
+				return
+			}
 			if runsLeft--; runsLeft < 0 {
 				return
 			}
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -10,11 +10,11 @@
 	// crashesToIsolate is the number of crashes from which a task is isolated although none
 	// of them came just after it had started.
 	crashesToIsolate = 3
-	// minConfirmedCrashes is the number of confirmed crashes from which a task may be given
+	// minConfirmedCrashes is the number of crashes under a run of the task from which it may be given
 	// up. It is if it was alone in being started at the last one.
 	minConfirmedCrashes = 2
-	// maxCrashes is the number of crashes at which a task is given up otherwise: of all, or of
-	// the unconfirmed ones if fewer than minConfirmedCrashes are confirmed.
+	// maxCrashes is the number of crashes at which a task is given up otherwise, unconfirmed ones
+	// included.
 	maxCrashes = 4
 	// maxCrashesAndExposures is the same including the crashes of which others are suspected
 	// more. The platform allows no further start.
@@ -66,6 +66,12 @@
 // kept by age.
 func (t *Task) CrashesAtStart() bool { return t.Suspect || t.allCrashes() >= crashesToIsolate }
 
+// AtCrashLimit reports whether the task has met as many crashes as it takes to give it up, but too few of
+// them while it certainly ran.
+func (t *Task) AtCrashLimit() bool {
+	return t.Crashes+t.Exposures < minConfirmedCrashes && t.allCrashes() >= maxCrashes
+}
+
 // allCrashes returns the number of crashes that ended a run of the task and whose cause is not
 // known to lie elsewhere.
 func (t *Task) allCrashes() uint32 { return t.Crashes + t.UnconfirmedCrashes + t.Exposures }
@@ -110,7 +116,7 @@
 
 // crashesWorkers reports whether the task has certainly caused crashes, the last one with the
 // evidence: from the second one on if the task was alone in being started at the last,
-// otherwise at maxCrashes. Exposures count if the last run was isolated, so that no other
+// otherwise at maxCrashes. Unconfirmed crashes alone show nothing, since the task may not have run. Exposures count if the last run was isolated, so that no other
 // run is suspected, and in any case at maxCrashesAndExposures.
 func (t *Task) crashesWorkers(evidence CrashEvidence, isolated bool) bool {
 	switch {
@@ -119,7 +125,7 @@
 	case evidence == CrashRepeated:
 		return true
 	case t.Crashes+t.Exposures < minConfirmedCrashes:
-		return t.UnconfirmedCrashes >= maxCrashes
+		return false
 	case t.allCrashes() >= maxCrashesAndExposures:
 		return true
 	case isolated && evidence != CrashExposed && t.allCrashes() >= maxCrashes:
