A crash report calls a run started only if the worker has said so (LOST)

A run that the worker had not listed was reported as started if no start order was pending. An order may be gone, or turned into a stop, without the worker having answered the start.

Now a run is started in a crash report if a list named it, or if its start was answered and no list has covered it since.

Failed before: TestRunOfWhichNoAnswerToldIsNotReportedAsStarted, for a stop under way and for no order. go test ./internal/workeragent -run 'Run|Crash|Silent': ok.

--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		run := &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt, Listed: listed}
-		if run.Started = listed || !a.startPending(key); run.Started {
+		if run.Started = seenAt != 0; run.Started {
 			run.AgeMs, run.UnseenMs = inc.runAge(key).Milliseconds(), latest.Sub(seenAt).Milliseconds()
 			if firstSentAt, known := inc.firstSentAt[key]; known {
 				run.MaxAgeMs = latest.Sub(firstSentAt).Milliseconds()
--- a/internal/workeragent/crash_test.go
+++ b/internal/workeragent/crash_test.go
@@ -120,3 +120,58 @@
 	inc.recordFailure(&platform.Error{Kind: platform.ConnectionRefused}, started.Add(400*time.Millisecond))
 	assert.Equal(t, inc.runAge(key), 400*time.Millisecond)
 }
+
+// recordedRun returns what an agent reports of the only run of a worker that has crashed at the time.
+func recordedRun(inc *incarnation, at boottime.Instant, orders map[runKey]*pendingOrder) *chervilv2.CrashedRun {
+	a := NewAgent(&platform.NodeSettings{}, nil, func() boottime.Instant { return at })
+	inc.id, inc.confirmed = workerID, true
+	a.pendingOrders = orders
+	a.recordCrash(inc)
+	return a.crashes[0].runs[0]
+}
+
+func TestRunOfWhichNoAnswerToldIsNotReportedAsStarted(t *testing.T) {
+	started, key := boottime.Instant(time.Hour), runKey{task1, 1}
+	for name, orders := range map[string]map[runKey]*pendingOrder{
+		"start without an answer": {key: {start: &chervilv2.StartOrder{}}},
+		"stop under way":          {key: {stopping: true}},
+		"no order":                {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inc := newIncarnation(started)
+			inc.startedAt[key] = started
+			assert.Assert(t, !recordedRun(inc, started.Add(time.Second), orders).Started)
+			inc.unlisted[key] = started
+			assert.Assert(t, recordedRun(inc, started.Add(time.Second), orders).Started)
+		})
+	}
+}
+
+func TestRunIsReportedWithTheTimeForWhichItWasNotSeen(t *testing.T) {
+	const listedFor, refusedAfter, goneAfter = time.Second, 1200 * time.Millisecond, 1500 * time.Millisecond
+	started, key := boottime.Instant(time.Hour), runKey{task1, 1}
+	broken := &platform.Error{Kind: platform.NoAnswer}
+	unanswered := &platform.Error{Kind: platform.NoAnswer, Cause: context.DeadlineExceeded}
+	for name, c := range map[string]struct {
+		failure error
+		unseen  time.Duration
+	}{
+		"connection broken": {broken, refusedAfter - listedFor - 100*time.Millisecond},
+		"no answer":         {unanswered, refusedAfter - listedFor},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inc := newIncarnation(started)
+			inc.startedAt[key], inc.firstSentAt[key] = started, started.Add(-300*time.Millisecond)
+			inc.runs[key] = platform.Run{}
+			inc.lastAnswer = started.Add(listedFor)
+			inc.unansweredHolds = 1
+			inc.recordFailure(c.failure, started.Add(listedFor+100*time.Millisecond))
+			inc.unansweredHolds = 2
+			inc.recordFailure(&platform.Error{Kind: platform.ConnectionRefused}, started.Add(refusedAfter))
+			run := recordedRun(inc, started.Add(goneAfter), nil)
+			assert.Assert(t, run.Started && run.Listed)
+			assert.Equal(t, run.UnseenMs, c.unseen.Milliseconds())
+			assert.Equal(t, run.MaxAgeMs, (refusedAfter + 300*time.Millisecond).Milliseconds())
+		})
+	}
+}
