--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -19,6 +19,9 @@
 	// service, that crash at the same moment if the cause lies outside of them.
 	minCommonCause     = 3
 	commonCausePercent = 10
+	// maxUnseen is how long before the crash a worker may last have shown a run that counts as having been
+	// there. It covers the two refused calls by which an agent finds that its worker has crashed.
+	maxUnseen = 500 * time.Millisecond
 	// maxReportedAge caps the ages of runs in the reports of agents.
 	maxReportedAge = 10 * time.Second
 	// maxLoggedSuspects bounds the suspects named in a log line.
@@ -37,6 +40,13 @@
 	unseen time.Duration
 }
 
+// certain reports whether the run was on the worker when it crashed.
+func (r crashedRun) certain() bool { return r.started && r.unseen <= maxUnseen }
+
+// mayBeCause reports whether the run, which had not just started, was on the worker when it crashed. A
+// lasting one does not end by itself, or rarely.
+func (r crashedRun) mayBeCause() bool { return r.certain() || r.started && r.tracked.step.LongRunning }
+
 // ageAt returns the age of the run at the crash of its worker, at least. Agents report ages up to
 // maxReportedAge.
 func (tr *trackedRun) ageAt(crash boottime.Instant, reported time.Duration) time.Duration {
@@ -107,7 +117,7 @@
 	for i, r := range runs {
 		switch {
 		case cause == nil:
-			e.crashRun(n, r, evidence(runs[:suspects], i))
+			e.crashRun(n, r, evidence(runs, suspects, i))
 		case r.tracked == cause:
 			e.crashRun(n, r, jobstate.CrashRepeated)
 			e.removeCrashesCausedBy(r)
@@ -119,23 +129,32 @@
 	e.replan()
 }
 
+// alone reports whether the only suspect was certainly the only run that had just started.
+func alone(suspects []crashedRun) bool {
+	return len(suspects) == 1 && suspects[0].certain() && suspects[0].tracked.run.Isolated
+}
+
 // evidence returns what the crash says about the run with the index. The first runs are the
 // suspects.
-func evidence(suspects []crashedRun, index int) jobstate.CrashEvidence {
-	alone := len(suspects) == 1 && suspects[0].started && suspects[0].tracked.run.Isolated
+func evidence(runs []crashedRun, suspects, index int) jobstate.CrashEvidence {
+	r := runs[index]
 	switch {
-	case len(suspects) == 0:
-		return jobstate.CrashUnexplained
-	case index >= len(suspects) && alone:
-		return jobstate.CrashExplained
-	case index >= len(suspects):
-		return jobstate.CrashExposed
-	case alone:
+	case index < suspects && alone(runs[:suspects]):
 		return jobstate.CrashAlone
-	case suspects[index].started:
+	case index < suspects && r.certain():
 		return jobstate.CrashSuspected
+	case index < suspects:
+		return jobstate.CrashUnconfirmed
+	case alone(runs[:suspects]):
+		return jobstate.CrashExplained
+	case suspects > 0 && !r.mayBeCause():
+		return jobstate.CrashExplained
+	case suspects > 0:
+		return jobstate.CrashExposed
+	case !r.mayBeCause():
+		return jobstate.CrashUnseen
 	}
-	return jobstate.CrashUnconfirmed
+	return jobstate.CrashUnexplained
 }
 
 // crashRun ends a run with its worker, and gives up its job if the task is the cause.
--- a/internal/dispatch/crash_late.go
+++ b/internal/dispatch/crash_late.go
@@ -10,7 +10,7 @@
 // repeatedCause returns the run that has caused the crash as its task has caused others long after
 // their starts, or nil if there is none. The first runs are the suspects.
 func (e *Engine) repeatedCause(service string, runs []crashedRun, suspects int, at boottime.Instant) *trackedRun {
-	if suspects == 1 && evidence(runs[:1], 0) == jobstate.CrashAlone {
+	if alone(runs[:suspects]) {
 		return nil
 	}
 	for i, r := range runs[suspects:] {
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -64,7 +64,8 @@
 	closed bool
 }
 
-// newCrashRecord returns the record of a crash. The first runs are the suspects.
+// newCrashRecord returns the record of a crash. The first runs are the suspects. It leaves out the runs that
+// the crash does not count against, since they may have ended before.
 func newCrashRecord(n *node, runs []crashedRun, suspects int, at boottime.Instant) *crashRecord {
 	c := &crashRecord{
 		at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{}, ages: map[jobstate.TaskRef]time.Duration{},
@@ -78,6 +79,9 @@
 			c.suspected[r.tracked.run.Ref] = r.age
 			continue
 		}
+		if !r.mayBeCause() {
+			continue
+		}
 		c.exposed = append(c.exposed, r.tracked.run.Ref)
 		c.ages[r.tracked.run.Ref] = r.age
 	}
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -36,11 +36,15 @@
 	// had, since the run was isolated.
 	CrashSuspected
 	CrashAlone
-	// CrashUnconfirmed means that the run may just have started, or not at all.
+	// CrashUnconfirmed means that the run may just have started, but also that it may not have been
+	// there: it never started, or had ended before the crash.
 	CrashUnconfirmed
 	// CrashUnreported means the same of a worker whose agent could not report the crash, as when
 	// the machine of both fails.
 	CrashUnreported
+	// CrashUnseen means that the run was old enough to have ended before the crash, since the worker had
+	// not shown it for some time.
+	CrashUnseen
 	// CrashAged means that the crash is kept by the age of the run, see Job.AddCrashAge.
 	CrashAged
 	// CrashRepeated means that the crash is one too many for the task, see Task.RepeatsCrash.
@@ -50,7 +54,7 @@
 // evidenceNames are the names of evidence in logs.
 var evidenceNames = map[CrashEvidence]string{
 	CrashExplained: "explained", CrashExposed: "exposed", CrashUnexplained: "unexplained", CrashSuspected: "suspected", CrashAlone: "alone",
-	CrashUnconfirmed: "start unconfirmed", CrashUnreported: "crash unreported", CrashAged: "kept by age", CrashRepeated: "repeated",
+	CrashUnconfirmed: "start unconfirmed", CrashUnreported: "crash unreported", CrashUnseen: "not seen before the crash", CrashAged: "kept by age", CrashRepeated: "repeated",
 }
 
 // String returns the name of the evidence in logs.
@@ -88,7 +92,7 @@
 		t.Crashes, t.Suspect = t.Crashes+1, true
 	case CrashUnconfirmed:
 		t.UnconfirmedCrashes, t.Suspect = t.UnconfirmedCrashes+1, true
-	case CrashUnreported:
+	case CrashUnreported, CrashUnseen:
 		t.UnconfirmedCrashes++
 	}
 }
