A run that may have outlived its start is not the sure cause at its second crash

Innocent tasks were given up at the second crash: both times the worker had left calls unanswered before it died, and the age reported with a crash is the lowest that is possible.

A run that was isolated is the sure cause at its second crash only if that is at most 500 ms; otherwise it is a suspect as before, and given up at the next crash that is sure, or at the fourth.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -15,6 +15,9 @@
 	// suspectAge is the age at the crash of its worker up to which a run is suspected of
 	// having caused the crash.
 	suspectAge = 250 * time.Millisecond
+	// maxLoneAge is the highest age that the only run that had just started may have had for the crash to
+	// be its own, by the first start call and the second refused call of its agent.
+	maxLoneAge = 2 * suspectAge
 	// minCommonCause and commonCausePercent are the number of workers, and the part of a
 	// service, that crash at the same moment if the cause lies outside of them.
 	minCommonCause     = 3
@@ -129,9 +132,10 @@
 	e.replan()
 }
 
-// alone reports whether the only suspect was certainly the only run that had just started.
+// alone reports whether the only suspect was isolated and had certainly just started. An agent that
+// does not know the highest age reports 0.
 func alone(suspects []crashedRun) bool {
-	return len(suspects) == 1 && suspects[0].certain() && suspects[0].tracked.run.Isolated
+	return len(suspects) == 1 && suspects[0].certain() && suspects[0].maxAge <= maxLoneAge && suspects[0].tracked.run.Isolated
 }
 
 // evidence returns what the crash says about the run with the index. The first runs are the
--- a/internal/dispatch/crash_unproved_test.go
+++ b/internal/dispatch/crash_unproved_test.go
@@ -101,3 +101,18 @@
 		return r.attach(a.node+"x", 32000)
 	})
 }
+
+func TestLoneRunThatMayHaveOutlivedItsStartIsNotGivenUpAtItsSecondCrash(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	start, a := r.awaitStart(jobID(1), 0, a)
+	a.crash(crashedAt(start, atStart))
+	start, a = r.awaitStart(jobID(1), start.Attempt, a)
+	run := crashedAt(start, atStart)
+	run.MaxAgeMs, run.UnseenMs = 900, 350
+	a.crash(run)
+	start, a = r.awaitStartUnlessFailed(jobID(1), start.Attempt, a)
+	a.crash(crashedAt(start, atStart))
+	r.waitPhase(jobID(1), jobFailed)
+}
