A run is not taken as seen while its worker, or its agent, is silent (LOST)

Jobs were failed by crashes under which none of their runs is known to have been.

Now a hold call counts until it is due (its wait and 150 ms), a reply as made at most so long after its call, and a refused connection as the end only if no later call was left unanswered.

--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -30,6 +30,9 @@
 	// pendingEndsPause is the pause between hold calls while run ends are not yet stored
 	// by the owner.
 	pendingEndsPause = 40 * time.Millisecond
+	// holdReplyDelay is the time after the wait of a hold call in which the worker answers, unless it is
+	// silent.
+	holdReplyDelay = 150 * time.Millisecond
 	// unansweredPause is the pause before the next hold call if the worker does not
 	// answer.
 	unansweredPause = 150 * time.Millisecond
@@ -100,8 +103,11 @@
 	// failedAt is the earliest time at which the worker may have crashed, by the first hold
 	// call that failed since its last answer.
 	failedAt boottime.Instant
-	// brokenAt is when that call lost its connection; 0 if it failed otherwise. refusedAt is when the
-	// first call since the last answer was refused; 0 if none was.
+	// holdDueAt is when the worker should have answered the present hold call.
+	holdDueAt boottime.Instant
+	// brokenAt is when the first call that failed since the last answer lost its connection; 0 if it
+	// failed otherwise, or was overdue. refusedAt is when the first of the latest calls that were all
+	// refused was; 0 if the latest was not.
 	brokenAt, refusedAt boottime.Instant
 	// startedAt is when the agent last sent the start of each recent run, firstSentAt when it first did.
 	startedAt, firstSentAt map[runKey]boottime.Instant
@@ -248,6 +254,7 @@
 	}
 	inc.latestLeaseEnd = max(inc.latestLeaseEnd, hold.ExpiresAt)
 	id, sentAt := inc.id, a.clock()
+	inc.holdDueAt = sentAt.Add(hold.Wait + holdReplyDelay)
 	a.mu.Unlock()
 
 	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+holdReplySlack)
@@ -301,6 +308,9 @@
 	inc.refusedConnections++
 	if kind != platform.ConnectionRefused {
 		inc.refusedConnections = 0
+		if kind != platform.Superseded {
+			inc.refusedAt = 0
+		}
 	}
 	switch {
 	case inc.id == "":
@@ -353,7 +363,9 @@
 	if inc.workerClockAt == 0 { // calls of an earlier process, or for an earlier incarnation, may have renewed the leases
 		inc.latestLeaseEnd = max(inc.latestLeaseEnd, runs.Clock+a.node.Bounds.MaxLease)
 	}
-	inc.workerClock, inc.workerClockAt, inc.lastAnswer = runs.Clock, now, now
+	inc.workerClock, inc.workerClockAt = runs.Clock, now
+	// A reply may be read long after it was sent, by an agent that was paused.
+	inc.lastAnswer = max(inc.lastAnswer, min(now, sentAt.Add(holdWait+holdReplyDelay)))
 	inc.brokenAt, inc.refusedAt = 0, 0
 	if inc.unansweredHolds > 0 || inc.refusedConnections > 0 || !inc.listed {
 		a.reportAllRuns = true
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -35,8 +35,8 @@
 	confirmed bool
 }
 
-// recordFailure records the first failed hold call since the worker's last answer. A call
-// that fails other than by a timeout fails at the moment of the crash.
+// recordFailure records a failed hold call. The first one since the worker's last answer tells when the
+// worker crashed at the earliest: then, unless it has been silent since its last answer.
 func (inc *incarnation) recordFailure(err error, now boottime.Instant) {
 	if kind := platform.KindOf(err); inc.refusedAt == 0 && (kind == platform.ConnectionRefused || kind == platform.Superseded) {
 		inc.refusedAt = now
@@ -46,7 +46,7 @@
 	}
 	inc.failedAt, inc.brokenAt = now, 0
 	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), inc.holdDueAt != 0 && now > inc.holdDueAt:
 		inc.failedAt = inc.lastAnswer
 	case platform.KindOf(err) == platform.NoAnswer:
 		inc.brokenAt = now
@@ -58,8 +58,10 @@
 
 // latestCrash returns the latest time at which the incarnation, which has ended, may have crashed.
 func (inc *incarnation) latestCrash(now boottime.Instant) boottime.Instant {
-	if inc.refusedAt != 0 {
-		return inc.refusedAt
+	for _, at := range []boottime.Instant{inc.refusedAt, inc.goneAt} {
+		if at != 0 {
+			now = min(now, at)
+		}
 	}
 	return now
 }
@@ -72,7 +74,8 @@
 		return max(inc.lastAnswer, inc.brokenAt), true
 	}
 	if confirmedAt, confirmed := inc.unlisted[key]; confirmed {
-		return max(confirmedAt, inc.brokenAt), false
+		answeredAt := min(confirmedAt, inc.startedAt[key].Add(startTimeout))
+		return max(answeredAt, inc.brokenAt), false
 	}
 	return 0, false
 }
--- a/internal/workeragent/crash_test.go
+++ b/internal/workeragent/crash_test.go
@@ -175,3 +175,70 @@
 		})
 	}
 }
+
+// failHolds makes an incarnation that listed its run 50 ms after the start, and whose hold calls then fail.
+func failHolds(started boottime.Instant, failures ...failedHold) *incarnation {
+	key := runKey{task1, 1}
+	inc := newIncarnation(started)
+	inc.startedAt[key], inc.firstSentAt[key] = started, started
+	inc.runs[key] = platform.Run{}
+	inc.lastAnswer = started.Add(50 * time.Millisecond)
+	inc.holdDueAt = inc.lastAnswer.Add(holdWait + holdReplyDelay)
+	a := NewAgent(&platform.NodeSettings{}, nil, func() boottime.Instant { return started })
+	for _, f := range failures {
+		a.clock = func() boottime.Instant { return started.Add(f.at) }
+		a.handleHoldError(inc, &platform.Error{Kind: f.kind, Cause: f.cause})
+	}
+	return inc
+}
+
+// failedHold is the failure of a hold call, at a time since the start.
+type failedHold struct {
+	kind  platform.ErrorKind
+	cause error
+	at    time.Duration
+}
+
+func TestRunIsNotSeenWhileItsWorkerIsSilent(t *testing.T) {
+	const unanswered, refused = platform.NoAnswer, platform.ConnectionRefused
+	timeout := context.DeadlineExceeded
+	started := boottime.Instant(time.Hour)
+	for name, c := range map[string]struct {
+		failures  []failedHold
+		minUnseen time.Duration
+	}{
+		"overdue call cut off":                 {[]failedHold{{unanswered, nil, 1100 * time.Millisecond}, {refused, nil, 1250 * time.Millisecond}}, 1200 * time.Millisecond},
+		"refused call long before the silence": {[]failedHold{{refused, nil, 100 * time.Millisecond}, {unanswered, timeout, 950 * time.Millisecond}, {unanswered, timeout, 1800 * time.Millisecond}, {refused, nil, 2 * time.Second}}, 1900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inc := failHolds(started, c.failures...)
+			run := recordedRun(inc, started.Add(c.failures[len(c.failures)-1].at), nil)
+			assert.Assert(t, run.UnseenMs >= c.minUnseen.Milliseconds(), "%v", run)
+			assert.Assert(t, run.AgeMs <= 100, "%v", run)
+		})
+	}
+}
+
+func TestRunIsNotSeenWhileItsAgentIsPaused(t *testing.T) {
+	started, key := boottime.Instant(time.Hour), runKey{task1, 1}
+	now := started
+	a := NewAgent(&platform.NodeSettings{}, nil, func() boottime.Instant { return now })
+	inc := newIncarnation(now)
+	inc.id, inc.bornUnixMs, inc.confirmed, inc.listed, inc.workerClockAt = workerID, 7, true, true, now
+	inc.startedAt[key], inc.firstSentAt[key] = now, now
+	a.incarnation = inc
+	now = started.Add(3 * time.Second)
+	list := platform.RunReport{BornUnixMs: 7, Clock: holdWait, Running: []platform.Run{{Task: task1, Attempt: 1}}}
+	a.handleHoldReply(context.Background(), inc, workerID, started, list, nil)
+	a.handleHoldError(inc, &platform.Error{Kind: platform.ConnectionRefused})
+	a.handleHoldError(inc, &platform.Error{Kind: platform.ConnectionRefused})
+	assert.Assert(t, a.crashes[0].runs[0].UnseenMs >= 2000, "%v", a.crashes[0].runs[0])
+}
+
+func TestRunIsSeenUntilItsWorkerIsFoundReplaced(t *testing.T) {
+	started := boottime.Instant(time.Hour)
+	inc := failHolds(started, failedHold{platform.NoAnswer, nil, 60 * time.Millisecond})
+	inc.goneAt = started.Add(260 * time.Millisecond)
+	run := recordedRun(inc, started.Add(1260*time.Millisecond), nil)
+	assert.Assert(t, run.UnseenMs <= 200, "%v", run)
+}
