--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -46,10 +46,6 @@
 // certain reports whether the run was on the worker when it crashed.
 func (r crashedRun) certain() bool { return r.started && r.unseen <= maxUnseen }
 
-// mayBeCause reports whether the run, which had not just started, was on the worker when it crashed. A
-// lasting one does not end by itself, or rarely.
-func (r crashedRun) mayBeCause() bool { return r.certain() || r.started && r.tracked.step.LongRunning }
-
 // ageAt returns the age of the run at the crash of its worker, at least. Agents report ages up to
 // maxReportedAge.
 func (tr *trackedRun) ageAt(crash boottime.Instant, reported time.Duration) time.Duration {
@@ -151,12 +147,10 @@
 		return jobstate.CrashUnconfirmed
 	case alone(runs[:suspects]):
 		return jobstate.CrashExplained
-	case suspects > 0 && !r.mayBeCause():
-		return jobstate.CrashExplained
+	case !r.certain():
+		return jobstate.CrashUnseen
 	case suspects > 0:
 		return jobstate.CrashExposed
-	case !r.mayBeCause():
-		return jobstate.CrashUnseen
 	}
 	return jobstate.CrashUnexplained
 }
--- a/internal/dispatch/crash_late.go
+++ b/internal/dispatch/crash_late.go
@@ -15,7 +15,7 @@
 	}
 	for i, r := range runs[suspects:] {
 		task := e.taskOf(r)
-		if !r.started || len(task.CrashAges) == 0 {
+		if !r.certain() || len(task.CrashAges) == 0 {
 			continue
 		}
 		since := at.Add(-2 * (task.CrashTime() + r.age))
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -79,7 +79,7 @@
 			c.suspected[r.tracked.run.Ref] = r.age
 			continue
 		}
-		if !r.mayBeCause() {
+		if !r.certain() {
 			continue
 		}
 		c.exposed = append(c.exposed, r.tracked.run.Ref)
--- a/internal/dispatch/crash_unproved_test.go
+++ b/internal/dispatch/crash_unproved_test.go
@@ -12,16 +12,27 @@
 // betweenCrashes is the time from the end of a run to the next start at which the tests look, at most.
 const betweenCrashes = 10 * time.Second
 
-// requireNotGivenUp calls end each time the job's only task has been started, several times more often
+// maxPausedLonger is how much longer than its pause a task may wait for a start, at most: until the leases of
+// its machine end.
+const maxPausedLonger = 3 * time.Second
+
+// requireNotFailed calls end each time the job's only task has been started, several times more often
 // than a task that crashes its workers may be started. end returns the agent of the next start. The job
-// must not fail, and must complete once a run is left alone.
-func (r *rig) requireNotGivenUp(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) {
+// must not fail. It returns the last start.
+func (r *rig) requireNotFailed(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) (*chervilv2.StartOrder, *testAgent) {
 	r.t.Helper()
 	start, a := r.awaitStart(job, 0, a)
 	for range 2 * maxCrashStarts {
 		a = end(a, start)
 		start, a = r.awaitStartUnlessFailed(job, start.Attempt, a)
 	}
+	return start, a
+}
+
+// requireNotGivenUp is requireNotFailed, and the job must complete once a run is left alone.
+func (r *rig) requireNotGivenUp(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) {
+	r.t.Helper()
+	start, a := r.requireNotFailed(job, a, end)
 	r.confirm(a, 2*suspectAge, start)
 	a.end(1, start, done)
 	r.waitPhase(job, jobCompleted)
@@ -48,7 +59,7 @@
 // as many crashes as it takes to give it up, and then crashes two workers for certain, which is the end of it.
 func (r *rig) requireGivenUpOnceProved(job string, a *testAgent, end func(*testAgent, *chervilv2.StartOrder) *testAgent) {
 	r.t.Helper()
-	const crashesToGiveUp, provedCrashes = 4, 2
+	const crashesToIsolate, crashesToGiveUp, provedCrashes = 3, 4, 2
 	start, a := r.awaitStart(job, 0, a)
 	for crashes := 1; crashes <= 2*maxCrashStarts; crashes++ {
 		a = end(a, start)
@@ -56,6 +67,8 @@
 		start, a = r.awaitStartUnlessFailed(job, start.Attempt, a)
 		paused := r.clock.read().Sub(endedAt)
 		assert.Assert(r.t, crashes < crashesToGiveUp || paused >= uncertainRetryInterval, "started %v after crash %d", paused, crashes)
+		assert.Assert(r.t, paused <= uncertainRetryInterval+maxPausedLonger, "started %v after crash %d", paused, crashes)
+		assert.Equal(r.t, r.task(job).Runs[0].Isolated, crashes >= crashesToIsolate || r.task(job).Suspect, "after crash %d", crashes)
 	}
 	for range provedCrashes - 1 {
 		a.crash(crashedAt(start, atStart))
@@ -82,9 +95,7 @@
 			a := r.attach("side-1", 32000)
 			r.submit(spec(jobID(1), 1))
 			r.requireNotGivenUp(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
-				run := crashedAt(start, age)
-				run.UnseenMs, run.MaxAgeMs = 2000, age.Milliseconds()+2000
-				a.crash(run)
+				a.crash(unseenFor(start, age))
 				return a
 			})
 		})
@@ -116,3 +127,45 @@
 	a.crash(crashedAt(start, atStart))
 	r.waitPhase(jobID(1), jobFailed)
 }
+
+// unseenFor is the end of a run at the age, at a crash of its worker that had not shown it for 2 s.
+func unseenFor(start *chervilv2.StartOrder, age time.Duration) *chervilv2.CrashedRun {
+	const unseen = 2 * time.Second
+	run := crashedAt(start, age)
+	run.UnseenMs, run.MaxAgeMs = unseen.Milliseconds(), (age + unseen).Milliseconds()
+	return run
+}
+
+func TestLastingJobIsNotFailedByCrashesAfterWhichItsRunsMayHaveEnded(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	job := spec(jobID(1), 1)
+	job.Steps[0].LongRunning = true
+	r.submit(job)
+	r.requireNotFailed(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
+		a.crash(unseenFor(start, long))
+		return a
+	})
+}
+
+func TestTaskIsIsolatedAfterCrashesBesideUnansweredStartsThoughItsRunsMayHaveEnded(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	start, a := r.awaitStart(jobID(1), 0, a)
+	needsIsolation := func() bool {
+		task := r.task(jobID(1))
+		return task.NeedsIsolation()
+	}
+	for beside := 2; !needsIsolation(); beside++ {
+		assert.Assert(t, start.Attempt <= maxCrashStarts, "started more than %d times", maxCrashStarts)
+		r.submit(spec(jobID(beside), 1))
+		other, _ := r.awaitStart(jobID(beside), 0, a)
+		a.crash(unseenFor(start, long), &chervilv2.CrashedRun{Task: other.Task, Attempt: other.Attempt})
+		other, _ = r.awaitStart(jobID(beside), other.Attempt, a)
+		r.confirm(a, 2*suspectAge, other)
+		a.end(1, other, done)
+		r.waitPhase(jobID(beside), jobCompleted)
+		start, a = r.awaitStartUnlessFailed(jobID(1), start.Attempt, a)
+	}
+}
