Owners and agents of earlier versions fail no job by what they can't say

An agent of the build before reports no highest age, and 0 passed for a run that had certainly just started; such a crash is not the second and last one any more (three or four are needed).

Failed before: TestCrashesAreKeptInTheRecord/many_unconfirmed (the stored number), TestLoneRunThatMayHaveOutlivedItsStartIsNotGivenUpAtItsSecondCrash/highest_age_unknown. TestJobIsFailedOnlyByTwoCrashesUnderItsRuns plays all sequences of five crashes of seven kinds; it passed before, too.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -128,10 +128,14 @@
 	e.replan()
 }
 
-// alone reports whether the only suspect was isolated and had certainly just started. An agent that
-// does not know the highest age reports 0.
+// alone reports whether the only suspect was isolated and had certainly just started. Agents of earlier
+// versions report no highest age.
 func alone(suspects []crashedRun) bool {
-	return len(suspects) == 1 && suspects[0].certain() && suspects[0].maxAge <= maxLoneAge && suspects[0].tracked.run.Isolated
+	if len(suspects) != 1 {
+		return false
+	}
+	r := suspects[0]
+	return r.certain() && r.maxAge > 0 && r.maxAge <= maxLoneAge && r.tracked.run.Isolated
 }
 
 // evidence returns what the crash says about the run with the index. The first runs are the
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -25,7 +25,7 @@
 
 // crashedAt describes a confirmed run that had the age when its worker crashed.
 func crashedAt(start *chervilv2.StartOrder, age time.Duration) *chervilv2.CrashedRun {
-	return &chervilv2.CrashedRun{Task: start.Task, Attempt: start.Attempt, AgeMs: age.Milliseconds(), Started: true}
+	return &chervilv2.CrashedRun{Task: start.Task, Attempt: start.Attempt, AgeMs: age.Milliseconds(), MaxAgeMs: age.Milliseconds(), Started: true, Listed: true}
 }
 
 // crash reports that the worker has crashed with the runs, and then that it is back as
--- a/internal/dispatch/crash_unproved_test.go
+++ b/internal/dispatch/crash_unproved_test.go
@@ -114,18 +114,22 @@
 }
 
 func TestLoneRunThatMayHaveOutlivedItsStartIsNotGivenUpAtItsSecondCrash(t *testing.T) {
-	r := newRig(t)
-	a := r.attach("side-1", 32000)
-	r.submit(spec(jobID(1), 1))
-	start, a := r.awaitStart(jobID(1), 0, a)
-	a.crash(crashedAt(start, atStart))
-	start, a = r.awaitStart(jobID(1), start.Attempt, a)
-	run := crashedAt(start, atStart)
-	run.MaxAgeMs, run.UnseenMs = 900, 350
-	a.crash(run)
-	start, a = r.awaitStartUnlessFailed(jobID(1), start.Attempt, a)
-	a.crash(crashedAt(start, atStart))
-	r.waitPhase(jobID(1), jobFailed)
+	for name, maxAgeMs := range map[string]int64{"may be older": 900, "highest age unknown": 0} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := r.attach("side-1", 32000)
+			r.submit(spec(jobID(1), 1))
+			start, a := r.awaitStart(jobID(1), 0, a)
+			a.crash(crashedAt(start, atStart))
+			start, a = r.awaitStart(jobID(1), start.Attempt, a)
+			run := crashedAt(start, atStart)
+			run.MaxAgeMs = maxAgeMs
+			a.crash(run)
+			start, a = r.awaitStartUnlessFailed(jobID(1), start.Attempt, a)
+			a.crash(crashedAt(start, atStart))
+			r.waitPhase(jobID(1), jobFailed)
+		})
+	}
 }
 
 // unseenFor is the end of a run at the age, at a crash of its worker that had not shown it for 2 s.
--- a/internal/jobstate/crash_test.go
+++ b/internal/jobstate/crash_test.go
@@ -15,16 +15,25 @@
 }
 
 func TestCrashesAreKeptInTheRecord(t *testing.T) {
-	j, ref := crashJob()
-	j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, CrashSuspected, 0)
-	j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, CrashUnconfirmed, 0)
-	j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, CrashExposed, 0)
-	j.Grant(ref, WorkerKey{Node: "n"}).Isolated = true
-	restored, err := Restore(j.Spec, j.Record())
-	assert.NilError(t, err)
-	_, want := j.Task(ref)
-	_, got := restored.Task(ref)
-	assert.DeepEqual(t, got, want)
+	for name, crashes := range map[string][]CrashEvidence{
+		"one of each":      {CrashSuspected, CrashUnconfirmed, CrashExposed},
+		"many unconfirmed": {CrashSuspected, CrashUnconfirmed, CrashUnconfirmed, CrashUnconfirmed, CrashUnconfirmed, CrashUnseen},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j, ref := crashJob()
+			for _, evidence := range crashes {
+				j.CrashRun(ref, j.Grant(ref, WorkerKey{Node: "n"}).Attempt, evidence, 0)
+			}
+			j.Grant(ref, WorkerKey{Node: "n"}).Isolated = true
+			record := j.Record()
+			restored, err := Restore(j.Spec, record)
+			assert.NilError(t, err)
+			_, want := j.Task(ref)
+			_, got := restored.Task(ref)
+			assert.DeepEqual(t, got, want)
+			assert.Assert(t, record.Steps[0].Tasks[0].UnconfirmedCrashes <= maxStoredUnconfirmed, "an owner of an earlier version would fail the job")
+		})
+	}
 }
 
 func TestOnlyARunThatStartedAloneIsGivenUpAtItsSecondCrash(t *testing.T) {
@@ -104,3 +113,30 @@
 		})
 	}
 }
+
+// Whatever the order of the crashes, only two under a run that was there make the job fail, and five of
+// any kind make it fail if two of them were.
+func TestJobIsFailedOnlyByTwoCrashesUnderItsRuns(t *testing.T) {
+	const crashes = 5
+	kinds := []CrashEvidence{CrashExposed, CrashUnexplained, CrashSuspected, CrashAlone, CrashUnconfirmed, CrashUnreported, CrashUnseen}
+	sequences := 1
+	for range crashes {
+		sequences *= len(kinds)
+	}
+	for sequence := range sequences {
+		for _, isolated := range []bool{false, true} {
+			j, ref := crashJob()
+			confirmed := 0
+			for n, rest := 0, sequence; n < crashes && !j.Ended(); n, rest = n+1, rest/len(kinds) {
+				evidence := kinds[rest%len(kinds)]
+				if evidence < CrashUnconfirmed {
+					confirmed++
+				}
+				run := j.Grant(ref, WorkerKey{})
+				run.Isolated = isolated
+				j.CrashRun(ref, run.Attempt, evidence, 0)
+			}
+			assert.Equal(t, j.Ended(), confirmed >= minConfirmedCrashes, "sequence %d, isolated %v", sequence, isolated)
+		}
+	}
+}
--- a/internal/jobstate/record.go
+++ b/internal/jobstate/record.go
@@ -8,6 +8,10 @@
 	chervilv2 "chervilridge/api/chervil/v2"
 )
 
+// maxStoredUnconfirmed is the most unconfirmed crashes in the field that earlier versions read too; one more
+// would make them fail the job.
+const maxStoredUnconfirmed = 3
+
 // Record returns the job's progress in its stored form, without steps that have no progress.
 func (j *Job) Record() *chervilv2.JobProgress {
 	out := &chervilv2.JobProgress{Phase: j.Phase, Started: j.Started, EndedUnixMs: j.EndedUnixMs}
@@ -53,7 +57,8 @@
 			}
 			record.Tasks = append(record.Tasks, &chervilv2.TaskRecord{
 				Task: uint32(i), Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Checkpoint: checkpoint,
-				Crashes: t.Crashes, UnconfirmedCrashes: t.UnconfirmedCrashes, Exposures: t.Exposures, Suspect: t.Suspect,
+				Crashes: t.Crashes, Exposures: t.Exposures, Suspect: t.Suspect,
+				UnconfirmedCrashes: min(t.UnconfirmedCrashes, maxStoredUnconfirmed), MoreUnconfirmedCrashes: t.UnconfirmedCrashes - min(t.UnconfirmedCrashes, maxStoredUnconfirmed),
 				CrashAgesMs: milliseconds(t.CrashAges),
 			})
 		}
@@ -154,7 +159,7 @@
 			step.markDone(task)
 		}
 		task.Attempt, task.Failures, task.Checkpoint = t.Attempt, t.Failures, t.Checkpoint
-		task.Crashes, task.UnconfirmedCrashes, task.Exposures, task.Suspect = t.Crashes, t.UnconfirmedCrashes, t.Exposures, t.Suspect
+		task.Crashes, task.UnconfirmedCrashes, task.Exposures, task.Suspect = t.Crashes, t.UnconfirmedCrashes+t.MoreUnconfirmedCrashes, t.Exposures, t.Suspect
 		task.CrashAges = durations(t.CrashAgesMs)
 	}
 	for _, p := range r.Placements {
