A stop is not held up by a client that has connected and sent nothing

Cause: grpc.Server.Stop and GracefulStop wait for the handshakes under way, which grpc ends after 120 s. Entry.stop called Stop without a bound, after up to 5.3 of the 6 s until SIGKILL; only the stop timeout of fx (30 s by default) ended it then. A client that is suspended, or whose machine is lost, between the connect and its first bytes is enough. The same in StopServer once its context had ended.

Change: CloseServer waits at most CloseTimeout (100 ms) for Stop; that is taken from the time for requests in progress, so that the sum of the bounds stays at 5.3 s: drain 2.2 s, requests in progress until 5.2 s, peers 0.1 s.

Shown: TestStopOfServerIsNotHeldUpByAnUnfinishedHandshake (both stops had not returned after 6 s) and TestStopOfEntryIsNotHeldUpByAnUnfinishedHandshake (the entry had not exited 6 s after SIGTERM) failed before and pass.

--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -207,7 +207,7 @@
 // stop shuts the process down gracefully: it fails the readiness probe, gives up the
 // ownership of the schedule and finishes requests in progress.
 func (e *Entry) stop(ctx context.Context) error {
-	deadline := time.Now().Add(e.node.Bounds.TerminationGrace - stopMargin)
+	deadline := time.Now().Add(e.node.Bounds.TerminationGrace - stopMargin - peer.CloseTimeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	e.draining.Store(true)
@@ -218,7 +218,7 @@
 	}
 	err := e.clientServer.Shutdown(ctx)
 	_ = e.readinessServer.Close()
-	e.peerServer.Stop()
+	peer.CloseServer(e.peerServer)
 	return err
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,8 @@
 	// no longer answers.
 	serverPingIdle    = 20 * time.Second
 	serverPingTimeout = 5 * time.Second
+	// CloseTimeout bounds CloseServer.
+	CloseTimeout = 100 * time.Millisecond
 )
 
 // ValidAddress reports whether the address is HOST:PORT, with a port from 1 to 65535.
@@ -154,6 +156,20 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		CloseServer(server)
+	}
+}
+
+// CloseServer closes the server and cancels its calls, for at most CloseTimeout. grpc.Server.Stop
+// alone waits for clients that have connected and sent nothing, up to two minutes.
+func CloseServer(server *grpc.Server) {
+	done := make(chan struct{})
+	go func() {
 		server.Stop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(CloseTimeout):
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
@@ -102,3 +103,46 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, !refused.StreamOpened())
 }
+
+// openWithoutHandshake connects to the server and sends nothing, as a client does that is suspended
+// just after it has connected.
+func openWithoutHandshake(t *testing.T, server *grpc.Server) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err = conn.Read(make([]byte, 1)) // the server's first bytes: it is in the handshake
+	assert.NilError(t, err)
+}
+
+// TestStopOfServerIsNotHeldUpByAnUnfinishedHandshake guards against a stop that waits for a client
+// which has connected and sends nothing.
+func TestStopOfServerIsNotHeldUpByAnUnfinishedHandshake(t *testing.T) {
+	const maxStop = 6 * time.Second // the platform's grace until SIGKILL
+	for name, stop := range map[string]func(*grpc.Server){
+		"graceful": func(server *grpc.Server) {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			StopServer(ctx, server)
+		},
+		"at once": CloseServer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := NewServer()
+			openWithoutHandshake(t, server)
+			stopped := make(chan struct{})
+			go func() {
+				stop(server)
+				close(stopped)
+			}()
+			select {
+			case <-stopped:
+			case <-time.After(maxStop):
+				t.Fatal("the stop has not returned")
+			}
+		})
+	}
+}
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -1,8 +1,10 @@
 package sitetest
 
 import (
+	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -201,6 +203,23 @@
 	s.waitExit(owner)
 }
 
+// TestStopOfEntryIsNotHeldUpByAnUnfinishedHandshake guards against an entry that is killed with
+// SIGKILL, since its stop waits for a process that has connected to it and is suspended.
+func TestStopOfEntryIsNotHeldUpByAnUnfinishedHandshake(t *testing.T) {
+	const grace = 6 * time.Second // from SIGTERM to SIGKILL
+	s := startSite(t, 1, 1)
+	entry := s.programs[entryName(0)]
+	conn, err := net.Dial("tcp", net.JoinHostPort(entry.ip, strconv.Itoa(peerPort)))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	s.signal(entry.name, syscall.SIGTERM)
+	select {
+	case <-entry.done:
+	case <-time.After(grace):
+		t.Fatalf("%s has not exited within %v of SIGTERM", entry.name, grace)
+	}
+}
+
 func TestBadSettingsEndTheProcess(t *testing.T) {
 	code, output := runWithSettings(t, "node=x\nip=127.0.0.1\n")
 	assert.Equal(t, code, 2)
