A stop is not held up by a log that nobody reads

Cause: the last step of a stop wrote the buffered log lines to standard output without a bound. If that is a pipe whose reader has stopped, the process was ended by the stop timeout of fx (30 s), that is by SIGKILL after 6 s.

Change: FlushLast waits at most 100 ms. Both bounds of this kind are taken from the time for requests in progress and, at agents, for the release; CloseTimeout becomes 50 ms, so that a request accepted at the end of the drain still has its 3 s. Entry: drain 2.2 s, requests in progress until 5.15 s, peers 0.05 s, log 0.1 s: 5.3 of 6 s.

Ruled out as the cause in the soak: there standard output is a file.

--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -173,7 +173,7 @@
 		OnStop: func(stopCtx context.Context) error {
 			err := e.stop(stopCtx)
 			cancel()
-			sink.Flush()
+			sink.FlushLast()
 			return err
 		},
 	})
@@ -207,7 +207,7 @@
 // stop shuts the process down gracefully: it fails the readiness probe, gives up the
 // ownership of the schedule and finishes requests in progress.
 func (e *Entry) stop(ctx context.Context) error {
-	deadline := time.Now().Add(e.node.Bounds.TerminationGrace - stopMargin - peer.CloseTimeout)
+	deadline := time.Now().Add(e.node.Bounds.TerminationGrace - stopMargin - peer.CloseTimeout - logsink.LastFlushTimeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	e.draining.Store(true)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -22,6 +22,8 @@
 	maxWriteBytes = 4096
 	// flushInterval bounds how long a line stays buffered. Batching saves write calls.
 	flushInterval = 100 * time.Millisecond
+	// LastFlushTimeout bounds FlushLast.
+	LastFlushTimeout = 100 * time.Millisecond
 )
 
 // Sink is a bounded buffer in front of a writer. It is safe for concurrent use.
@@ -66,6 +68,19 @@
 	}
 }
 
+// FlushLast is Flush before the process exits, for at most LastFlushTimeout: nobody may be reading.
+func (s *Sink) FlushLast() {
+	done := make(chan struct{})
+	go func() {
+		s.Flush()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(LastFlushTimeout):
+	}
+}
+
 // firstWriteSize returns how many bytes of lines go into the next write. It ends at a
 // line break, since the reader of a pipe may see each write separately. A single line
 // longer than maxWriteBytes is written whole.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,7 +36,7 @@
 	serverPingIdle    = 20 * time.Second
 	serverPingTimeout = 5 * time.Second
 	// CloseTimeout bounds CloseServer.
-	CloseTimeout = 100 * time.Millisecond
+	CloseTimeout = 50 * time.Millisecond
 )
 
 // ValidAddress reports whether the address is HOST:PORT, with a port from 1 to 65535.
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -220,6 +220,35 @@
 	}
 }
 
+// TestStopOfEntryIsNotHeldUpByItsLog guards against an entry that is killed with SIGKILL, since
+// nobody reads its standard output.
+func TestStopOfEntryIsNotHeldUpByItsLog(t *testing.T) {
+	const grace = 6 * time.Second // from SIGTERM to SIGKILL
+	s := startSite(t, 1, 1)
+	entry := s.programs[entryName(0)]
+	s.kill(entry.name)
+	entry.log = fullPipe(t)
+	s.startProgram(entry.name)
+	s.submitUntilAccepted(0, 1) // it owns the schedule, so that its stop has something to log
+	s.signal(entry.name, syscall.SIGTERM)
+	select {
+	case <-entry.done:
+	case <-time.After(grace):
+		t.Fatalf("%s has not exited within %v of SIGTERM", entry.name, grace)
+	}
+}
+
+// fullPipe returns the end for writing of a pipe that is full and that nobody reads.
+func fullPipe(t *testing.T) *os.File {
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = reader.Close() })
+	assert.NilError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = writer.Write(make([]byte, 1<<20))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	return writer
+}
+
 func TestBadSettingsEndTheProcess(t *testing.T) {
 	code, output := runWithSettings(t, "node=x\nip=127.0.0.1\n")
 	assert.Equal(t, code, 2)
--- a/internal/workeragent/module.go
+++ b/internal/workeragent/module.go
@@ -93,14 +93,14 @@
 			return nil
 		},
 		OnStop: func(stopCtx context.Context) error {
-			releaseCtx, release := context.WithTimeout(stopCtx, n.Bounds.TerminationGrace-shutdownTimeout-stopMargin)
+			releaseCtx, release := context.WithTimeout(stopCtx, n.Bounds.TerminationGrace-shutdownTimeout-stopMargin-logsink.LastFlushTimeout)
 			defer release()
 			a.awaitRelease(releaseCtx)
 			stopCtx, stop := context.WithTimeout(stopCtx, shutdownTimeout)
 			defer stop()
 			err := server.Shutdown(stopCtx)
 			cancel()
-			sink.Flush()
+			sink.FlushLast()
 			if stopCtx.Err() != nil {
 				return nil // an open connection of the worker must not fail the shutdown
 			}
