Two test processes of the real programs share no address

Cause: the second byte of all addresses was the process id modulo 200, so that two processes at a time may have the same one.

Change: a test process reserves its byte by a listener and takes the next one if that is taken. Test: two reservations from the same start differ.

--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -61,8 +61,22 @@
 	return m.Run()
 }
 
-// loopbackNet is the second byte of all addresses, so that two test processes seldom share some.
-var loopbackNet = 20 + os.Getpid()%200
+// loopbackNet is the second byte of all addresses. No other test process has the same one while
+// this one runs, since it listens on an address there.
+var loopbackNet, loopbackNetListener = reserveLoopbackNet(os.Getpid())
+
+// reserveLoopbackNet returns the second byte of addresses that no test process uses, and the
+// listener that reserves it. The search begins at a place that depends on first.
+func reserveLoopbackNet(first int) (int, net.Listener) {
+	const lowest, count = 20, 200
+	for i := range count {
+		n := lowest + (first+i)%count
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, peerPort)); err == nil { // sites are numbered from 1
+			return n, l
+		}
+	}
+	panic("no free loopback addresses")
+}
 
 // siteCount counts the sites of this test process. A site's number is part of its IP
 // addresses, so that no two sites share one.
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -17,6 +17,15 @@
 
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
+// TestTwoTestProcessesShareNoAddress guards against "address already in use" beside another test
+// process.
+func TestTwoTestProcessesShareNoAddress(t *testing.T) {
+	other, l := reserveLoopbackNet(os.Getpid())
+	defer func() { _ = l.Close() }()
+	assert.Assert(t, other != loopbackNet)
+	_ = loopbackNetListener
+}
+
 func TestJobsAreServedAcrossAllEntries(t *testing.T) {
 	s := startSite(t, 2, 3)
 	for i := range 10 {
