A leaving entry answers the requests that no owner has answered

Cause: a stop waited for requests in progress until its deadline, 5.15 s after SIGTERM, and exited; requests that were still waiting for an owner were cut off without an answer. Any with a deadline over 3 s, and with the usual 3 s those that reached a killed owner: they are tried until their deadline, so that a stop lasts as long as it may and leaves 0.7 s of the 6 s to a busy machine.

Change: 0.5 s before that deadline the contexts of requests in progress end, and each gets its answer: 503, or 504 if it may have been executed. A stop then takes 4.65 s and the time for the answers.

Shown: TestLeavingEntryAnswersRequestsThatOutlastIt failed before (EOF) and passes.

--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -44,6 +44,9 @@
 	// stopMargin is the part of the grace period before SIGKILL that a graceful stop
 	// leaves unused.
 	stopMargin = 700 * time.Millisecond
+	// answerTime is the part of a graceful stop that is left for answering the requests which no
+	// owner has answered by then.
+	answerTime = 500 * time.Millisecond
 	// storeReachableWithin is how recently the store must have responded to count as
 	// reachable.
 	storeReachableWithin = 1800 * time.Millisecond
@@ -74,6 +77,7 @@
 	peers           *Peers
 	draining        atomic.Bool
 	clientServer    *http.Server
+	endRequests     context.CancelFunc // ends the clients' requests in progress with an answer
 	readinessServer *http.Server
 	peerServer      *grpc.Server
 }
@@ -131,8 +135,11 @@
 func newEntry(n *platform.NodeSettings, x *election.Elector, f *operator.Follower, r *Router, p *Peers, s *Service, t *telemetry.Server) *Entry {
 	e := &Entry{node: n, elector: x, operator: f, router: r, peers: p, peerServer: peer.NewServer()}
 	chervilv2.RegisterSchedulerServer(e.peerServer, s)
+	requests, endRequests := context.WithCancel(context.Background())
+	e.endRequests = endRequests
 	e.clientServer = &http.Server{
 		Handler: NewClientAPI(f, r, n.StoreRecordBytes, e.draining.Load, t.Scope()).Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathReadiness, e.readiness)
@@ -211,6 +218,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	e.draining.Store(true)
+	defer time.AfterFunc(time.Until(deadline.Add(-answerTime)), e.endRequests).Stop()
 	go e.elector.Resign()
 	select {
 	case <-time.After(drainDelay):
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -1,6 +1,7 @@
 package sitetest
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -247,6 +248,35 @@
 	}
 }
 
+// TestLeavingEntryAnswersRequestsThatOutlastIt guards against requests that are cut off without an
+// answer, since no owner answers before a leaving entry exits.
+func TestLeavingEntryAnswersRequestsThatOutlastIt(t *testing.T) {
+	const grace = 6 * time.Second // from SIGTERM to SIGKILL
+	s := startSite(t, 1, 1)
+	entry := s.programs[entryName(0)]
+	s.store.SetFaults(metastore.Faults{Unresponsive: true}) // so that the owner confirms nothing
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", entry.ip, frontPort, jobPath(0)), nil)
+	assert.NilError(t, err)
+	request.Host = routeHost
+	request.Header.Set("Chervilridge-Deadline-Ms", "20000")
+	answered := make(chan error, 1)
+	go func() {
+		response, err := (&http.Client{}).Do(request)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	time.Sleep(200 * time.Millisecond) // the request has arrived
+	s.signal(entry.name, syscall.SIGTERM)
+	select {
+	case <-entry.done:
+	case <-time.After(grace):
+		t.Fatalf("%s has not exited within %v of SIGTERM", entry.name, grace)
+	}
+	assert.NilError(t, <-answered)
+}
+
 // fullPipe returns the end for writing of a pipe that is full and that nobody reads.
 func fullPipe(t *testing.T) *os.File {
 	reader, writer, err := os.Pipe()
