--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -1,8 +1,11 @@
 package sitetest
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,6 +18,15 @@
 
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
+// TestTwoTestProcessesShareNoAddress guards against "address already in use" beside another test
+// process.
+func TestTwoTestProcessesShareNoAddress(t *testing.T) {
+	other, l := reserveLoopbackNet(os.Getpid())
+	defer func() { _ = l.Close() }()
+	assert.Assert(t, other != loopbackNet)
+	_ = loopbackNetListener
+}
+
 func TestJobsAreServedAcrossAllEntries(t *testing.T) {
 	s := startSite(t, 2, 3)
 	for i := range 10 {
@@ -201,6 +213,81 @@
 	s.waitExit(owner)
 }
 
+// TestStopOfEntryIsNotHeldUpByAnUnfinishedHandshake guards against an entry that is killed with
+// SIGKILL, since its stop waits for a process that has connected to it and is suspended.
+func TestStopOfEntryIsNotHeldUpByAnUnfinishedHandshake(t *testing.T) {
+	const grace = 6 * time.Second // from SIGTERM to SIGKILL
+	s := startSite(t, 1, 1)
+	entry := s.programs[entryName(0)]
+	conn, err := net.Dial("tcp", net.JoinHostPort(entry.ip, strconv.Itoa(peerPort)))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	s.signal(entry.name, syscall.SIGTERM)
+	select {
+	case <-entry.done:
+	case <-time.After(grace):
+		t.Fatalf("%s has not exited within %v of SIGTERM", entry.name, grace)
+	}
+}
+
+// TestStopOfEntryIsNotHeldUpByItsLog guards against an entry that is killed with SIGKILL, since
+// nobody reads its standard output.
+func TestStopOfEntryIsNotHeldUpByItsLog(t *testing.T) {
+	const grace = 6 * time.Second // from SIGTERM to SIGKILL
+	s := startSite(t, 1, 1)
+	entry := s.programs[entryName(0)]
+	s.kill(entry.name)
+	entry.log = fullPipe(t)
+	s.startProgram(entry.name)
+	s.submitUntilAccepted(0, 1) // it owns the schedule, so that its stop has something to log
+	s.signal(entry.name, syscall.SIGTERM)
+	select {
+	case <-entry.done:
+	case <-time.After(grace):
+		t.Fatalf("%s has not exited within %v of SIGTERM", entry.name, grace)
+	}
+}
+
+// TestLeavingEntryAnswersRequestsThatOutlastIt guards against requests that are cut off without an
+// answer, since no owner answers before a leaving entry exits.
+func TestLeavingEntryAnswersRequestsThatOutlastIt(t *testing.T) {
+	const grace = 6 * time.Second // from SIGTERM to SIGKILL
+	s := startSite(t, 1, 1)
+	entry := s.programs[entryName(0)]
+	s.store.SetFaults(metastore.Faults{Unresponsive: true}) // so that the owner confirms nothing
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", entry.ip, frontPort, jobPath(0)), nil)
+	assert.NilError(t, err)
+	request.Host = routeHost
+	request.Header.Set("Chervilridge-Deadline-Ms", "20000")
+	answered := make(chan error, 1)
+	go func() {
+		response, err := (&http.Client{}).Do(request)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	time.Sleep(200 * time.Millisecond) // the request has arrived
+	s.signal(entry.name, syscall.SIGTERM)
+	select {
+	case <-entry.done:
+	case <-time.After(grace):
+		t.Fatalf("%s has not exited within %v of SIGTERM", entry.name, grace)
+	}
+	assert.NilError(t, <-answered)
+}
+
+// fullPipe returns the end for writing of a pipe that is full and that nobody reads.
+func fullPipe(t *testing.T) *os.File {
+	reader, writer, err := os.Pipe()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = reader.Close() })
+	assert.NilError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = writer.Write(make([]byte, 1<<20))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	return writer
+}
+
 func TestBadSettingsEndTheProcess(t *testing.T) {
 	code, output := runWithSettings(t, "node=x\nip=127.0.0.1\n")
 	assert.Equal(t, code, 2)
