--- a/internal/sitetest/crash_test.go
+++ b/internal/sitetest/crash_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"chervilridge/internal/standin/taskworker"
 )
 
 const (
@@ -62,3 +65,93 @@
 		})
 	}
 }
+
+// lostStarts loses start calls of a job's tasks, and crashes each worker that gets one, which
+// returns after workerRestart.
+type lostStarts struct {
+	*site
+	job        string
+	crashDelay time.Duration // from a start call to the crash
+
+	mu          sync.Mutex
+	crashesLeft int // number of crashes to come
+	// begun are the faults of the first start calls, at which the task begins to run. Later calls
+	// are lost.
+	begun    []taskworker.StartFault
+	crashing map[int]bool // workers to crash that have not returned yet
+}
+
+// startFault implements site.startFault.
+func (l *lostStarts) startFault(worker int, task string) taskworker.StartFault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !strings.HasPrefix(task, l.job+"."):
+		return taskworker.NoStartFault
+	case l.crashing[worker]:
+		return taskworker.LostStart
+	case l.crashesLeft == 0:
+		return taskworker.NoStartFault
+	}
+	l.crashesLeft--
+	l.crashing[worker] = true
+	time.AfterFunc(l.crashDelay, func() {
+		l.crashWorker(worker)
+		time.Sleep(workerRestart)
+		l.mu.Lock()
+		delete(l.crashing, worker)
+		l.mu.Unlock()
+		l.startWorker(worker)
+	})
+	if len(l.begun) == 0 {
+		return taskworker.LostStart
+	}
+	fault := l.begun[0]
+	l.begun = l.begun[1:]
+	return fault
+}
+
+// ended reports whether all crashes have come and all workers have returned.
+func (l *lostStarts) ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashesLeft == 0 && len(l.crashing) == 0
+}
+
+func TestJobIsNotFailedByCrashesBeforeItsTasksStarted(t *testing.T) {
+	const (
+		crashes = 6
+		// slowCrash is the time in which a start call is given up and repeated.
+		slowCrash = 700 * time.Millisecond
+	)
+	cases := []struct {
+		name  string
+		begun []taskworker.StartFault // of the crashes with a run of the task on the worker
+		delay time.Duration
+	}{
+		{"crash during the first start call", nil, crashDelay},
+		{"crash during a repeated start call", nil, slowCrash},
+		{"one run began and its answer was lost", []taskworker.StartFault{taskworker.LostStartAnswer}, crashDelay},
+		{"one run began and was confirmed", []taskworker.StartFault{taskworker.NoStartFault}, crashDelay},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, 4)
+			l := &lostStarts{site: s, job: jobID(0), crashDelay: c.delay, crashesLeft: crashes, begun: c.begun, crashing: map[int]bool{}}
+			s.startFault = l.startFault
+			s.startProcesses(2, 4)
+			s.submit(0, 1)
+			s.eventually("end of the crashes", func() bool {
+				assert.Assert(t, !s.isShown(0, "failed"), "the job is shown as failed, crashes under its tasks: %v", s.journal.Crashes(l.job))
+				return l.ended()
+			})
+			s.waitState(0, "completed")
+			total := 0
+			for _, n := range s.journal.Crashes(l.job) {
+				total += n
+			}
+			assert.Equal(t, total, len(c.begun))
+			assert.Equal(t, len(s.journal.Violations()), 0, s.journal.Violations())
+		})
+	}
+}
--- a/internal/sitetest/harness_test.go
+++ b/internal/sitetest/harness_test.go
@@ -101,7 +101,9 @@
 	useProxies bool
 	maxRuns    int // of each worker; 0 is no limit
 	// onTaskStart is called at each start of a task, with the number of its worker.
-	onTaskStart      func(worker int, task string)
+	onTaskStart func(worker int, task string)
+	// startFault returns the fault to inject into a start call to a worker.
+	startFault       func(worker int, task string) taskworker.StartFault
 	heartbeatCancels []context.CancelFunc
 	workerIDs        []string
 	startsMu         sync.Mutex
@@ -126,6 +128,7 @@
 		t: t, number: siteCount.Add(1), state: metastore.NewState(), journal: taskworker.NewJournal(), programs: map[string]*program{},
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, startCounts: make([]int, agents),
 		links: map[string]*proxy.Proxy{}, onTaskStart: func(int, string) {},
+		startFault: func(int, string) taskworker.StartFault { return taskworker.NoStartFault },
 	}
 	s.taskDuration.Store(int64(taskDuration))
 	s.store = metastore.NewServer(s.state, uint64(s.number))
@@ -284,6 +287,7 @@
 	w := taskworker.New(taskworker.Config{
 		ID: id, Service: serviceName, Address: announced, DataCentre: fmt.Sprintf("zone-%d", i),
 		CPUMilli: 8000, MemoryMB: workerMemoryMB, Labels: []string{"a", "r1-" + fmt.Sprint(i)}, MaxRuns: s.maxRuns, ClockRate: clockRates[i%len(clockRates)],
+		StartFault: func(task string) taskworker.StartFault { return s.startFault(i, task) },
 	}, func(task string) time.Duration {
 		s.startsMu.Lock() // mu may be held by a call that waits for this worker
 		s.startCounts[i]++
@@ -434,18 +438,21 @@
 // waitState waits until any entry shows job i in the state.
 func (s *site) waitState(i int, want string) {
 	s.t.Helper()
-	s.eventually(fmt.Sprintf("job %d %s", i, want), func() bool {
-		for _, name := range s.programNames {
-			p := s.programs[name]
-			if p.binary != "chervil-entry" {
-				continue
-			}
-			if status, body, _ := s.callAt(p.ip, http.MethodGet, jobPath(i), ""); status == http.StatusOK && strings.Contains(body, want) {
-				return true
-			}
+	s.eventually(fmt.Sprintf("job %d %s", i, want), func() bool { return s.isShown(i, want) })
+}
+
+// isShown reports whether any entry shows job i in the state.
+func (s *site) isShown(i int, state string) bool {
+	for _, name := range s.programNames {
+		p := s.programs[name]
+		if p.binary != "chervil-entry" {
+			continue
 		}
-		return false
-	})
+		if status, body, _ := s.callAt(p.ip, http.MethodGet, jobPath(i), ""); status == http.StatusOK && strings.Contains(body, state) {
+			return true
+		}
+	}
+	return false
 }
 
 // waitStateAt waits until the named entry shows job i in the state.
--- a/internal/standin/taskworker/crash_test.go
+++ b/internal/standin/taskworker/crash_test.go
@@ -95,3 +95,21 @@
 	j.recordStart("b", "t", 2)
 	assert.Equal(t, len(j.Violations()), 1, "%v", j.Violations())
 }
+
+func TestLostStartsAreNotAnsweredAndOnlyLostAnswersStartARun(t *testing.T) {
+	for fault, want := range map[StartFault]int{LostStart: 0, LostStartAnswer: 1} {
+		j := NewJournal()
+		w := New(Config{ID: "a", StartFault: func(string) StartFault { return fault }}, func(string) time.Duration { return time.Minute }, j)
+		server := httptest.NewServer(w.Handler())
+		response, err := (&http.Client{Timeout: 50 * time.Millisecond}).Post(server.URL+"/v1/run-start", "application/json", strings.NewReader(startCall))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		assert.Assert(t, err != nil, "the start is answered")
+		assert.Equal(t, w.Running(), want)
+		w.Close()
+		assert.Equal(t, j.Crashes("000000030000000b")[crashTask], want)
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
--- a/internal/standin/taskworker/http.go
+++ b/internal/standin/taskworker/http.go
@@ -100,6 +100,16 @@
 		return
 	}
 	deadline := time.Duration(b.DeadlineMs) * time.Millisecond
+	if w.config.StartFault != nil {
+		switch w.config.StartFault(b.Task) {
+		case LostStartAnswer:
+			w.startRun(b.Task, b.Attempt, deadline, b.Fence)
+			fallthrough
+		case LostStart:
+			<-r.Context().Done()
+			return
+		}
+	}
 	w.mu.Lock()
 	delay := w.faults.StartDelay
 	w.mu.Unlock()
--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -28,8 +28,22 @@
 	// MaxRuns is the number of concurrent runs above which a start is recorded as a
 	// violation; 0 is no limit.
 	MaxRuns int
+	// StartFault, if not nil, returns the fault to inject into a start call of the task.
+	StartFault func(task string) StartFault
 }
 
+// StartFault is a fault of one start call.
+type StartFault int
+
+// Faults of start calls.
+const (
+	NoStartFault StartFault = iota
+	// LostStart leaves the call without a response and does not carry it out.
+	LostStart
+	// LostStartAnswer carries the call out and leaves it without a response.
+	LostStartAnswer
+)
+
 // Faults are the faults to inject into a worker. The zero value injects none.
 type Faults struct {
 	// Hang leaves all calls without a response. FailAll ends each run as failed.
@@ -302,13 +316,14 @@
 	superseded   map[string]bool
 	doneRuns     map[string][]string // runs that ended as done, by task
 	startCounts  map[string]int
+	crashCounts  map[string]int // runs that ended with their worker, by task
 	violations   []string
 }
 
 // NewJournal returns an empty journal.
 func NewJournal() *Journal {
 	return &Journal{
-		running: map[string]string{}, doneCounts: map[string]int{}, startCounts: map[string]int{},
+		running: map[string]string{}, doneCounts: map[string]int{}, startCounts: map[string]int{}, crashCounts: map[string]int{},
 		acknowledged: map[string]string{}, superseded: map[string]bool{}, doneRuns: map[string][]string{},
 	}
 }
@@ -387,10 +402,27 @@
 	if j.running[task] == runName(worker, task, attempt) {
 		delete(j.running, task)
 	}
-	if outcome == "done" {
+	switch outcome {
+	case "done":
 		j.doneCounts[task]++
 		j.doneRuns[task] = append(j.doneRuns[task], runName(worker, task, attempt))
+	case "crashed":
+		j.crashCounts[task]++
+	}
+}
+
+// Crashes returns how many workers have crashed while a run of the task was on them, for each
+// task of the job with such a crash.
+func (j *Journal) Crashes(job string) map[string]int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := map[string]int{}
+	for task, count := range j.crashCounts {
+		if strings.HasPrefix(task, job+".") {
+			out[task] = count
+		}
 	}
+	return out
 }
 
 // Violations returns a description of each violation, in the order of detection.
