The soak loses start calls and crashes the workers that get them; failed jobs are checked on facts

New fault, drawn from a random source of its own, so that the other faults of a seed stay as they are: for 2 to 6 s the start calls of one task are lost, and each worker that gets one crashes 10 to 710 ms later, on worker after worker as the task is granted; in half of them the first call is carried out and only its answer is lost, if no worker has crashed under the task yet. In half of them the worker loses the start calls of all tasks meanwhile.

The final wait now checks it too; it took any failed state of a deadly job. What all programs logged about a job that is wrongly shown as failed goes to the test's log.

--- a/internal/sitetest/soak_faults_test.go
+++ b/internal/sitetest/soak_faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -39,6 +41,9 @@
 		if k.lifeRandom.IntN(lifeFaultInterval) == 0 {
 			k.replaceWorkerOrAgent()
 		}
+		if k.startLossRandom.IntN(startLossInterval) == 0 {
+			k.loseStarts()
+		}
 		time.Sleep(time.Duration(50+k.faultRandom.IntN(900)) * time.Millisecond)
 	}
 }
@@ -257,3 +262,83 @@
 	version := 2 + int(time.Since(k.startTime).Milliseconds())
 	k.injectFault(0, fmt.Sprintf("configuration %d", version), func() { k.putConfig(version, "quotes", fmt.Sprintf("q%d", version)) }, func() {})
 }
+
+// startLoss is a fault that loses start calls of one task at a time, and crashes each worker that
+// gets one.
+type startLoss struct {
+	begins     bool // the first call of a task is carried out, so that only its answer is lost
+	allTasks   bool // a worker that is to crash loses the start calls of all tasks
+	crashDelay time.Duration
+
+	task      string    // whose calls are lost; "" before the first
+	lastCrash time.Time // time of the latest crash after a call of the task, which may be to come
+	crashing  map[int]bool
+	crashes   sync.WaitGroup
+}
+
+// nextTaskDelay is the time after a crash without another start call of the task from which another
+// task takes its place.
+const nextTaskDelay = time.Second
+
+// loseStarts begins a startLoss, unless one is active.
+func (k *soak) loseStarts() {
+	l := &startLoss{
+		begins: k.startLossRandom.IntN(2) == 1, allTasks: k.startLossRandom.IntN(2) == 0,
+		crashDelay: crashDelay + time.Duration(k.startLossRandom.IntN(700))*time.Millisecond, crashing: map[int]bool{},
+	}
+	duration := time.Duration(2000+k.startLossRandom.IntN(4000)) * time.Millisecond
+	k.mu.Lock()
+	active := k.startLoss != nil
+	k.mu.Unlock()
+	if active {
+		return
+	}
+	name := fmt.Sprintf("starts lost, first one begun %t, all tasks %t, crashes after %v", l.begins, l.allTasks, l.crashDelay)
+	set := func(l *startLoss) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.startLoss = l
+	}
+	k.injectFault(duration, name, func() { set(l) }, func() { set(nil); l.crashes.Wait() })
+}
+
+// loseStart implements site.startFault by the active startLoss.
+func (k *soak) loseStart(worker int, task string) taskworker.StartFault {
+	id, _, _ := strings.Cut(task, ".")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l, job, agent := k.startLoss, k.jobs[id], k.programs[k.agentName(worker)]
+	switch {
+	case l == nil:
+		return taskworker.NoStartFault
+	case l.crashing[worker] && (l.allTasks || task == l.task || job != nil && job.deadly): // crashByTask could not count this crash
+		return taskworker.LostStart
+	case job == nil || job.deadly:
+		return taskworker.NoStartFault
+	case l.task == "" || time.Since(l.lastCrash) > nextTaskDelay:
+		l.task, l.lastCrash = task, time.Now()
+	}
+	switch {
+	case task != l.task:
+		return taskworker.NoStartFault
+	case agent.reserved:
+		return taskworker.LostStart
+	}
+	fault, delay := taskworker.LostStart, l.crashDelay
+	if l.begins && k.journal.Crashes(id)[task] == 0 { // two crashes under the task would let it fail
+		fault, delay = taskworker.LostStartAnswer, min(delay, taskDuration/2) // before the run is done
+	}
+	k.t.Logf("%.2f s: worker %d loses a start of %s (begun: %t) and crashes", time.Since(k.startTime).Seconds(), worker, task, fault == taskworker.LostStartAnswer)
+	agent.reserved, l.crashing[worker], l.lastCrash = true, true, time.Now().Add(delay)
+	l.crashes.Go(func() {
+		time.Sleep(delay)
+		k.crashWorker(worker)
+		time.Sleep(workerRestart)
+		k.mu.Lock()
+		delete(l.crashing, worker)
+		k.mu.Unlock()
+		k.startWorker(worker)
+		k.release(agent.name)
+	})
+	return fault
+}
--- a/internal/sitetest/soak_test.go
+++ b/internal/sitetest/soak_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,6 +45,8 @@
 	shrinkInterval = 6
 	// lifeFaultInterval is how many faults come with one worker or agent that is replaced.
 	lifeFaultInterval = 5
+	// startLossInterval is how many faults come with one that loses start calls.
+	startLossInterval = 6
 	// requestDeadline is the deadline that clients send with their requests.
 	requestDeadline = 3 * time.Second
 )
@@ -101,7 +105,10 @@
 	// before this kind was added stay as they were.
 	shrinkRandom *rand.Rand
 	// lifeRandom draws the workers and agents that are replaced, for the same reason.
-	lifeRandom  *rand.Rand
+	lifeRandom *rand.Rand
+	// startLossRandom draws the start calls that are lost, for the same reason.
+	startLossRandom *rand.Rand
+
 	entries     int
 	agents      int
 	startTime   time.Time
@@ -112,8 +119,10 @@
 	mu             sync.Mutex
 	jobs           map[string]*soakJob
 	violations     []string
+	failedJobs     []string // shown as failed although they may not be
 	activeFaults   int
-	faultFreeSince time.Time // when the last fault ended
+	faultFreeSince time.Time  // when the last fault ended
+	startLoss      *startLoss // nil if none is active
 }
 
 // soakJob is what the clients know about a job.
@@ -130,17 +139,25 @@
 	crashes, startsSince int
 }
 
-// mayFail reports whether the job may be shown as failed.
-func (j *soakJob) mayFail() bool { return j.deadly && j.crashes >= 2 }
+// mayFail reports whether the job may be shown as failed: it was to crash workers, and two have
+// crashed while a run of one of its tasks was on them. The caller holds mu.
+func (k *soak) mayFail(j *soakJob) bool {
+	most := 0
+	for _, crashes := range k.journal.Crashes(j.id) {
+		most = max(most, crashes)
+	}
+	return j.deadly && j.crashes >= 2 && most >= 2
+}
 
 // newSoak starts a site with proxies and checked task starts.
 func newSoak(t *testing.T, seed uint64, entries, agents int) *soak {
 	k := &soak{
 		site: newSite(t, agents), faultRandom: rand.New(rand.NewPCG(seed, seed)), shrinkRandom: rand.New(rand.NewPCG(seed, ^seed)), lifeRandom: rand.New(rand.NewPCG(^seed, seed)),
-		entries: entries, agents: agents,
+		startLossRandom: rand.New(rand.NewPCG(^seed, ^seed)),
+		entries:         entries, agents: agents,
 		jobs: map[string]*soakJob{}, clientsDone: make(chan struct{}), faultFreeSince: time.Now(),
 	}
-	k.useProxies, k.maxRuns, k.onTaskStart = true, 8, k.checkTaskStart
+	k.useProxies, k.maxRuns, k.onTaskStart, k.site.startFault = true, 8, k.checkTaskStart, k.loseStart
 	k.startProcesses(entries, agents)
 	return k
 }
@@ -272,7 +289,7 @@
 	status, body, _ := k.callAnyEntry(client, random, http.MethodGet, id, "")
 	k.mu.Lock()
 	job := k.jobs[id]
-	accepted, cancelSent, mayFail := job.accepted, job.cancelSent, job.mayFail()
+	accepted, cancelSent, mayFail := job.accepted, job.cancelSent, k.mayFail(job)
 	k.mu.Unlock()
 	switch {
 	case status == http.StatusGone && accepted:
@@ -280,8 +297,36 @@
 	case status != http.StatusOK:
 	case strings.Contains(body, "completed") && k.journal.DoneTasks(id) < tasksPerJob:
 		k.recordViolation("job %s is shown as completed with %d of %d tasks done", id, k.journal.DoneTasks(id), tasksPerJob)
-	case strings.Contains(body, "cancelled") && !cancelSent, strings.Contains(body, "failed") && !mayFail:
+	case strings.Contains(body, "cancelled") && !cancelSent:
 		k.recordViolation("job %s is shown as %s", id, body)
+	case strings.Contains(body, "failed") && !mayFail:
+		k.recordFailedJob(job, body)
+	}
+}
+
+// recordFailedJob records that a job is shown as failed which may not be.
+func (k *soak) recordFailedJob(job *soakJob, body string) {
+	k.recordViolation("job %s is shown as %s; crashes under its tasks: %v, deadly: %t, crashes by its first task: %d",
+		job.id, body, k.journal.Crashes(job.id), job.deadly, job.crashes)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.failedJobs = append(k.failedJobs, job.id)
+}
+
+// logJob writes the lines of all programs' logs that name the job to the test's log, except for
+// its requests.
+func (k *soak) logJob(id string) {
+	for _, name := range k.programNames {
+		content, err := os.ReadFile(k.programs[name].log.Name())
+		if err != nil {
+			k.t.Logf("log of %s: %v", name, err)
+			continue
+		}
+		for line := range strings.Lines(string(content)) {
+			if strings.Contains(line, id) && !strings.Contains(line, "event=7203") {
+				k.t.Logf("%s: %s", name, strings.TrimSpace(line))
+			}
+		}
 	}
 }
 
@@ -320,7 +365,14 @@
 			}
 			open++
 			status, body, _ := k.callAnyEntry(client, random, http.MethodGet, job.id, "")
-			job.ended = status == http.StatusOK && (strings.Contains(body, "completed") || job.cancelSent && strings.Contains(body, "cancelled") || job.deadly && strings.Contains(body, "failed"))
+			failed := status == http.StatusOK && strings.Contains(body, "failed")
+			k.mu.Lock()
+			mayFail := k.mayFail(job)
+			k.mu.Unlock()
+			if failed && !mayFail {
+				k.recordFailedJob(job, body)
+			}
+			job.ended = failed || status == http.StatusOK && (strings.Contains(body, "completed") || job.cancelSent && strings.Contains(body, "cancelled"))
 		}
 		if open == 0 {
 			return
@@ -343,7 +395,7 @@
 			if job.startsSince >= 3 {
 				k.recordViolation("job %s was started %d times more after its first task had crashed three workers", job.id, job.startsSince)
 			}
-			if done := k.journal.DoneTasks(job.id); !job.cancelSent && !job.mayFail() && done != tasksPerJob {
+			if done := k.journal.DoneTasks(job.id); !job.cancelSent && !k.mayFail(job) && done != tasksPerJob {
 				k.recordViolation("job %s has %d of %d tasks done", job.id, done, tasksPerJob)
 			}
 		case !job.outcomeUnknown:
@@ -354,6 +406,10 @@
 		}
 	}
 	k.t.Logf("%d jobs: %d accepted, %d always rejected", len(k.jobs), accepted, rejected)
+	slices.Sort(k.failedJobs)
+	for _, id := range slices.Compact(k.failedJobs) {
+		k.logJob(id)
+	}
 	assert.Assert(k.t, accepted > 0, "no job was accepted")
 	assert.Equal(k.t, len(k.journal.Violations()), 0, "%s", strings.Join(k.journal.Violations(), "\n"))
 	assert.Equal(k.t, len(k.violations), 0, "%s", strings.Join(k.violations, "\n"))
