--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -106,9 +106,9 @@
 	// holdDueAt is when the worker should have answered the present hold call.
 	holdDueAt boottime.Instant
 	// brokenAt is when the first call that failed since the last answer lost its connection; 0 if it
-	// failed otherwise, or was overdue. refusedAt is when the first of the latest calls that were all
-	// refused was; 0 if the latest was not.
-	brokenAt, refusedAt boottime.Instant
+	// failed otherwise, or was overdue. unreachableAt is when the first of the latest calls failed that
+	// were all refused or lost their connection; 0 if the latest was answered, or left without an answer.
+	brokenAt, unreachableAt boottime.Instant
 	// startedAt is when the agent last sent the start of each recent run, firstSentAt when it first did.
 	startedAt, firstSentAt map[runKey]boottime.Instant
 	// unlisted is when the worker confirmed the start of each run that no list has covered since.
@@ -308,9 +308,6 @@
 	inc.refusedConnections++
 	if kind != platform.ConnectionRefused {
 		inc.refusedConnections = 0
-		if kind != platform.Superseded {
-			inc.refusedAt = 0
-		}
 	}
 	switch {
 	case inc.id == "":
@@ -366,7 +363,7 @@
 	inc.workerClock, inc.workerClockAt = runs.Clock, now
 	// A reply may be read long after it was sent, by an agent that was paused.
 	inc.lastAnswer = max(inc.lastAnswer, min(now, sentAt.Add(holdWait+holdReplyDelay)))
-	inc.brokenAt, inc.refusedAt = 0, 0
+	inc.brokenAt, inc.unreachableAt = 0, 0
 	if inc.unansweredHolds > 0 || inc.refusedConnections > 0 || !inc.listed {
 		a.reportAllRuns = true
 		wake(a.wakeReport)
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -38,15 +38,23 @@
 // recordFailure records a failed hold call. The first one since the worker's last answer tells when the
 // worker crashed at the earliest: then, unless it has been silent since its last answer.
 func (inc *incarnation) recordFailure(err error, now boottime.Instant) {
-	if kind := platform.KindOf(err); inc.refusedAt == 0 && (kind == platform.ConnectionRefused || kind == platform.Superseded) {
-		inc.refusedAt = now
+	unanswered := errors.Is(err, context.DeadlineExceeded)
+	switch platform.KindOf(err) {
+	case platform.ConnectionRefused, platform.Superseded, platform.NoAnswer:
+		if unanswered {
+			inc.unreachableAt = 0
+		} else if inc.unreachableAt == 0 {
+			inc.unreachableAt = now
+		}
+	default: // the worker has answered
+		inc.unreachableAt = 0
 	}
 	if inc.unansweredHolds > 1 {
 		return
 	}
 	inc.failedAt, inc.brokenAt = now, 0
 	switch {
-	case errors.Is(err, context.DeadlineExceeded), inc.holdDueAt != 0 && now > inc.holdDueAt:
+	case unanswered, inc.holdDueAt != 0 && now > inc.holdDueAt:
 		inc.failedAt = inc.lastAnswer
 	case platform.KindOf(err) == platform.NoAnswer:
 		inc.brokenAt = now
@@ -58,7 +66,7 @@
 
 // latestCrash returns the latest time at which the incarnation, which has ended, may have crashed.
 func (inc *incarnation) latestCrash(now boottime.Instant) boottime.Instant {
-	for _, at := range []boottime.Instant{inc.refusedAt, inc.goneAt} {
+	for _, at := range []boottime.Instant{inc.unreachableAt, inc.goneAt} {
 		if at != 0 {
 			now = min(now, at)
 		}
