dispatch: a late culprit is told by its own earlier crashes, not by another task's count

Cause: at the fourth crash the rule compared the number of crashes of each run on the worker at its age, without asking whether they were the same crashes. In all 16 traced failures the culprit (task 21) had 16.0 s three times, without a run near it in number in any of them. Beside it now sat an innocent task (11) that had lost two workers to another culprit (22, at 20 s) at 22 and 21 s, having started 2 and 1 s before it, and stood at 21.0 or 21.5 s. Two against three is not "clearly fewer", so that nobody was given up, and the culprit started again.

Ruled out: the tolerance of 1/16 as such (the ages of the culprit agree exactly; a narrower one moves the case to other ages), a lost count, the time of plans (same crashes in passing and failing plays up to the last one, where the innocent task sits beside the culprit or not).

Change: a task is also given up at its fourth crash at one age if in each of three earlier recorded ones no other task that lost a run has nearly as many crashes at its own age. Another task explains at most the last crash, not those it was not in. Tasks that are always together remain rivals. A new owner has no record of the earlier crashes, so that the former rule decides alone.

Why it holds for innocents: three crashes at one age without a rival and a fourth are asked for, and the former rule gives such a task up at any fourth crash without a rival on the worker; the new one does so beside one. So a task under which fewer than four workers have crashed is never given up by it.

TestCulpritIsGivenUpAlthoughAnInnocentTaskMetAnotherCulpritAsOften, the recorded sequence played without timing, failed: [20] given up, [20 21] wanted. TestNoTaskIsGivenUpForCrashesThatAnotherExplains passed before and fails if rivals are ignored (edit by hand).

--- a/internal/dispatch/crash_late.go
+++ b/internal/dispatch/crash_late.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/jobstate"
@@ -19,7 +20,10 @@
 			continue
 		}
 		since := at.Add(-2 * (task.CrashTime() + r.age))
-		others := jobstate.OtherRuns{Elsewhere: suspects > 0 || e.crashes.crashedWithout(r.tracked.run.Ref, service, since)}
+		others := jobstate.OtherRuns{
+			Elsewhere:  suspects > 0 || e.crashes.crashedWithout(r.tracked.run.Ref, service, since),
+			Unrivalled: e.unrivalledCrashes(r, runs[suspects:]),
+		}
 		for k, o := range runs[suspects:] {
 			if k != i {
 				other := e.taskOf(o)
@@ -34,6 +38,54 @@
 	return nil
 }
 
+// unrivalledCrashes returns the number of earlier crashes of the run's task at its age without a rival, see
+// jobstate.OtherRuns. The runs are those that have now ended. Who was in the crashes before the owner's
+// time is not known, so that these do not count.
+func (e *Engine) unrivalledCrashes(r crashedRun, runs []crashedRun) int {
+	ref, atAge := r.tracked.run.Ref, e.taskOf(r).CrashesAt(r.age)
+	checked, unrivalled := 0, 0
+	for _, c := range slices.Backward(e.crashes.records) {
+		age, ok := c.ages[ref]
+		if checked == atAge {
+			break // the older records are of crashes that have been taken back
+		}
+		if !ok || !c.counts() || !jobstate.SameCrashAge(age, r.age) {
+			continue
+		}
+		checked++
+		rivalled := slices.ContainsFunc(c.exposed, func(o jobstate.TaskRef) bool {
+			return o != ref && !jobstate.ClearlyFewer(e.crashesAt(o, c.ages[o], runs), atAge+1)
+		})
+		if !rivalled {
+			unrivalled++
+		}
+	}
+	return unrivalled
+}
+
+// crashesAt returns the number of crashes of a task at the age, with the one that has now ended the
+// runs. Those of a task that is no longer known are counted from the records.
+func (e *Engine) crashesAt(ref jobstate.TaskRef, age time.Duration, runs []crashedRun) int {
+	crashes := 0
+	if slices.ContainsFunc(runs, func(r crashedRun) bool { return r.tracked.run.Ref == ref && jobstate.SameCrashAge(r.age, age) }) {
+		crashes = 1
+	}
+	if en := e.jobs[ref.Job]; en != nil {
+		if _, task := en.job.Task(ref); task != nil {
+			return crashes + task.CrashesAt(age)
+		}
+	}
+	for _, c := range e.crashes.records {
+		if other, ok := c.ages[ref]; ok && c.counts() && jobstate.SameCrashAge(other, age) {
+			crashes++
+		}
+	}
+	return crashes
+}
+
+// counts reports whether the crash may have been caused by any of the runs that it ended.
+func (c *crashRecord) counts() bool { return c.unexplained && !c.retracted }
+
 // removeCrashesCausedBy takes the crashes that a run has caused at its age back from the tasks that
 // ended with it.
 func (e *Engine) removeCrashesCausedBy(r crashedRun) {
--- a/internal/jobstate/crash_age.go
+++ b/internal/jobstate/crash_age.go
@@ -99,10 +99,18 @@
 	MostCrashes, MostAtAge int
 	// Elsewhere is set if there have been crashes of which the task is not a possible cause.
 	Elsewhere bool
+	// Unrivalled is the number of earlier crashes at this age in which each other task that lost a run has
+	// had clearly fewer at its own age, see ClearlyFewer.
+	Unrivalled int
 }
 
+// ClearlyFewer reports whether a task with the number of crashes at one age, the newest included, is no rival
+// of a task with the other number.
+func ClearlyFewer(crashes, than int) bool { return crashes+1 < than }
+
 // RepeatsCrash reports whether a further crash at the age has the task as its cause. It has if
 //   - it may have caused minRepeatedCrashes at this age, and each other run clearly fewer,
+//   - or minRepeatedCrashes without a rival, even if one of the other runs is a rival now,
 //   - or maxRepeatedCrashes, and each other run fewer,
 //   - or maxRepeatedCrashes at ages within outlivedFactor of each other, while none of the other runs
 //     may have caused several and no other crash came since the first one.
@@ -111,6 +119,8 @@
 	switch {
 	case atAge >= minRepeatedCrashes && atAge > min(others.MostCrashes, others.MostAtAge+1):
 		return true
+	case min(atAge, others.Unrivalled) >= minRepeatedCrashes:
+		return true
 	case atAge >= maxRepeatedCrashes && atAge > others.MostAtAge:
 		return true
 	}
