--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -108,6 +108,7 @@
 		record = newCrashRecord(n, runs, 0, at)
 		record.retracted = true
 	}
+	n.crashed = runs[0].tracked.run.Worker
 	n.isolationCrashedAt = max(n.isolationCrashedAt, isolationCrash(runs, now))
 	e.crashes.add(record, now)
 	workerCrashes.increment(n.serviceName())
@@ -116,7 +117,7 @@
 	for i, r := range runs {
 		switch {
 		case cause == nil:
-			e.crashRun(n, r, evidence(runs, suspects, i))
+			record.counted[r.tracked.run.Ref] = e.crashRun(n, r, evidence(runs, suspects, i))
 		case r.tracked == cause:
 			e.crashRun(n, r, jobstate.CrashRepeated)
 			e.removeCrashesCausedBy(r)
@@ -159,8 +160,9 @@
 	return jobstate.CrashUnexplained
 }
 
-// crashRun ends a run with its worker, and gives up its job if the task is the cause.
-func (e *Engine) crashRun(n *node, r crashedRun, evidence jobstate.CrashEvidence) {
+// crashRun ends a run with its worker, and gives up its job if the task is the cause. It returns the
+// evidence by which the crash was counted.
+func (e *Engine) crashRun(n *node, r crashedRun, evidence jobstate.CrashEvidence) jobstate.CrashEvidence {
 	run := r.tracked.run
 	n.removeRun(runKey{run.Ref, run.Attempt})
 	en := e.jobs[run.Ref.Job]
@@ -197,6 +199,29 @@
 			"tookMs", en.job.EndedUnixMs-en.job.Spec.AcceptedUnixMs)
 	}
 	e.markDirty(run.Ref.Job, en)
+	return evidence
+}
+
+// takeBackCrash takes back what the crash of the node's worker was counted as, since the worker lives.
+func (e *Engine) takeBackCrash(n *node) {
+	worker := n.crashed
+	n.crashed = jobstate.WorkerKey{}
+	if worker.BornUnixMs == 0 {
+		return // another incarnation may have the same id
+	}
+	for _, c := range e.crashes.removeOf(worker) {
+		events.CrashTakenBack.Log("node", worker.Node, "worker", worker.ID, "born", worker.BornUnixMs, "runs", len(c.counted), "agoMs", e.clock().Sub(c.at).Milliseconds())
+		for ref, evidence := range c.counted {
+			en := e.jobs[ref.Job]
+			if en == nil || !c.stillCounts(ref) || !en.job.TakeBackCrash(ref, evidence, c.ages[ref]) {
+				continue
+			}
+			if !e.crashes.suspected(ref) {
+				en.job.EndSuspicion(ref)
+			}
+			e.markDirty(ref.Job, en)
+		}
+	}
 }
 
 // retractCommonCause takes back the suspicion that the crash of the record and those at the same
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -48,8 +48,10 @@
 type crashRecord struct {
 	at      boottime.Instant
 	ttl     time.Duration
-	node    string
+	worker  jobstate.WorkerKey
 	service string
+	// counted is what the crash was counted as against the task of each run.
+	counted map[jobstate.TaskRef]jobstate.CrashEvidence
 	// suspected are the runs that had just started and have not been cleared, with their ages
 	// at the crash, exposed those that had run for longer.
 	suspected map[jobstate.TaskRef]time.Duration
@@ -68,13 +70,14 @@
 // the crash does not count against, since they may have ended before.
 func newCrashRecord(n *node, runs []crashedRun, suspects int, at boottime.Instant) *crashRecord {
 	c := &crashRecord{
-		at: at, node: n.name, service: n.serviceName(), suspected: map[jobstate.TaskRef]time.Duration{}, ages: map[jobstate.TaskRef]time.Duration{},
+		at: at, service: n.serviceName(), counted: map[jobstate.TaskRef]jobstate.CrashEvidence{}, suspected: map[jobstate.TaskRef]time.Duration{}, ages: map[jobstate.TaskRef]time.Duration{},
 		unexplained: suspects == 0, closed: suspects == 0, ttl: crashRecordTTL,
 	}
 	if c.unexplained && len(runs) > 0 {
 		c.ttl = max(crashRecordTTL, recordedRuns*runs[len(runs)-1].age)
 	}
 	for i, r := range runs {
+		c.worker = r.tracked.run.Worker
 		if i < suspects {
 			c.suspected[r.tracked.run.Ref] = r.age
 			continue
@@ -233,3 +236,29 @@
 	}
 	return ""
 }
+
+// removeOf removes the crashes of an incarnation and returns them.
+func (l *crashLog) removeOf(worker jobstate.WorkerKey) []*crashRecord {
+	var out []*crashRecord
+	l.records = slices.DeleteFunc(l.records, func(c *crashRecord) bool {
+		if c.worker == worker {
+			out = append(out, c)
+		}
+		return c.worker == worker
+	})
+	return out
+}
+
+// stillCounts reports whether the crash counts against the task as it did at first.
+func (c *crashRecord) stillCounts(ref jobstate.TaskRef) bool {
+	if c.retracted {
+		return false
+	}
+	switch c.counted[ref] {
+	case jobstate.CrashSuspected, jobstate.CrashAlone, jobstate.CrashUnconfirmed:
+		return c.suspects(ref)
+	case jobstate.CrashExposed:
+		return !c.closed
+	}
+	return true
+}
--- a/internal/dispatch/crash_unproved_test.go
+++ b/internal/dispatch/crash_unproved_test.go
@@ -173,3 +173,32 @@
 		start, a = r.awaitStartUnlessFailed(jobID(1), start.Attempt, a)
 	}
 }
+
+// A link that refuses connections makes the worker look crashed to its agent.
+func TestJobIsNotFailedByReportedCrashesOfAWorkerThatLives(t *testing.T) {
+	for name, ages := range map[string][]time.Duration{"just started": {atStart}, "older": {long}, "beside one that had just started": {long, atStart}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			a := r.attach("side-1", 32000)
+			r.submit(spec(jobID(1), 1))
+			alive := a.worker
+			r.requireNotGivenUp(jobID(1), a, func(a *testAgent, start *chervilv2.StartOrder) *testAgent {
+				crash := &chervilv2.WorkerCrash{WorkerId: alive.Id, BornUnixMs: alive.BornUnixMs, Runs: []*chervilv2.CrashedRun{crashedAt(start, ages[0])}}
+				if len(ages) > 1 {
+					beside := jobID(100 + int(start.Attempt))
+					r.submit(spec(beside, 1))
+					other, _ := r.awaitStart(beside, 0, a)
+					crash.Runs = append(crash.Runs, crashedAt(other, ages[1]))
+				}
+				a.worker = gone(alive)
+				a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{crash}})
+				a.worker = alive
+				a.report(&chervilv2.AgentReport{Full: true})
+				r.settle()
+				task := r.task(jobID(1))
+				assert.Assert(t, !task.NeedsIsolation() && task.Crashes+task.Exposures == 0, "%+v", task)
+				return a
+			})
+		})
+	}
+}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -67,6 +67,8 @@
 	agentLeft bool
 	// lastListed is when a report last showed that the worker lives.
 	lastListed boottime.Instant
+	// crashed is the incarnation that the agent last reported as crashed.
+	crashed jobstate.WorkerKey
 	// isolationCrashedAt is when the worker last crashed with an isolated run; 0 if never.
 	isolationCrashedAt boottime.Instant
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -212,6 +212,9 @@
 		n.key, n.lastEnd, n.storedEnd, n.health, n.drainingSince = key, 0, 0, health{}, 0
 		e.replan()
 	}
+	if n.leasable && key == n.crashed {
+		e.takeBackCrash(n)
+	}
 	if n.worker == nil || n.worker.Listed != w.Listed || n.worker.Draining != w.Draining {
 		e.replan()
 	}
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -41,6 +41,7 @@
 	RunTakenOver        = define(7221, Warning, "run found on a later incarnation of its worker")
 	WorkerCrashed       = define(7217, Warning, "worker crashed with its runs")
 	SuspectCleared      = define(7218, Info, "task no longer suspected of crashing its worker")
+	CrashTakenBack      = define(7224, Warning, "worker reported as crashed lives, the crash is taken back")
 	TaskGivenUp         = define(7219, Warning, "task given up since it crashes its workers")
 	RunUnknown          = define(7211, Warning, "worker reported an unknown run")
 	ScheduleSummary     = define(7213, Info, "summary of the schedule")
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -1,6 +1,7 @@
 package jobstate
 
 import (
+	"slices"
 	"time"
 
 	chervilv2 "chervilridge/api/chervil/v2"
@@ -224,6 +225,40 @@
 	return true
 }
 
+// TakeBackCrash takes back a crash that was counted with the evidence, since the worker has not crashed. The
+// age is that of a crash that is kept by it. It reports whether that changed the job.
+func (j *Job) TakeBackCrash(ref TaskRef, evidence CrashEvidence, age time.Duration) bool {
+	_, task := j.Task(ref)
+	if task == nil || task.Done || j.Ended() {
+		return false
+	}
+	counts := []*uint32{&task.Crashes, &task.Exposures}
+	switch evidence {
+	case CrashExplained, CrashRepeated:
+		return false
+	case CrashAged:
+		return j.RemoveCrashAge(ref, age)
+	case CrashExposed:
+		slices.Reverse(counts)
+	case CrashUnconfirmed, CrashUnreported, CrashUnseen:
+		counts = []*uint32{&task.UnconfirmedCrashes}
+	}
+	for _, count := range counts {
+		if *count > 0 {
+			*count--
+			return true
+		}
+	}
+	return false
+}
+
+// EndSuspicion clears the suspicion of a task without a change of its counts.
+func (j *Job) EndSuspicion(ref TaskRef) {
+	if _, task := j.Task(ref); task != nil {
+		task.Suspect = false
+	}
+}
+
 // ForgetCrashes clears the crashes of a task that are counted. It reports whether there were any.
 func (j *Job) ForgetCrashes(ref TaskRef) bool {
 	_, task := j.Task(ref)
