--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -213,10 +213,11 @@
 		events.CrashTakenBack.Log("node", worker.Node, "worker", worker.ID, "born", worker.BornUnixMs, "runs", len(c.counted), "agoMs", e.clock().Sub(c.at).Milliseconds())
 		for ref, evidence := range c.counted {
 			en := e.jobs[ref.Job]
-			if en == nil || !c.stillCounts(ref) || !en.job.TakeBackCrash(ref, evidence, c.ages[ref]) {
+			if en == nil || !en.job.TakeBackCrash(ref, evidence, c.ages[ref]) {
 				continue
 			}
-			if !e.crashes.suspected(ref) {
+			e.crashes.releaseRetained(ref)
+			if evidence.RaisesSuspicion() && !e.crashes.suspected(ref) {
 				en.job.EndSuspicion(ref)
 			}
 			e.markDirty(ref.Job, en)
@@ -263,6 +264,7 @@
 			changed = en.job.ForgetExposure(ref)
 		}
 		if changed {
+			delete(c.counted, ref)
 			e.markDirty(ref.Job, en)
 		}
 	}
@@ -290,6 +292,7 @@
 	for _, c := range e.crashes.clear(ref) {
 		for _, other := range c.exposed {
 			if en := e.jobs[other.Job]; en != nil && en.job.CountCrash(other, c.ages[other]) {
+				c.counted[other] = jobstate.CrashUnexplained
 				e.markDirty(other.Job, en)
 			}
 		}
@@ -316,6 +319,7 @@
 	en := e.jobs[ref.Job]
 	for range e.crashes.takeRetained(ref) {
 		if en != nil && en.job.DropRetainedCrash(ref) {
+			e.crashes.forget(ref)
 			e.markDirty(ref.Job, en)
 		}
 	}
--- a/internal/dispatch/crash_late.go
+++ b/internal/dispatch/crash_late.go
@@ -95,6 +95,7 @@
 		}
 		for _, ref := range c.exposed {
 			if en := e.jobs[ref.Job]; en != nil && en.job.RemoveCrashAge(ref, c.ages[ref]) {
+				delete(c.counted, ref)
 				e.markDirty(ref.Job, en)
 			}
 		}
--- a/internal/dispatch/crash_log.go
+++ b/internal/dispatch/crash_log.go
@@ -50,7 +50,7 @@
 	ttl     time.Duration
 	worker  jobstate.WorkerKey
 	service string
-	// counted is what the crash was counted as against the task of each run.
+	// counted is what the crash counts as against the task of each run, unless that is taken back.
 	counted map[jobstate.TaskRef]jobstate.CrashEvidence
 	// suspected are the runs that had just started and have not been cleared, with their ages
 	// at the crash, exposed those that had run for longer.
@@ -160,6 +160,9 @@
 		}
 		c.closed = true
 		delete(c.suspected, ref)
+		for _, other := range c.exposed {
+			delete(c.counted, other)
+		}
 		cleared, exposed = append(cleared, c.allSuspects()...), append(exposed, c.exposed...)
 	}
 	return slices.DeleteFunc(cleared, l.suspected), exposed
@@ -189,6 +192,7 @@
 			continue
 		}
 		delete(c.suspected, ref)
+		delete(c.counted, ref)
 		if len(c.suspected) == 0 {
 			c.closed = true
 			out = append(out, c)
@@ -249,16 +253,18 @@
 	return out
 }
 
-// stillCounts reports whether the crash counts against the task as it did at first.
-func (c *crashRecord) stillCounts(ref jobstate.TaskRef) bool {
-	if c.retracted {
-		return false
+// forget records that no crash counts against the task any more.
+func (l *crashLog) forget(ref jobstate.TaskRef) {
+	for _, c := range l.records {
+		delete(c.counted, ref)
 	}
-	switch c.counted[ref] {
-	case jobstate.CrashSuspected, jobstate.CrashAlone, jobstate.CrashUnconfirmed:
-		return c.suspects(ref)
-	case jobstate.CrashExposed:
-		return !c.closed
+}
+
+// releaseRetained records that the task keeps one crash less, if it keeps any.
+func (l *crashLog) releaseRetained(ref jobstate.TaskRef) {
+	if kept, ok := l.retained[ref]; ok && kept.crashes > 1 {
+		l.retained[ref] = retainedCrashes{kept.crashes - 1, kept.lastAt}
+	} else {
+		delete(l.retained, ref)
 	}
-	return true
 }
--- a/internal/dispatch/crash_unproved_test.go
+++ b/internal/dispatch/crash_unproved_test.go
@@ -202,3 +202,49 @@
 		})
 	}
 }
+
+func TestCrashOfAWorkerThatLivesIsTakenBackOnceItsSuspectsAreCleared(t *testing.T) {
+	r := newRig(t)
+	a := r.attach("side-1", 2000)
+	r.submit(jobWithCPU(jobID(1), 1000))
+	older, _ := r.awaitStart(jobID(1), 0, a)
+	r.submit(jobWithCPU(jobID(2), 1000))
+	young, _ := r.awaitStart(jobID(2), 0, a)
+	other := r.attach("side-2", 2000)
+	alive := a.worker
+	a.worker = gone(alive)
+	a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{{WorkerId: alive.Id, BornUnixMs: alive.BornUnixMs,
+		Runs: []*chervilv2.CrashedRun{crashedAt(older, long), crashedAt(young, atStart)}}}})
+	young, _ = r.awaitStart(jobID(2), young.Attempt, other)
+	r.confirm(other, 2*suspectAge, young)
+	eventually(t, "crash counted against the older run", func() bool { return r.task(jobID(1)).Crashes == 1 })
+	a.worker = alive
+	a.report(&chervilv2.AgentReport{Full: true})
+	eventually(t, "crash taken back", func() bool { return r.task(jobID(1)).Crashes == 0 })
+}
+
+func TestCrashesOfWorkersThatLiveAreTakenBackFromAJobThatTheyShare(t *testing.T) {
+	const workers = 4
+	r := newRig(t)
+	agents := r.attachMany(workers, 2000)
+	job := spec(jobID(1), workers)
+	job.Steps[0].CpuMilli = 2000
+	r.submit(job)
+	eventually(t, "all run", func() bool { return startsOn(agents, 1) })
+	alive := make([]*chervilv2.Worker, workers)
+	for i, a := range agents {
+		alive[i], a.worker = a.worker, gone(a.worker)
+		a.report(&chervilv2.AgentReport{Crashes: []*chervilv2.WorkerCrash{{WorkerId: alive[i].Id, BornUnixMs: alive[i].BornUnixMs,
+			Runs: []*chervilv2.CrashedRun{crashedAt(a.started()[0], atStart)}}}})
+	}
+	for i, a := range agents {
+		a.worker = alive[i]
+		a.report(&chervilv2.AgentReport{Full: true})
+	}
+	r.settle()
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	for i, task := range r.engine.jobs[jobID(1)].job.Occurrences[0].Steps[0].Tasks {
+		assert.Assert(t, task.Crashes+task.Exposures == 0 && !task.Suspect, "task %d: %+v", i, task)
+	}
+}
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -43,6 +43,9 @@
 	}
 	if tr.step.LongRunning && outlived > soundAge {
 		forgotten := en.job.ForgetCrashes(tr.run.Ref)
+		if forgotten {
+			e.crashes.forget(tr.run.Ref)
+		}
 		if en.job.OutliveCrashes(tr.run.Ref, outlived) || forgotten {
 			e.markDirty(tr.run.Ref.Job, en)
 		}
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -58,6 +58,11 @@
 	CrashUnconfirmed: "start unconfirmed", CrashUnreported: "crash unreported", CrashUnseen: "not seen before the crash", CrashAged: "kept by age", CrashRepeated: "repeated",
 }
 
+// RaisesSuspicion reports whether a crash with the evidence makes the task a suspect.
+func (e CrashEvidence) RaisesSuspicion() bool {
+	return e == CrashSuspected || e == CrashAlone || e == CrashUnconfirmed
+}
+
 // String returns the name of the evidence in logs.
 func (e CrashEvidence) String() string { return evidenceNames[e] }
 
@@ -238,6 +243,10 @@
 		return false
 	case CrashAged:
 		return j.RemoveCrashAge(ref, age)
+	case CrashUnexplained:
+		if j.RemoveCrashAge(ref, age) {
+			return true
+		}
 	case CrashExposed:
 		slices.Reverse(counts)
 	case CrashUnconfirmed, CrashUnreported, CrashUnseen:
@@ -252,9 +261,10 @@
 	return false
 }
 
-// EndSuspicion clears the suspicion of a task without a change of its counts.
+// EndSuspicion clears the suspicion of a task without a change of its counts, unless one of them may be
+// what raised it.
 func (j *Job) EndSuspicion(ref TaskRef) {
-	if _, task := j.Task(ref); task != nil {
+	if _, task := j.Task(ref); task != nil && task.Crashes+task.UnconfirmedCrashes == 0 {
 		task.Suspect = false
 	}
 }
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -66,12 +66,13 @@
 
 // latestCrash returns the latest time at which the incarnation, which has ended, may have crashed.
 func (inc *incarnation) latestCrash(now boottime.Instant) boottime.Instant {
+	latest := now
 	for _, at := range []boottime.Instant{inc.unreachableAt, inc.goneAt} {
 		if at != 0 {
-			now = min(now, at)
+			latest = min(latest, at)
 		}
 	}
-	return now
+	return max(latest, inc.earliestCrash())
 }
 
 // lastSeen returns when the worker last showed that it had the run, and whether a list named it; 0 if
@@ -104,9 +105,9 @@
 		}
 		run := &chervilv2.CrashedRun{Task: key.task, Attempt: key.attempt, Listed: listed}
 		if run.Started = seenAt != 0; run.Started {
-			run.AgeMs, run.UnseenMs = inc.runAge(key).Milliseconds(), latest.Sub(seenAt).Milliseconds()
+			run.AgeMs, run.UnseenMs = inc.runAge(key).Milliseconds(), max(latest.Sub(seenAt), 0).Milliseconds()
 			if firstSentAt, known := inc.firstSentAt[key]; known {
-				run.MaxAgeMs = latest.Sub(firstSentAt).Milliseconds()
+				run.MaxAgeMs = max(latest.Sub(firstSentAt).Milliseconds(), 1) // 0 is an unknown one
 			}
 		} else {
 			unconfirmed++
