--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -15,15 +15,15 @@
 	// suspectAge is the age at the crash of its worker up to which a run is suspected of
 	// having caused the crash.
 	suspectAge = 250 * time.Millisecond
-	// maxLoneAge is the highest age that the only run that had just started may have had for the crash to
-	// be its own, by the first start call and the second refused call of its agent.
+	// maxLoneAge bounds the highest possible age of a run that was started alone for its task to be the
+	// cause of the crash. The time in which its start was called and repeated counts.
 	maxLoneAge = 2 * suspectAge
 	// minCommonCause and commonCausePercent are the number of workers, and the part of a
 	// service, that crash at the same moment if the cause lies outside of them.
 	minCommonCause     = 3
 	commonCausePercent = 10
-	// maxUnseen is how long before the crash a worker may last have shown a run that counts as having been
-	// there. It covers the two refused calls by which an agent finds that its worker has crashed.
+	// maxUnseen is how long before its crash a worker may last have shown a run for the run to count as
+	// there. Agents call a worker that answers more often.
 	maxUnseen = 500 * time.Millisecond
 	// maxReportedAge caps the ages of runs in the reports of agents.
 	maxReportedAge = 10 * time.Second
--- a/internal/jobstate/crash.go
+++ b/internal/jobstate/crash.go
@@ -43,8 +43,8 @@
 	// CrashUnreported means the same of a worker whose agent could not report the crash, as when
 	// the machine of both fails.
 	CrashUnreported
-	// CrashUnseen means that the run was old enough to have ended before the crash, since the worker had
-	// not shown it for some time.
+	// CrashUnseen means that the run had not just started, and may have ended before the crash, since the
+	// worker had not shown it for some time.
 	CrashUnseen
 	// CrashAged means that the crash is kept by the age of the run, see Job.AddCrashAge.
 	CrashAged
@@ -126,8 +126,9 @@
 
 // crashesWorkers reports whether the task has certainly caused crashes, the last one with the
 // evidence: from the second one on if the task was alone in being started at the last,
-// otherwise at maxCrashes. Unconfirmed crashes alone show nothing, since the task may not have run. Exposures count if the last run was isolated, so that no other
-// run is suspected, and in any case at maxCrashesAndExposures.
+// otherwise at maxCrashes. Exposures count if the last run was isolated, so that no other
+// run is suspected, and in any case at maxCrashesAndExposures. Unconfirmed crashes alone show
+// nothing, since the task may not have run.
 func (t *Task) crashesWorkers(evidence CrashEvidence, isolated bool) bool {
 	switch {
 	case evidence == CrashAged:
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -300,8 +300,8 @@
 // The caller holds mu.
 func (a *Agent) handleHoldError(inc *incarnation, err error) time.Duration {
 	inc.unansweredHolds++
-	kind := platform.KindOf(err)
 	inc.recordFailure(err, a.clock())
+	kind := platform.KindOf(err)
 	if inc.unansweredHolds == 2 {
 		events.WorkerUnresponsive.LogError(err, "worker", inc.id, "silent", a.clock().Sub(inc.lastAnswer))
 	}
