--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -68,7 +68,8 @@
 	}
 }
 
-// FlushLast is Flush before the process exits, for at most LastFlushTimeout: nobody may be reading.
+// FlushLast is Flush before the process exits, for at most LastFlushTimeout, since the output may have no
+// reader.
 func (s *Sink) FlushLast() {
 	done := make(chan struct{})
 	go func() {
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -231,7 +231,7 @@
 }
 
 // TestStopOfEntryIsNotHeldUpByItsLog guards against an entry that is killed with SIGKILL, since
-// nobody reads its standard output.
+// its standard output is not read.
 func TestStopOfEntryIsNotHeldUpByItsLog(t *testing.T) {
 	const grace = 6 * time.Second // from SIGTERM to SIGKILL
 	s := startSite(t, 1, 1)
@@ -277,7 +277,7 @@
 	assert.NilError(t, <-answered)
 }
 
-// fullPipe returns the end for writing of a pipe that is full and that nobody reads.
+// fullPipe returns the write end of a full pipe that is not read.
 func fullPipe(t *testing.T) *os.File {
 	reader, writer, err := os.Pipe()
 	assert.NilError(t, err)
--- a/internal/sitetest/soak_faults_test.go
+++ b/internal/sitetest/soak_faults_test.go
@@ -266,7 +266,7 @@
 // startLoss is a fault that loses start calls of one task at a time, and crashes each worker that
 // gets one.
 type startLoss struct {
-	begins     bool // the first call of a task is carried out, so that only its answer is lost
+	begins     bool // the first call of a task starts its run; only the answer is lost
 	allTasks   bool // a worker that is to crash loses the start calls of all tasks
 	crashDelay time.Duration
 
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -35,8 +35,8 @@
 	confirmed bool
 }
 
-// recordFailure records a failed hold call. The first one since the worker's last answer tells when the
-// worker crashed at the earliest: then, unless it has been silent since its last answer.
+// recordFailure records a failed hold call. The worker crashed no earlier than the first one since its last
+// answer, unless it has been silent since that answer.
 func (inc *incarnation) recordFailure(err error, now boottime.Instant) {
 	unanswered := errors.Is(err, context.DeadlineExceeded)
 	switch platform.KindOf(err) {
