review: show that an evacuation starves a queue with a placement advisor

Cause: the owner asks the advisor about the 30 workers with the most free CPU, evacuated ones included. After an evacuation these are the workers of the evacuated zone if it has 30, and they are asked about again whenever their tickets expire. Nothing of the queue starts (LOST).

No product code.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -16,7 +16,8 @@
 // scenarios are the cases by name. Each plays its case in a folder and returns an exit code. With
 // trouble unset, it plays the same without the disruption.
 var scenarios = map[string]func(repo string, rec *record, trouble bool) (int, error){
-	"advice": playAdvice,
+	"advice":     playAdvice,
+	"evacuation": playEvacuation,
 }
 
 func main() {
