review: show that one failing runner fails a gang at its first attempt

Cause: the failures of all members of a gang are added up, so that four members that end failed in one run count as four attempts. With max-attempts 4 an accepted job is shown as failed after one run of its gang (LOST).

No product code.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,6 +18,7 @@
 var scenarios = map[string]func(repo string, rec *record, trouble bool) (int, error){
 	"advice":     playAdvice,
 	"evacuation": playEvacuation,
+	"gang":       playGang,
 }
 
 func main() {
--- a/review/harness2/site.go
+++ b/review/harness2/site.go
@@ -73,6 +73,7 @@
 	guard   net.Listener
 	state   *metastore.State
 	journal *journal
+	gangs   *gangs
 	workers []*worker
 	procs   []*process
 	servers []*http.Server
@@ -81,7 +82,7 @@
 }
 
 func startSite(repo string, rec *record, o siteOptions) (*site, error) {
-	s := &site{options: o, record: rec, repo: repo, state: metastore.NewState(), journal: newJournal(rec)}
+	s := &site{options: o, record: rec, repo: repo, state: metastore.NewState(), journal: newJournal(rec), gangs: newGangs()}
 	s.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	var err error
 	if s.folder, err = os.MkdirTemp("", "chervil-review"); err != nil {
--- a/review/harness2/worker.go
+++ b/review/harness2/worker.go
@@ -28,6 +28,10 @@
 	outcome  string
 	stopping bool
 	lasts    bool // a task that lasts, which is at work
+	// gang is set for a member of a gang, which started at startedAt and works for the duration.
+	gang      *gangState
+	startedAt time.Time
+	work      time.Duration
 }
 
 type workerEnd struct {
@@ -99,6 +103,10 @@
 					w.end(r, "lapsed")
 				case now.After(r.endsAt) && r.stopping:
 					w.end(r, "stopped")
+				case r.gang != nil && r.outcome == "done":
+					if how := w.site.gangs.outcome(r.gang, r.startedAt, now, r.work); how != "" {
+						w.end(r, how)
+					}
 				case now.After(r.endsAt):
 					w.end(r, r.outcome)
 				}
@@ -111,6 +119,9 @@
 // end lists the end of a run. The caller holds mu.
 func (w *worker) end(r *workerRun, how string) {
 	delete(w.runs, r.task)
+	if r.gang != nil {
+		w.site.gangs.ended(r.gang, how)
+	}
 	w.closed[r.task] = max(w.closed[r.task], r.attempt)
 	w.last++
 	w.ends = append(w.ends, workerEnd{w.last, r.task, r.attempt, how})
@@ -190,7 +201,10 @@
 		return refuse("ticket")
 	}
 	takes, outcome := w.site.options.runOutcome(w, c.Task)
-	w.runs[c.Task] = &workerRun{task: c.Task, attempt: c.Attempt, endsAt: time.Now().Add(takes), outcome: outcome, lasts: takes == lasting}
+	w.runs[c.Task] = &workerRun{
+		task: c.Task, attempt: c.Attempt, endsAt: time.Now().Add(takes), outcome: outcome, lasts: takes == lasting,
+		gang: w.site.gangs.join(c.Task, c.Attempt), startedAt: time.Now(), work: takes,
+	}
 	w.site.journal.started(w.id, c.Task, c.Attempt)
 	return http.StatusOK, nil
 }
