review: show that the owner crashes or hangs when an agent restarts under load

Cause: the forecast keeps nodes whose worker is set to nil when their agent reports none, as after its restart. A new job then makes Submit panic with the engine's lock held. net/http recovers the panic, so that the owner hangs for good while its readiness is 200; over gRPC the process ends (LOST).

No product code.

--- a/review/harness2/gangs.go
+++ b/review/harness2/gangs.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -17,7 +18,7 @@
 // gangs holds the runs of gangs on all workers. It is safe for concurrent use.
 type gangs struct {
 	mu   sync.Mutex
-	size map[string]int // members by job
+	size map[string]int // members by job, or by job and step for jobs with several occurrences or steps
 	runs map[gangRun]*gangState
 }
 
@@ -42,11 +43,20 @@
 	g.size[job] = members
 }
 
+// declareStep names a step that is a gang.
+func (g *gangs) declareStep(job string, step, members int) {
+	g.declare(fmt.Sprintf("%s/%d", job, step), members)
+}
+
 // join adds a member that has started. It returns nil if the task is not of a gang.
 func (g *gangs) join(task string, attempt uint32) *gangState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	size := g.size[jobOf(task)]
+	if size == 0 {
+		_, _, step, _ := parseTask(task)
+		size = g.size[fmt.Sprintf("%s/%d", jobOf(task), step)]
+	}
 	if size == 0 {
 		return nil
 	}
@@ -82,6 +92,7 @@
 func (g *gangs) ended(state *gangState, how string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	state.present--
 	if how != "done" && state.brokenAt.IsZero() {
 		state.brokenAt = time.Now()
 	}
--- a/review/harness2/journal.go
+++ b/review/harness2/journal.go
@@ -117,3 +117,16 @@
 	}
 	return len(j.failed[job]), mostOfTask
 }
+
+// doneOfStep returns the number of tasks of a step of which a run has ended done.
+func (j *journal) doneOfStep(job string, step int) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for task := range j.done[job] {
+		if _, _, s, _ := parseTask(task); s == step {
+			n++
+		}
+	}
+	return n
+}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -19,6 +19,9 @@
 	"advice":     playAdvice,
 	"evacuation": playEvacuation,
 	"gang":       playGang,
+	"mix":        playMix,
+	"crowd":      playCrowd,
+	"hang":       playHang,
 }
 
 func main() {
--- a/review/harness2/site.go
+++ b/review/harness2/site.go
@@ -44,6 +44,10 @@
 	routeExtra string
 	// runOutcome returns how long a run takes and how it ends.
 	runOutcome func(w *worker, task string) (time.Duration, string)
+	// kindOf returns the kind of a worker, which is a label; nil stands for a and b in turn.
+	kindOf func(worker int) string
+	// checker checks the rules on all runs; nil if the case judges by the journal alone.
+	checker *checker
 	// zoneOf returns the zone of a worker; nil spreads the workers over three zones.
 	zoneOf func(worker int) string
 	// enforceMemory makes the platform end a process that exceeds its memory.
@@ -74,6 +78,7 @@
 	state   *metastore.State
 	journal *journal
 	gangs   *gangs
+	store   *metastore.Server
 	workers []*worker
 	procs   []*process
 	servers []*http.Server
@@ -97,8 +102,8 @@
 		return s, fmt.Errorf("no free loopback addresses")
 	}
 	s.putConfig(1)
-	store := metastore.NewServer(s.state, 1)
-	if err := s.serve(fmt.Sprintf("%s:%d", s.ip(200), storePort), store.Handler("")); err != nil {
+	s.store = metastore.NewServer(s.state, 1)
+	if err := s.serve(fmt.Sprintf("%s:%d", s.ip(200), storePort), s.store.Handler("")); err != nil {
 		return s, err
 	}
 	if o.advisor != nil {
@@ -109,7 +114,7 @@
 	for i := range o.workers {
 		w := newWorker(s, i)
 		s.workers = append(s.workers, w)
-		if err := s.serve(w.address(), w.handler()); err != nil {
+		if err := w.listen(); err != nil {
 			return s, err
 		}
 		go w.sendHeartbeats()
