Keep values in the forecast instead of references to nodes

Cause: serviceForecast.workers kept the nodes of a forecast that is up to a second old. updateWorker sets node.worker to nil as long as a restarted agent has not reached its worker, and fits, which every submission under load calls by refusable, then read a nil worker. The panic left Engine.mu locked if the job came over HTTP, since net/http recovers it.

The forecast now holds the capacity and the labels as they were when it was made. The values are those that its other figures rest on, so that the decision is consistent as well.

Same shape, looked at: look-ahead (keeps WorkerKey and tasks, reads nodes within the planning round), reservations, isolation and crash log (keep task references, worker keys and ends; crashedRun is used under one hold of the lock), advice (keeps worker keys across its call), maintenance (looks nodes up again after each call). No other place keeps a *node or a *trackedRun beyond one hold of the lock.

--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -52,10 +52,17 @@
 	delivered float64
 	// waiting is set if finite tasks stayed waiting in the last planning round.
 	waiting bool
-	workers []*node
+	workers []workerOffer
 	fitting map[stepNeeds]bool
 }
 
+// workerOffer is what an empty worker offered when the forecast was made. The forecast outlives the
+// lock under which it is made, and a worker may be gone from its node by the time it is used.
+type workerOffer struct {
+	capacity plan.Resources
+	labels   []string
+}
+
 // stepNeeds is what decides whether a task fits on an empty worker.
 type stepNeeds struct {
 	cpuMilli, memoryMB, gpus uint32
@@ -131,7 +138,7 @@
 			}
 		}
 		if n.offersCapacity(view, now) {
-			s.workers = append(s.workers, n)
+			s.workers = append(s.workers, workerOffer{capacity: n.capacity(), labels: n.worker.Labels})
 			s.cores += max(float64(n.worker.CpuMilli)/milliPerCore-reserved, 0)
 		}
 	}
@@ -236,10 +243,9 @@
 	}
 	fits, known := s.fitting[needs]
 	if !known {
-		fits = slices.ContainsFunc(s.workers, func(n *node) bool {
-			w := n.worker
-			return needs.cpuMilli <= w.CpuMilli && needs.memoryMB <= w.MemoryMb && needs.gpus <= w.Gpus &&
-				(needs.label == "" || slices.Contains(w.Labels, needs.label))
+		fits = slices.ContainsFunc(s.workers, func(w workerOffer) bool {
+			return int64(needs.cpuMilli) <= w.capacity.CPUMilli && int64(needs.memoryMB) <= w.capacity.MemoryMB && int64(needs.gpus) <= w.capacity.GPUs &&
+				(needs.label == "" || slices.Contains(w.labels, needs.label))
 		})
 		s.fitting[needs] = fits
 	}
