End the process after a panic in a handler, and release locks however a call ends

Cause: net/http recovers a panic of a handler, gRPC does not. Submit, Cancel and Lookup held Engine.mu without defer, so that the recovered panic left it locked: reports, planning, pings and the shutdown of the engine waited for it.

Decision: a panic in a handler ends the process with exit code 2 and its stack on standard error, for HTTP as for gRPC. The state of the process may be half changed, the platform starts it again, and the next owner loads what is stored. Continuing after a recovered panic was ruled out: a released lock does not show that the state behind it is whole. It is set in Guard.ServeHTTP, through which all HTTP servers of the programs go (clients, readiness, workers' heartbeats, metrics, service requests).

Locks: each mu.Lock without defer in internal/dispatch now has one (Submit, Cancel, Lookup, awaitStored, awaitAppend, confirmNoSuchJob, Stop, session.update). Looked at and left: election, jobentry.Peers and workeragent, whose sections without defer read or assign fields only.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -183,10 +183,7 @@
 // has succeeded. It returns errNotOwner if the epoch ends first, or the context's error.
 func (e *Engine) awaitAppend(ctx context.Context, number uint64) error {
 	for {
-		e.mu.Lock()
-		done, settled := e.appendsDone >= number, e.settled
-		e.confirmRequested = e.confirmRequested || !done
-		e.mu.Unlock()
+		done, settled := e.requestAppend(number)
 		if done {
 			return nil
 		}
@@ -200,3 +197,13 @@
 		}
 	}
 }
+
+// requestAppend reports whether the append with the number has succeeded, and otherwise requests a
+// confirmation of the ownership. The channel is closed when that may have changed.
+func (e *Engine) requestAppend(number uint64) (done bool, settled <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	done = e.appendsDone >= number
+	e.confirmRequested = e.confirmRequested || !done
+	return done, e.settled
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -347,13 +347,7 @@
 
 // Stop waits until pending changes are stored, then ends the epoch.
 func (e *Engine) Stop(ctx context.Context) {
-	e.mu.Lock()
-	last := e.appendsBegun
-	if !e.batch.empty() {
-		last++
-	}
-	e.mu.Unlock()
-	if err := e.awaitAppend(ctx, last); err != nil {
+	if err := e.awaitAppend(ctx, e.lastAppend()); err != nil {
 		events.ChangesNotStored.LogError(err, "epoch", e.Epoch(), "node", e.settings.Node)
 	}
 	e.Abandon()
@@ -363,6 +357,16 @@
 	}
 }
 
+// lastAppend returns the number of the append after which all pending changes are stored.
+func (e *Engine) lastAppend() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.batch.empty() {
+		return e.appendsBegun
+	}
+	return e.appendsBegun + 1
+}
+
 // TimeWithoutAgents returns for how long no agent has been attached.
 func (e *Engine) TimeWithoutAgents() time.Duration {
 	e.mu.Lock()
--- a/internal/dispatch/jobs.go
+++ b/internal/dispatch/jobs.go
@@ -22,31 +22,10 @@
 // job with a known ID is not added again. The outcome is unknown if the store may have
 // stored the job when the epoch or ctx ends.
 func (e *Engine) Submit(ctx context.Context, spec *chervilv2.JobSpec) *chervilv2.JobReply {
-	e.mu.Lock()
-	if e.closed {
-		e.mu.Unlock()
-		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}
-	}
-	if e.unreadable[spec.GetId()] {
-		e.mu.Unlock()
-		return e.unknownOutcome()
-	}
-	en, known := e.jobs[spec.GetId()]
-	if !known {
-		reply, refused := e.checkNewJob(spec)
-		if refused {
-			next := e.appendsBegun + 1 // the first append that begins after the decision
-			e.mu.Unlock()
-			// The next owner may have accepted the job if this process has been replaced.
-			return e.confirmOwnership(ctx, reply, next)
-		}
-		if reply != nil {
-			e.mu.Unlock()
-			return reply
-		}
-		en = e.addJob(spec)
+	en, known, early := e.findOrAddJob(spec)
+	if early != nil {
+		return e.confirmReply(ctx, early)
 	}
-	e.mu.Unlock()
 	reply := e.awaitStored(ctx, en, 1)
 	if !known && reply.Outcome == chervilv2.Outcome_OUTCOME_OK {
 		events.JobStored.Log("job", spec.Id, "queue", spec.Queue, "steps", len(spec.Steps), "epoch", e.Epoch())
@@ -54,6 +33,41 @@
 	return reply
 }
 
+// earlyReply is the reply to a call that changes nothing. It holds once the append with the number
+// confirm has succeeded, or at once if that is 0.
+type earlyReply struct {
+	*chervilv2.JobReply
+	confirm uint64
+}
+
+// confirmReply returns the reply once it holds.
+func (e *Engine) confirmReply(ctx context.Context, early *earlyReply) *chervilv2.JobReply {
+	if early.confirm == 0 {
+		return early.JobReply
+	}
+	return e.confirmOwnership(ctx, early.JobReply, early.confirm)
+}
+
+// findOrAddJob returns the job with the ID of the spec, which it adds if it is not known, or the reply
+// if the job is not added.
+func (e *Engine) findOrAddJob(spec *chervilv2.JobSpec) (en *jobEntry, known bool, early *earlyReply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if en, known = e.jobs[spec.GetId()]; known || e.closed || e.unreadable[spec.GetId()] {
+		en, early = e.findJob(spec.GetId())
+		return en, known, early
+	}
+	reply, refused := e.checkNewJob(spec)
+	if refused {
+		// The next owner may have accepted the job if this process has been replaced.
+		return nil, false, &earlyReply{reply, e.appendsBegun + 1}
+	}
+	if reply != nil {
+		return nil, false, &earlyReply{JobReply: reply}
+	}
+	return e.addJob(spec), false, nil
+}
+
 // checkNewJob returns the reply that rejects a new job, or nil if it may be added. refused is set
 // if the reply is a refusal by the forecast, which holds only once the ownership is confirmed.
 func (e *Engine) checkNewJob(spec *chervilv2.JobSpec) (reply *chervilv2.JobReply, refused bool) {
@@ -102,9 +116,7 @@
 // rejected. If the epoch ends before any append with the job, the next owner may be asked.
 func (e *Engine) awaitStored(ctx context.Context, en *jobEntry, changes uint64) *chervilv2.JobReply {
 	for {
-		e.mu.Lock()
-		stored, rejected, settled := en.storedChanges >= changes, en.rejected, e.settled
-		e.mu.Unlock()
+		stored, rejected, settled := e.storeProgress(en, changes)
 		if rejected != nil {
 			return rejected
 		}
@@ -121,6 +133,14 @@
 	}
 }
 
+// storeProgress returns whether the given number of changes of the job is stored, the reply if the job
+// is rejected, and the channel that is closed when either may have changed.
+func (e *Engine) storeProgress(en *jobEntry, changes uint64) (stored bool, rejected *chervilv2.JobReply, settled <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return en.storedChanges >= changes, en.rejected, e.settled
+}
+
 // outcomeAfterEpoch returns the reply for a change that was not stored when the epoch ended.
 func (e *Engine) outcomeAfterEpoch(en *jobEntry) *chervilv2.JobReply {
 	e.mu.Lock()
@@ -133,58 +153,60 @@
 
 // Cancel ends a job and returns once the cancellation is stored.
 func (e *Engine) Cancel(ctx context.Context, id string) *chervilv2.JobReply {
-	e.mu.Lock()
-	if e.closed {
-		e.mu.Unlock()
-		return &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER}
-	}
-	if e.unreadable[id] {
-		e.mu.Unlock()
-		return e.unknownOutcome()
+	en, changes, early := e.cancelJob(id)
+	if early != nil {
+		return e.confirmReply(ctx, early)
 	}
-	en, ok := e.jobs[id]
-	if !ok {
-		e.mu.Unlock()
-		return e.confirmNoSuchJob(ctx)
+	return e.awaitStored(ctx, en, changes)
+}
+
+// cancelJob ends a job and returns it with the number of its changes, the end among them, or the reply
+// if there is no such job.
+func (e *Engine) cancelJob(id string) (en *jobEntry, changes uint64, early *earlyReply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	en, early = e.findJob(id)
+	if early != nil {
+		return nil, 0, early
 	}
 	if effect := en.job.Cancel(e.wall().UnixMilli()); effect.Changed {
 		e.orderStops(effect.RunsToStop, "job cancelled")
 		e.markDirty(id, en)
 		events.JobEnded.Log("job", id, "phase", en.job.Phase, "runs", len(effect.RunsToStop))
 	}
-	changes := en.changes // the end is among them
-	e.mu.Unlock()
-	return e.awaitStored(ctx, en, changes)
+	return en, en.changes, nil
 }
 
 // Lookup returns the stored phase of a job.
 func (e *Engine) Lookup(ctx context.Context, id string) *chervilv2.JobReply {
-	e.mu.Lock()
-	reply := &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_OK, Epoch: e.Epoch()}
-	en, ok := e.jobs[id]
-	switch {
-	case e.closed:
-		reply.Outcome = chervilv2.Outcome_OUTCOME_NOT_OWNER
-	case e.unreadable[id]:
-		reply.Outcome = chervilv2.Outcome_OUTCOME_UNKNOWN
-	case !ok:
-		e.mu.Unlock()
-		return e.confirmNoSuchJob(ctx)
-	default:
-		reply.Phase = en.storedPhase
-	}
-	e.mu.Unlock()
-	return reply
+	return e.confirmReply(ctx, e.lookUpPhase(id))
 }
 
-// confirmNoSuchJob replies that the job does not exist, after the store has confirmed
-// that this process was still the owner when it was asked. While this process was
-// suspended, another one may have become the owner and accepted the job.
-func (e *Engine) confirmNoSuchJob(ctx context.Context) *chervilv2.JobReply {
+func (e *Engine) lookUpPhase(id string) *earlyReply {
 	e.mu.Lock()
-	next := e.appendsBegun + 1 // the first append that begins after this call
-	e.mu.Unlock()
-	return e.confirmOwnership(ctx, &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NO_SUCH_JOB, Epoch: e.Epoch()}, next)
+	defer e.mu.Unlock()
+	en, early := e.findJob(id)
+	if early != nil {
+		return early
+	}
+	return &earlyReply{JobReply: &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_OK, Epoch: e.Epoch(), Phase: en.storedPhase}}
+}
+
+// findJob returns the job, or the reply if there is none. That there is none has to be confirmed: while
+// this process was suspended, another one may have become the owner and accepted the job.
+func (e *Engine) findJob(id string) (*jobEntry, *earlyReply) {
+	if e.closed {
+		return nil, &earlyReply{JobReply: &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NOT_OWNER, Epoch: e.Epoch()}}
+	}
+	if e.unreadable[id] {
+		return nil, &earlyReply{JobReply: e.unknownOutcome()}
+	}
+	en, known := e.jobs[id]
+	if !known {
+		reply := &chervilv2.JobReply{Outcome: chervilv2.Outcome_OUTCOME_NO_SUCH_JOB, Epoch: e.Epoch()}
+		return nil, &earlyReply{reply, e.appendsBegun + 1} // the first append that begins after this call
+	}
+	return en, nil
 }
 
 // confirmOwnership returns the reply once the append with the number has succeeded, or one
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -36,9 +36,11 @@
 
 // update changes the orders that are sent next and wakes the sender.
 func (s *session) update(change func(*chervilv2.OwnerOrders)) {
-	s.mu.Lock()
-	change(s.pending)
-	s.mu.Unlock()
+	func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		change(s.pending)
+	}()
 	select {
 	case s.wakeCh <- struct{}{}:
 	default:
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,6 +19,7 @@
 	"chervilridge/internal/bodylimit"
 	"chervilridge/internal/connlimit"
 	"chervilridge/internal/events"
+	"chervilridge/internal/failfast"
 	"chervilridge/internal/peer"
 )
 
@@ -167,9 +168,9 @@
 }
 
 // ServeHTTP serves HTTP on a listener within its limits, in the background. The server's handler reads
-// bodies with Bodies; see bodylimit.NewHandler.
+// bodies with Bodies; see bodylimit.NewHandler. A panic in it ends the process; see failfast.Handler.
 func (g *Guard) ServeHTTP(server *http.Server, l net.Listener, kind Kind) {
-	server.Handler = bodylimit.NewHandler(server.Handler)
+	server.Handler = failfast.Handler(bodylimit.NewHandler(server.Handler))
 	server.MaxHeaderBytes = maxHeaderBytes
 	server.ConnState = connlimit.TrackState
 	server.ConnContext = connlimit.WithConn
