Judge the owner by the progress of its engine

Cause: Elector.Engine, SinceOwnerSeen and pings answered from the existence of the engine. The other entries replaced such an owner, as its confirmations aged, but the process itself never went on to the new owner: the engine could not end, and the elector waited for its lock in TimeWithoutAgents.

The ticks of the engine now leave their time outside of the lock. Pings report the longer of the time since the last confirmation and since the last tick; readiness goes by it; Engine returns nil once a newer owner is known, so that calls go there; the elector reads nothing that needs the lock. If no tick completes for MaxLease, in which all leases that the owner has granted expire, the process ends with the stacks of all goroutines, since nothing else can end the epoch. The time is counted in checks, so that a suspended process is not ended when it resumes.

Ruled out: taking the age of the last planning round, which also stands still while an append waits for the store; a store outage must not take the owner out of rotation. That age is what the confirmations show already.

The wire format is unchanged: store_silent_ms of a ping has the new meaning, which older entries read as an owner that does not reach the store, and replace.

Test: TestOwnerThatStandsStillIsReplacedAndLeavesTheRotation holds the lock of an owner in a planning round.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -59,6 +59,9 @@
 	MaxRecordBytes int
 	// Machines is nil if the platform has no machine API.
 	Machines Machines
+	// Stalled is called if the engine has made no progress for MaxLease. Its lock may be held for ever,
+	// so that only the end of the process ends the epoch. It may be nil.
+	Stalled func(reason string)
 }
 
 // Engine runs the schedule for one epoch. It is safe for concurrent use.
@@ -69,6 +72,7 @@
 	clock        boottime.Clock
 	wall         func() time.Time
 	epochStart   boottime.Instant
+	progress     progress
 
 	mu         sync.Mutex
 	jobs       map[string]*jobEntry
@@ -153,6 +157,7 @@
 		unreadable: restored.Unreadable, batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurationEstimator(),
 		placementAdvice: map[plan.StepKey]*placementAdvice{}, wakeCh: make(chan struct{}, 1), ended: make(chan struct{}), stop: make(chan struct{}), settled: make(chan struct{}),
 	}
+	e.progress.record(e.epochStart, e.epochStart)
 	e.restoreModel(restored.Interference)
 	e.restoreWaves(restored.Waves)
 	e.unreachableAgents.inherited, e.unreachableAgents.stored = restored.UngrantedMs, maps.Clone(restored.UngrantedMs)
@@ -204,6 +209,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.tickLoop(ctx)
+	go e.watchProgress()
 	if e.settings.Machines != nil {
 		go e.maintenanceLoop(ctx)
 	}
@@ -320,6 +326,7 @@
 	e.recordUnreachable(now)
 	e.moveSlowedRuns(now)
 	e.replan()
+	e.progress.record(e.clock(), e.lastAgentSeen(now))
 }
 
 func (e *Engine) openOccurrences(id string, en *jobEntry) {
@@ -367,20 +374,6 @@
 	return e.appendsBegun + 1
 }
 
-// TimeWithoutAgents returns for how long no agent has been attached.
-func (e *Engine) TimeWithoutAgents() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	lastAttached := e.epochStart
-	for _, n := range e.nodes {
-		if n.session != nil {
-			return 0
-		}
-		lastAttached = max(lastAttached, n.lastReport)
-	}
-	return e.clock().Sub(lastAttached)
-}
-
 // Abandon ends the epoch at once, without storing pending changes, for example because
 // another process has become the owner.
 func (e *Engine) Abandon() { e.stopOnce.Do(func() { close(e.stop) }) }
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -33,8 +33,8 @@
 	// longer than two check intervals, so that one lost message does not change the
 	// owner.
 	suspectAfter = 700 * time.Millisecond
-	// maxStoreOutage is how long an owner may fail to reach the store before an entry
-	// that does reach it takes over.
+	// maxStoreOutage is how long an owner may fail to reach the store, or make no progress,
+	// before an entry that does reach the store takes over.
 	maxStoreOutage = 1500 * time.Millisecond
 	// maxPeerContactAge is how recently a peer must have reached the owner for its report
 	// to count as evidence that the owner is alive.
@@ -122,26 +122,47 @@
 	return e.owner
 }
 
-// Engine returns the scheduling engine if this process is the owner, or nil.
+// Engine returns the scheduling engine if this process is the owner, or nil. It returns nil as soon as
+// a newer owner is known, since the engine may not end at once.
 func (e *Elector) Engine() *dispatch.Engine {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.engine == nil || e.owner.GetEpoch() > e.engine.Epoch() {
+		return nil
+	}
 	return e.engine
 }
 
+// ownEngine returns the engine of this process until it has ended, or nil.
+func (e *Elector) ownEngine() *dispatch.Engine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.engine
+}
+
+// State returns what this entry knows about the owner, for other entries.
+func (e *Elector) State() *chervilv2.PingReply {
+	reply := &chervilv2.PingReply{Owner: e.Owner(), OwnerSeenMs: e.SinceOwnerSeen().Milliseconds()}
+	if engine := e.Engine(); engine != nil {
+		reply.Leads = true
+		reply.StoreSilentMs = max(engine.ConfirmationAge(), engine.SinceProgress()).Milliseconds()
+	}
+	return reply
+}
+
 // ownerNeverSeen is the time since an owner was reached if none is known. It is negative in
 // milliseconds too, in which other processes get it.
 const ownerNeverSeen = -time.Millisecond
 
-// SinceOwnerSeen returns the time since the owner was last reached: 0 if this process is
-// the owner, negative if no owner is known.
+// SinceOwnerSeen returns the time since the owner was last reached, negative if no owner is known.
+// If this process is the owner, it is the time since its engine last made progress.
 func (e *Elector) SinceOwnerSeen() time.Duration {
+	if engine := e.Engine(); engine != nil {
+		return engine.SinceProgress()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch {
-	case e.engine != nil:
-		return 0
-	case e.owner == nil:
+	if e.owner == nil {
 		return ownerNeverSeen
 	}
 	return e.clock().Sub(e.ownerSeenAt)
@@ -186,7 +207,7 @@
 // check checks the epoch of this process if it is the owner, and otherwise claims the
 // ownership if the owner is not healthy.
 func (e *Elector) check(ctx context.Context) {
-	if engine := e.Engine(); engine != nil {
+	if engine := e.ownEngine(); engine != nil {
 		e.checkOwnEpoch(ctx, engine)
 		return
 	}
@@ -217,17 +238,18 @@
 
 // checkOwnEpoch abandons the epoch of this process if a newer owner is known, and
 // releases it if no agent has been attached for noAgentsTimeout and other entries could
-// take over.
+// take over. An engine that stands still cannot release it.
 func (e *Elector) checkOwnEpoch(ctx context.Context, engine *dispatch.Engine) {
 	owner := e.Owner()
 	if owner.GetEpoch() > engine.Epoch() {
 		engine.Abandon()
 		return
 	}
-	if engine.ConfirmationAge() > maxStoreOutage {
+	stalled := engine.SinceProgress() > maxStoreOutage
+	if stalled || engine.ConfirmationAge() > maxStoreOutage {
 		e.askPeersForOwner(ctx, owner)
 	}
-	if engine.TimeWithoutAgents() < noAgentsTimeout || len(e.peers.Entries()) == 0 {
+	if stalled || engine.TimeWithoutAgents() < noAgentsTimeout || len(e.peers.Entries()) == 0 {
 		return
 	}
 	e.mu.Lock()
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -14,6 +14,7 @@
 	StoreResponsive      = define(7010, Info, "store responsive again")
 	OwnershipReleased    = define(7011, Info, "ownership of the schedule released")
 	LogLinesDropped      = define(7012, Warning, "log lines dropped, buffer full")
+	EngineStalled        = define(7013, Error, "engine of the owner makes no progress, the process ends")
 )
 
 // Events of the operator's records and the settings file.
--- a/internal/jobentry/module.go
+++ b/internal/jobentry/module.go
@@ -23,6 +23,7 @@
 	"chervilridge/internal/dispatch"
 	"chervilridge/internal/election"
 	"chervilridge/internal/events"
+	"chervilridge/internal/failfast"
 	"chervilridge/internal/fault"
 	"chervilridge/internal/limits"
 	"chervilridge/internal/logsink"
@@ -129,7 +130,7 @@
 
 func newElector(n *platform.NodeSettings, store *platform.Store, peers *Peers, f *operator.Follower) *election.Elector {
 	identity := election.Identity{Node: n.Name, Address: InternalAddress(n), CPUShare: n.CPUShare, LinkMbps: n.LinkMbps}
-	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds, MaxRecordBytes: n.StoreRecordBytes}
+	settings := dispatch.Settings{Node: n.Name, Bounds: n.Bounds, MaxRecordBytes: n.StoreRecordBytes, Stalled: failfast.Stalled}
 	if n.AdvisorAddress != "" {
 		settings.Advisor = platform.NewAdvisor(n.AdvisorAddress)
 	}
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -74,13 +74,8 @@
 func (s *Service) Ping(_ context.Context, r *chervilv2.PingRequest) (*chervilv2.PingReply, error) {
 	s.peers.MarkSeen(r.EntryAddress)
 	s.elector.Observe(r.Owner)
-	reply := &chervilv2.PingReply{
-		Owner: s.elector.Owner(), Entries: s.peers.LiveEntries(), OperatorOffset: s.operator.Offset(), OwnerSeenMs: s.elector.SinceOwnerSeen().Milliseconds(),
-	}
-	if engine := s.elector.Engine(); engine != nil {
-		reply.Leads = true
-		reply.StoreSilentMs = engine.ConfirmationAge().Milliseconds()
-	}
+	reply := s.elector.State()
+	reply.Entries, reply.OperatorOffset = s.peers.LiveEntries(), s.operator.Offset()
 	return reply, nil
 }
 
