Keep one call to the placement policy in flight and queue the steps at the owner

Cause: the policy handles one call at a time for each calling machine, but the owner kept four in flight and counted the validity of tickets from the call. Four calls of 660 ms made each answer 2,640 ms old, older than 3,000 ms less the margin of 500 ms, so that all tickets had expired on arrival. Nothing was recorded of that, and the step was asked about again at once.

Now one call is in flight, so that its age is that of its own handling. Steps wait at the owner, in the order of priority and then of their wait, and go to the end once they were answered. The number of workers in a call is bounded so that half of the time of use is left on arrival; a policy that is too slow for one worker is logged and not called. Answers without use delay the next call for the step (0, 0.25 s, doubling to 2 s), and so do failed calls.

Ruled out: counting the validity from the answer.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -23,12 +24,19 @@
 	// maxWorkersPerAdvice bounds the workers named in one request: the policy takes time
 	// for each of them.
 	maxWorkersPerAdvice = 30
-	// maxConcurrentAdvice bounds the requests in flight. The policy handles one at a time
-	// and rejects more once 32 are queued.
-	maxConcurrentAdvice = 4
 	// adviceTimeoutMargin is added to the expected response time to get the timeout of a
 	// request.
 	adviceTimeoutMargin = time.Second
+	// adviceShare is the part of the time for which tickets are of use that the policy may take
+	// for the workers of one request, as a divisor.
+	adviceShare = 2
+	// minAdviceDelay is the delay before a request that follows failed ones or, for the same step, ones
+	// whose tickets were of no use. It doubles with each of them up to maxAdviceDelay, which is
+	// below the 3 s for which a job with room may have nothing running.
+	minAdviceDelay = 250 * time.Millisecond
+	maxAdviceDelay = 2 * time.Second
+	// slowPolicyInterval is the interval at which a policy that is too slow is logged for a step.
+	slowPolicyInterval = 10 * time.Second
 )
 
 // ticket permits one incarnation of a worker to run a step.
@@ -38,69 +46,207 @@
 	expiresAt   boottime.Instant
 }
 
+// advisorState is the state of the calls to the placement policy. The policy handles one call of
+// this process at a time, and the validity of a ticket is counted from its call. So one call is in
+// flight, and the steps that need one wait here, where they don't use up the validity.
+type advisorState struct {
+	steps map[plan.StepKey]*placementAdvice
+	// wantedSince is since when each waiting step needs advice.
+	wantedSince map[plan.StepKey]boottime.Instant
+	inFlight    bool
+	failures    int // calls that failed since the last one that succeeded
+	notBefore   boottime.Instant
+}
+
 // placementAdvice caches the policy's answers for one step.
 type placementAdvice struct {
-	tickets        map[string]ticket // by worker ID
-	denied         map[string]bool   // by worker ID; the policy for a step does not change
-	requestPending bool
+	tickets map[string]ticket // by worker ID
+	denied  map[string]bool   // by worker ID; the policy for a step does not change
+	// used is set once a run was granted with a ticket of the last answer. useless counts the
+	// answers in a row of which no ticket could be used.
+	used      bool
+	useless   int
+	notBefore boottime.Instant // of the next request
+}
+
+// adviceDelay returns the delay before the next request after a number of useless or failed ones.
+// The first one may be repeated at once.
+func adviceDelay(useless int) time.Duration {
+	if useless <= 1 {
+		return 0
+	}
+	return min(minAdviceDelay<<min(useless-2, 8), maxAdviceDelay)
+}
+
+// recordUseless delays the next request for the step, as the last one brought no ticket that could be used.
+func (p *placementAdvice) recordUseless(now boottime.Instant) {
+	p.useless++
+	p.notBefore = max(p.notBefore, now.Add(adviceDelay(p.useless)))
 }
 
-// allowedWorkers returns the IDs of the workers that the policy permits for a step. If
-// none of those with a valid ticket has more than half of its CPU free, it requests
-// advice about further workers.
-func (e *Engine) allowedWorkers(key plan.StepKey, policy *operatorconfig.PlacementAdvisor, service string) map[string]bool {
-	cached := e.placementAdvice[key]
+// removeExpired removes the expired tickets.
+func (p *placementAdvice) removeExpired(now boottime.Instant) {
+	expired := false
+	for id, t := range p.tickets {
+		if !t.expiresAt.After(now) {
+			expired = true
+			delete(p.tickets, id)
+		}
+	}
+	switch {
+	case !expired || len(p.tickets) > 0:
+	case p.used:
+		p.useless, p.used = 0, false
+	default:
+		p.recordUseless(now)
+	}
+}
+
+// adviceFor returns the cached advice for a step.
+func (s *advisorState) adviceFor(key plan.StepKey) *placementAdvice {
+	cached := s.steps[key]
 	if cached == nil {
 		cached = &placementAdvice{tickets: map[string]ticket{}, denied: map[string]bool{}}
-		e.placementAdvice[key] = cached
+		s.steps[key] = cached
 	}
-	now := e.clock()
+	return cached
+}
+
+// allowedWorkers returns the IDs of the workers for which there is a valid ticket.
+func (e *Engine) allowedWorkers(key plan.StepKey) map[string]bool {
+	cached := e.advisor.adviceFor(key)
+	cached.removeExpired(e.clock())
 	out := map[string]bool{}
+	for id, t := range cached.tickets {
+		if n := e.nodes[t.incarnation.Node]; n != nil && n.key == t.incarnation {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// adviceNeed is a step that needs advice about some workers.
+type adviceNeed struct {
+	request *plan.Request
+	workers []jobstate.WorkerKey
+	// roomNow is set if the workers have room for a task of the step at present.
+	roomNow bool
+	since   boottime.Instant
+}
+
+// compare orders needs: steps that could start at once, then by the priority of their queues, then
+// those that have waited longest.
+func (a adviceNeed) compare(b adviceNeed) int {
+	if a.roomNow != b.roomNow {
+		if a.roomNow {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.since, b.since))
+}
+
+// requestAdvice requests advice for the first step in order of those that the planning round has
+// left waiting, unless a request is in flight. workers and requests are those of the round.
+func (e *Engine) requestAdvice(workers []plan.Worker, requests []plan.Request, unplaced []plan.Unplaced) {
+	waiting := map[plan.StepKey]bool{}
+	for _, u := range unplaced {
+		waiting[u.Key] = true
+	}
+	now, earlier := e.clock(), e.advisor.wantedSince
+	e.advisor.wantedSince = map[plan.StepKey]boottime.Instant{}
+	var first *adviceNeed
+	for i := range requests {
+		r := &requests[i]
+		if r.Allowed == nil || !waiting[r.Key] {
+			continue
+		}
+		cached := e.advisor.adviceFor(r.Key)
+		need := adviceNeed{request: r, since: now}
+		need.workers = e.unadvisedWorkers(r, cached, now)
+		need.roomNow = true
+		if len(need.workers) == 0 {
+			continue
+		}
+		if since, ok := earlier[r.Key]; ok {
+			need.since = since
+		}
+		e.advisor.wantedSince[r.Key] = need.since
+		if now >= cached.notBefore && (first == nil || need.compare(*first) < 0) {
+			first = &need
+		}
+	}
+	if first == nil || e.advisor.inFlight || now < e.advisor.notBefore {
+		return
+	}
+	key := first.request.Key
+	policy := e.jobs[key.Job].queue.Advisor
+	most := workersPerAdvice(policy)
+	if most == 0 {
+		e.advisor.adviceFor(key).notBefore = now.Add(slowPolicyInterval)
+		events.PlacementPolicyTooSlow.Log("job", key.Job, "step", key.Step, "decision", policy.DecisionTime, "perWorker", policy.TimePerWorker,
+			"validity", policy.TicketValidity, "margin", operatorconfig.TicketExpiryMargin)
+		return
+	}
+	e.callPolicy(key, policy, first.workers[:min(len(first.workers), most)])
+}
+
+// unadvisedWorkers returns the workers without a valid ticket for the request, those with the most free
+// CPU first, or none if a worker with a ticket has more than half of its CPU free.
+func (e *Engine) unadvisedWorkers(r *plan.Request, cached *placementAdvice, now boottime.Instant) []jobstate.WorkerKey {
 	var unadvised []*node
-	hasRoom := false
 	for _, n := range e.nodes {
-		if n.worker == nil || n.worker.Service != service || cached.denied[n.key.ID] {
+		if n.worker == nil || n.worker.Service != r.Service || cached.denied[n.key.ID] {
 			continue
 		}
-		if t, ok := cached.tickets[n.key.ID]; ok && t.incarnation == n.key && t.expiresAt.After(now) {
-			out[n.key.ID] = true
-			hasRoom = hasRoom || n.used.CPUMilli*2 < n.capacity().CPUMilli
+		if r.Allowed[n.key.ID] {
+			if n.used.CPUMilli*2 < n.capacity().CPUMilli {
+				return nil
+			}
 			continue
 		}
 		if ok, _ := n.usable(nil, now); ok {
 			unadvised = append(unadvised, n)
 		}
 	}
-	if !hasRoom && len(unadvised) > 0 {
-		e.requestAdvice(key, cached, policy, unadvised)
+	slices.SortFunc(unadvised, func(a, b *node) int {
+		return int((a.used.CPUMilli - b.used.CPUMilli) - (a.capacity().CPUMilli - b.capacity().CPUMilli))
+	})
+	keys := make([]jobstate.WorkerKey, 0, len(unadvised))
+	for _, n := range unadvised {
+		keys = append(keys, n.key)
 	}
-	return out
+	return keys
 }
 
-// requestAdvice queries the policy, in the background, about the workers with the most
-// free CPU.
-func (e *Engine) requestAdvice(key plan.StepKey, cached *placementAdvice, policy *operatorconfig.PlacementAdvisor, workers []*node) {
-	if cached.requestPending || e.pendingAdvice >= maxConcurrentAdvice {
-		return
+// workersPerAdvice returns the most workers to name in one request, so that the tickets are of use for
+// some time after they have arrived; 0 if they are not, even for one worker.
+func workersPerAdvice(policy *operatorconfig.PlacementAdvisor) int {
+	ofUse := policy.TicketValidity - operatorconfig.TicketExpiryMargin - policy.DecisionTime
+	switch {
+	case ofUse <= policy.TimePerWorker:
+		return 0
+	case policy.TimePerWorker <= 0:
+		return maxWorkersPerAdvice
 	}
-	slices.SortFunc(workers, func(a, b *node) int {
-		return int((a.used.CPUMilli - b.used.CPUMilli) - (a.capacity().CPUMilli - b.capacity().CPUMilli))
-	})
-	workers = workers[:min(len(workers), maxWorkersPerAdvice)]
+	return int(min(max(ofUse/adviceShare/policy.TimePerWorker, 1), maxWorkersPerAdvice))
+}
+
+// callPolicy queries the policy, in the background, about some of the workers.
+func (e *Engine) callPolicy(key plan.StepKey, policy *operatorconfig.PlacementAdvisor, workers []jobstate.WorkerKey) {
 	incarnations := map[string]jobstate.WorkerKey{}
 	ids := make([]string, 0, len(workers))
-	for _, n := range workers {
-		incarnations[n.key.ID] = n.key
-		ids = append(ids, n.key.ID)
+	for _, w := range workers {
+		incarnations[w.ID] = w
+		ids = append(ids, w.ID)
 	}
-	cached.requestPending = true
-	e.pendingAdvice++
-	expected := time.Duration(e.pendingAdvice) * (policy.DecisionTime + time.Duration(len(ids))*policy.TimePerWorker)
-	go e.fetchAdvice(key, cached, policy.TicketValidity, expected+adviceTimeoutMargin, ids, incarnations)
+	e.advisor.inFlight = true
+	expected := policy.DecisionTime + time.Duration(len(ids))*policy.TimePerWorker
+	go e.fetchAdvice(key, policy.TicketValidity, expected+adviceTimeoutMargin, ids, incarnations)
 }
 
 // fetchAdvice sends one request to the policy and caches its answer.
-func (e *Engine) fetchAdvice(key plan.StepKey, cached *placementAdvice, validity, timeout time.Duration, ids []string, incarnations map[string]jobstate.WorkerKey) {
+func (e *Engine) fetchAdvice(key plan.StepKey, validity, timeout time.Duration, ids []string, incarnations map[string]jobstate.WorkerKey) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	requestedAt := e.clock()
@@ -108,28 +254,40 @@
 	tickets, err := e.settings.Advisor.Advise(ctx, step, ids)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	cached.requestPending = false
-	e.pendingAdvice--
+	defer e.replan()
+	now := e.clock()
+	e.advisor.inFlight = false
+	delete(e.advisor.wantedSince, key) // waits behind the others if it needs more
 	if err != nil {
+		e.advisor.failures++
+		e.advisor.notBefore = now.Add(adviceDelay(e.advisor.failures + 1))
 		events.PlacementPolicyFailed.LogError(err, "step", step, "workers", len(ids))
-		e.replan()
 		return
 	}
+	e.advisor.failures = 0
+	cached := e.advisor.steps[key]
+	if cached == nil {
+		return // the job has ended
+	}
+	expiresAt := requestedAt.Add(validity - operatorconfig.TicketExpiryMargin)
 	for _, id := range ids {
 		if value, ok := tickets[id]; ok {
-			cached.tickets[id] = ticket{value: value, incarnation: incarnations[id], expiresAt: requestedAt.Add(validity - operatorconfig.TicketExpiryMargin)}
+			cached.tickets[id] = ticket{value: value, incarnation: incarnations[id], expiresAt: expiresAt}
 		} else {
 			cached.denied[id] = true
 		}
 	}
-	events.PlacementPolicyAnswered.Log("step", step, "asked", len(ids), "permitted", len(tickets), "took", e.clock().Sub(requestedAt))
-	e.replan()
+	cached.used = false
+	events.PlacementPolicyAnswered.Log("step", step, "asked", len(ids), "permitted", len(tickets), "took", now.Sub(requestedAt))
+	if len(tickets) > 0 && !expiresAt.After(now) {
+		events.PlacementAdviceExpired.Log("step", step, "asked", len(ids), "took", now.Sub(requestedAt), "validity", validity)
+	}
 }
 
 // ticketFor returns the ticket to start a run with, or "" if its queue has no placement
 // policy.
 func (e *Engine) ticketFor(r *jobstate.Run) string {
-	if cached := e.placementAdvice[stepKey(r.Ref)]; cached != nil {
+	if cached := e.advisor.steps[stepKey(r.Ref)]; cached != nil {
 		if t, ok := cached.tickets[r.Worker.ID]; ok && t.incarnation == r.Worker {
 			return t.value
 		}
@@ -137,18 +295,26 @@
 	return ""
 }
 
+// recordTicketUse records that a run was granted.
+func (e *Engine) recordTicketUse(r *jobstate.Run) {
+	if cached := e.advisor.steps[stepKey(r.Ref)]; cached != nil {
+		cached.used = true
+	}
+}
+
 // discardTicket removes a ticket that the worker rejected.
 func (e *Engine) discardTicket(r *jobstate.Run) {
-	if cached := e.placementAdvice[stepKey(r.Ref)]; cached != nil {
+	if cached := e.advisor.steps[stepKey(r.Ref)]; cached != nil {
 		delete(cached.tickets, r.Worker.ID)
+		cached.recordUseless(e.clock())
 	}
 }
 
 // pruneAdvice removes the advice for jobs that are no longer active.
 func (e *Engine) pruneAdvice() {
-	for key := range e.placementAdvice {
+	for key := range e.advisor.steps {
 		if e.activeJobs[key.Job] == nil {
-			delete(e.placementAdvice, key)
+			delete(e.advisor.steps, key)
 		}
 	}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -97,8 +97,7 @@
 	waves             map[string]*wave
 	crashes           crashLog
 	unreachableAgents unreachableAgents
-	placementAdvice   map[plan.StepKey]*placementAdvice
-	pendingAdvice     int // requests in flight
+	advisor           advisorState
 	durations         *urgency.DurationEstimator
 	boundConfig       *operatorconfig.Config // whose queues the jobs have; nil at first
 	model             *interference.Model
@@ -155,7 +154,7 @@
 		settings: settings, writer: writer, operatorView: operatorView, clock: clock, wall: time.Now, epochStart: clock(),
 		waves: map[string]*wave{}, jobs: map[string]*jobEntry{}, activeJobs: map[string]*jobEntry{}, nodes: map[string]*node{},
 		unreadable: restored.Unreadable, batch: newBatch(), planDue: true, model: interference.New(), durations: urgency.NewDurationEstimator(),
-		placementAdvice: map[plan.StepKey]*placementAdvice{}, wakeCh: make(chan struct{}, 1), ended: make(chan struct{}), stop: make(chan struct{}), settled: make(chan struct{}),
+		advisor: advisorState{steps: map[plan.StepKey]*placementAdvice{}}, wakeCh: make(chan struct{}, 1), ended: make(chan struct{}), stop: make(chan struct{}), settled: make(chan struct{}),
 	}
 	e.progress.record(e.epochStart, e.epochStart)
 	e.restoreModel(restored.Interference)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -47,6 +47,7 @@
 	for _, g := range groupGangs(planned.Grants, requests) {
 		e.grant(g, workers)
 	}
+	e.requestAdvice(workers, requests, planned.Unplaced)
 	e.updateForecast(view, planned.Unplaced)
 }
 
@@ -205,7 +206,7 @@
 		})
 		if queue.Advisor != nil && e.settings.Advisor != nil {
 			for i := first; i < len(out); i++ {
-				out[i].Allowed = e.allowedWorkers(out[i].Key, queue.Advisor, queue.Service)
+				out[i].Allowed = e.allowedWorkers(out[i].Key)
 			}
 		}
 		out = e.forceIdleJob(out, first, en, runs > 0)
@@ -351,6 +352,7 @@
 	for _, r := range runs {
 		n := e.node(r.Worker.Node)
 		tr := n.addRun(e, r)
+		e.recordTicketUse(r)
 		e.batch.orders = append(e.batch.orders, order{node: n.name, run: runKey{r.Ref, r.Attempt}, start: e.startOrder(en, tr), worker: r.Worker})
 		events.RunGranted.Log("task", r.Ref.String(), "attempt", r.Attempt, "node", n.name, "worker", r.Worker.ID,
 			"cpuMilli", tr.step.CpuMilli, "fills", tr.step.Fills, "usedMilli", n.used.CPUMilli, "fillMilli", n.bestEffortCPUMilli, "isolated", r.Isolated, "epoch", e.Epoch())
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -88,6 +88,8 @@
 	AgentRelayed            = define(7318, Info, "agent connection relayed to the owner")
 	PlacementPolicyFailed   = define(7321, Warning, "placement policy call failed")
 	PlacementPolicyAnswered = define(7322, Info, "placement policy answered")
+	PlacementPolicyTooSlow  = define(7328, Warning, "placement policy takes longer than its tickets are valid, the step is not placed")
+	PlacementAdviceExpired  = define(7329, Warning, "answer of the placement policy arrived after its tickets had expired")
 	ServingMissIgnored      = define(7323, Info, "serving run misses its latency target with best-effort runs halted, ignored for pacing")
 	CrashRecorded           = define(7327, Warning, "crash of the worker recorded for the owner")
 	SetPaceFailed           = define(7319, Warning, "setting the pace of a run failed")
