Ask the placement policy about workers that the planner would use

Cause: the choice of workers to ask about had its own idea of which workers may get tasks. It knew no evacuation, standby or quarantine, no label, memory or GPUs and no limit of the step, and named the 30 with the most free CPU: after an evacuation those of the evacuated zone, as nothing runs there. Their tickets counted as room, so that no others were asked about; when they expired, the same 30 were.

Advice is now requested after the planning round, for steps that it has left waiting, about workers of the list that the round used, by the planner's conditions (Request.UnadvisedWorkers) and in its order of preference. If none has room, those that would have room when empty are asked about, so that a full service has permitted workers once room is free. The planner and the forecast share node.outOfService.

Test: TestAdviceIsAskedAboutWorkersThatMayRunTheStep; with the previous choice all six cases fail, five of them with "the job starts: condition not met".

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"chervilridge/internal/boottime"
@@ -163,8 +162,7 @@
 		}
 		cached := e.advisor.adviceFor(r.Key)
 		need := adviceNeed{request: r, since: now}
-		need.workers = e.unadvisedWorkers(r, cached, now)
-		need.roomNow = true
+		need.workers, need.roomNow = r.UnadvisedWorkers(workers, cached.denied)
 		if len(need.workers) == 0 {
 			continue
 		}
@@ -191,34 +189,6 @@
 	e.callPolicy(key, policy, first.workers[:min(len(first.workers), most)])
 }
 
-// unadvisedWorkers returns the workers without a valid ticket for the request, those with the most free
-// CPU first, or none if a worker with a ticket has more than half of its CPU free.
-func (e *Engine) unadvisedWorkers(r *plan.Request, cached *placementAdvice, now boottime.Instant) []jobstate.WorkerKey {
-	var unadvised []*node
-	for _, n := range e.nodes {
-		if n.worker == nil || n.worker.Service != r.Service || cached.denied[n.key.ID] {
-			continue
-		}
-		if r.Allowed[n.key.ID] {
-			if n.used.CPUMilli*2 < n.capacity().CPUMilli {
-				return nil
-			}
-			continue
-		}
-		if ok, _ := n.usable(nil, now); ok {
-			unadvised = append(unadvised, n)
-		}
-	}
-	slices.SortFunc(unadvised, func(a, b *node) int {
-		return int((a.used.CPUMilli - b.used.CPUMilli) - (a.capacity().CPUMilli - b.capacity().CPUMilli))
-	})
-	keys := make([]jobstate.WorkerKey, 0, len(unadvised))
-	for _, n := range unadvised {
-		keys = append(keys, n.key)
-	}
-	return keys
-}
-
 // workersPerAdvice returns the most workers to name in one request, so that the tickets are of use for
 // some time after they have arrived; 0 if they are not, even for one worker.
 func workersPerAdvice(policy *operatorconfig.PlacementAdvisor) int {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/operatorconfig"
+	"chervilridge/internal/plan"
 )
 
 // adviceCall is a call that waits for its turn at a serialPolicy.
@@ -123,3 +126,82 @@
 		assert.Equal(t, workersPerAdvice(policy), c.want, "%v %v %v", c.decision, c.perWorker, c.validity)
 	}
 }
+
+// answerAll answers the next call and those that follow within the time, and returns the workers named
+// in them.
+func (p *serialPolicy) answerAll(within time.Duration) []string {
+	var out []string
+	for call := p.next(testTimeout); call != nil; call = p.next(within) {
+		out = append(out, call.workers...)
+		close(call.answer)
+	}
+	return out
+}
+
+// Guards against advice that is asked only about workers which the planner does not use, such as all
+// those of an evacuated data centre: more of them than one call names have more free CPU than those
+// that are left.
+func TestAdviceIsAskedAboutWorkersThatMayRunTheStep(t *testing.T) {
+	const unusable, quarantined = maxWorkersPerAdvice + 2, 11 // of 33 workers, maxQuarantinedPercent may be quarantined
+	cases := []struct {
+		name  string
+		step  func(*chervilv2.Step)
+		spoil func(r *rig, nodes []string)
+		other func(*chervilv2.Worker) // of the workers that may not run the step
+	}{
+		{name: "evacuated", other: func(w *chervilv2.Worker) { w.Zone = "pnw-b" }, spoil: func(r *rig, _ []string) {
+			r.view.Evacuated["pnw-b"] = true
+		}},
+		{name: "quarantined", spoil: func(r *rig, nodes []string) {
+			for _, n := range nodes[:quarantined] {
+				r.engine.nodes[n].health.quarantinedUntil = r.clock.read().Add(time.Hour)
+			}
+		}},
+		{name: "label", step: func(s *chervilv2.Step) { s.RequiredLabel = "b" }},
+		{name: "memory", step: func(s *chervilv2.Step) { s.MemoryMb = 60000 }, other: func(w *chervilv2.Worker) { w.MemoryMb = 50000 }},
+		{name: "GPUs", step: func(s *chervilv2.Step) { s.Gpus = 1 }},
+		{name: "at the limit of the step", step: func(s *chervilv2.Step) { s.MaxPerWorker = 1 }, spoil: func(r *rig, nodes []string) {
+			for _, n := range nodes {
+				r.engine.nodes[n].runsPerStep[plan.StepKey{Job: jobID(1)}] = 1
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newSerialPolicy()
+			r := newRigWith(t, operatorconfig.Queue{Advisor: &operatorconfig.PlacementAdvisor{TicketValidity: 3 * time.Second}}, p)
+			var nodes, ids []string
+			for i := range unusable {
+				w := &chervilv2.Worker{Id: fmt.Sprintf("other-%d", i), BornUnixMs: 1, Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000, Listed: true}
+				if c.other != nil {
+					c.other(w)
+				}
+				nodes, ids = append(nodes, fmt.Sprintf("other-%d", i)), append(ids, w.Id)
+				r.attachWith(nodes[i], w)
+			}
+			good := r.attachWith("side-1", &chervilv2.Worker{
+				Id: "good", BornUnixMs: 1, Service: testService, Zone: "pnw-a", CpuMilli: 16000, MemoryMb: 64000, Gpus: 1, Labels: []string{"b"}, Listed: true,
+			})
+			r.engine.mu.Lock()
+			if c.spoil != nil {
+				c.spoil(r, nodes)
+			}
+			r.engine.mu.Unlock()
+			job := spec(jobID(1), 1)
+			if c.step != nil {
+				c.step(job.Steps[0])
+			}
+			r.submit(job)
+			asked := p.answerAll(100 * time.Millisecond)
+			if c.name == "quarantined" {
+				ids = ids[:quarantined]
+			} else {
+				eventually(t, "the job starts", func() bool { return len(good.started()) == 1 })
+			}
+			for _, id := range asked {
+				assert.Assert(t, !slices.Contains(ids, id), "asked about %s", id)
+			}
+			assert.Assert(t, len(asked) > 0)
+		})
+	}
+}
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -99,7 +99,7 @@
 	time.Sleep(100 * time.Millisecond)
 	r.engine.mu.Lock()
 	defer r.engine.mu.Unlock()
-	ok, why := r.engine.nodes["side-1"].usable(nil, r.clock.read())
+	ok, why := r.engine.nodes["side-1"].usable(r.view, r.clock.read())
 	assert.Assert(t, !ok, why)
 }
 
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -156,9 +156,7 @@
 
 // offersCapacity reports whether the worker may run new tasks now or soon.
 func (n *node) offersCapacity(view *operatorconfig.View, now boottime.Instant) bool {
-	w := n.worker
-	return !w.Gone && !w.Draining && n.drainingSince == 0 && !view.Evacuated[w.Zone] &&
-		!view.Config.Services[w.Service].Standby && now.Sub(n.lastReport) <= absentAfter
+	return n.outOfService(view) == "" && now.Sub(n.lastReport) <= absentAfter
 }
 
 // updateDelivered updates the delivered cores of each service. Without waiting tasks, runs use what
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -6,6 +6,7 @@
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/jobstate"
+	"chervilridge/internal/operatorconfig"
 	"chervilridge/internal/plan"
 )
 
@@ -171,23 +172,37 @@
 	return plan.Resources{CPUMilli: int64(n.worker.CpuMilli), MemoryMB: int64(n.worker.MemoryMb), GPUs: int64(n.worker.Gpus)}
 }
 
+// outOfService returns why the worker gets no new tasks now or soon, or "" if it may.
+func (n *node) outOfService(view *operatorconfig.View) string {
+	switch {
+	case n.worker == nil || n.worker.Gone:
+		return "worker is gone"
+	case n.worker.Service == "":
+		return "worker has sent no heartbeat"
+	case n.worker.Draining:
+		return "draining"
+	case n.drainingSince != 0:
+		return "worker is drained for maintenance"
+	case view.Evacuated[n.worker.Zone]:
+		return "data centre is evacuated"
+	case view.Config.Services[n.worker.Service].Standby:
+		return "service is on standby"
+	}
+	return ""
+}
+
 // usable reports whether the worker may get new tasks, and if not, why.
-func (n *node) usable(evacuated map[string]bool, now boottime.Instant) (bool, string) {
+func (n *node) usable(view *operatorconfig.View, now boottime.Instant) (bool, string) {
+	if why := n.outOfService(view); why != "" {
+		return false, why
+	}
 	switch {
 	case n.session == nil:
 		return false, "agent is not attached"
 	case n.leaseUntil.Sub(now) < minLeaseLeft:
 		return false, "worker has no lease or it ends soon"
-	case n.worker == nil || n.worker.Gone || !n.worker.Listed:
-		return false, "worker is gone or not listed"
-	case n.worker.Service == "":
-		return false, "worker has sent no heartbeat"
-	case n.worker.Draining:
-		return false, "draining"
-	case n.drainingSince != 0:
-		return false, "worker is drained for maintenance"
-	case evacuated[n.worker.Zone]:
-		return false, "data centre is evacuated"
+	case !n.worker.Listed:
+		return false, "worker is not listed"
 	case time.Duration(n.worker.SilentMs)*time.Millisecond > workerUnresponsiveAfter:
 		return false, "worker is unresponsive"
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -106,7 +106,7 @@
 	inService := map[string]int{}
 	for _, name := range names {
 		n := e.nodes[name]
-		if ok, _ := n.usable(view.Evacuated, now); ok && !view.Config.Services[n.worker.Service].Standby {
+		if ok, _ := n.usable(view, now); ok {
 			usable = append(usable, n)
 			inService[n.worker.Service]++
 		}
