Recognize an owner's own claim by all of its fields

When claims collide more often, accepted jobs are lost as well.

Cause: a claim that conflicts took the newest record for its own, stored by an unanswered try, if the nonce was equal. ulid.Make seeds its random part once with the time of day, so that processes which start together generate the same sequence, and claims within one millisecond get equal nonces. Two owners with one epoch are fenced by nothing: the store takes the appends of one for repeats of those of the other, and workers accept both.

Now epoch, node, address and nonce have to agree, at a claim and at a release, and nonces come from crypto/rand. The incarnations of agents had the same generator and have the new one too. No other use of ulid.Make is left; looked at as well: conflicts in Writer.Try, WavePublisher and the machine API, none of which is read as a success of the caller's own record.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/oklog/ulid/v2"
 	"google.golang.org/protobuf/proto"
 
 	chervilv2 "chervilridge/api/chervil/v2"
@@ -19,6 +18,7 @@
 	"chervilridge/internal/dispatch"
 	"chervilridge/internal/events"
 	"chervilridge/internal/fault"
+	"chervilridge/internal/ident"
 	"chervilridge/internal/schedulestore"
 	"chervilridge/platform"
 )
@@ -98,6 +98,7 @@
 	clock          boottime.Clock
 	newEngine      func(*schedulestore.Writer, *schedulestore.State) *dispatch.Engine
 	storeReachable func() bool
+	newNonce       func() string // of a claim
 
 	mu            sync.Mutex
 	owner         *chervilv2.OwnerRecord
@@ -112,7 +113,7 @@
 func New(self Identity, store schedulestore.Store, peers Peers, clock boottime.Clock, storeReachable func() bool,
 	newEngine func(*schedulestore.Writer, *schedulestore.State) *dispatch.Engine,
 ) *Elector {
-	return &Elector{self: self, store: store, peers: peers, clock: clock, newEngine: newEngine, storeReachable: storeReachable, ownerSeenAt: clock()}
+	return &Elector{self: self, store: store, peers: peers, clock: clock, newEngine: newEngine, storeReachable: storeReachable, newNonce: ident.New, ownerSeenAt: clock()}
 }
 
 // Owner returns the newest known owner record, or nil if none is known.
@@ -371,7 +372,7 @@
 // claim appends a claim for the next epoch, at least minEpoch, and takes over if the claim
 // succeeded.
 func (e *Elector) claim(ctx context.Context, previous *chervilv2.OwnerRecord, end int64, minEpoch uint64) {
-	record := &chervilv2.OwnerRecord{Node: e.self.Node, Address: e.self.Address, Nonce: ulid.Make().String()}
+	record := &chervilv2.OwnerRecord{Node: e.self.Node, Address: e.self.Address, Nonce: e.newNonce()}
 	record.Epoch = max(previous.GetEpoch()+1, minEpoch)
 	if !e.writeRecord(ctx, record, end) {
 		return
@@ -401,7 +402,7 @@
 		case platform.Conflict:
 			newest, _, readErr := schedulestore.ReadOwner(ctx, e.store)
 			if readErr == nil {
-				return newest.GetNonce() == record.Nonce && newest.GetReleased() == record.Released
+				return sameClaim(newest, record) && newest.Released == record.Released
 			}
 		case platform.Invalid:
 			events.OwnershipClaimFailed.LogError(err, "epoch", record.Epoch)
@@ -415,6 +416,13 @@
 	return false
 }
 
+// sameClaim reports whether both are records of one claim. All of its fields count: processes that
+// resume together from the same state may generate the same nonce, and two owners with one epoch are fenced
+// neither by the store nor by the workers.
+func sameClaim(a, b *chervilv2.OwnerRecord) bool {
+	return a != nil && b != nil && a.Epoch == b.Epoch && a.Node == b.Node && a.Address == b.Address && a.Nonce == b.Nonce
+}
+
 // takeOver fences the earlier owners, loads the stored state and runs an engine on it.
 // Loading is retried after a new fence, until ctx ends, unless the state is invalid.
 func (e *Elector) takeOver(ctx context.Context, record *chervilv2.OwnerRecord) error {
@@ -466,7 +474,7 @@
 	defer cancel()
 	owner := e.Owner()
 	newest, end, err := schedulestore.ReadOwner(ctx, e.store)
-	if err != nil || newest == nil || owner == nil || newest.Nonce != owner.Nonce {
+	if err != nil || !sameClaim(newest, owner) {
 		return
 	}
 	newest.Released = true
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -7,11 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/events"
+	"chervilridge/internal/ident"
 	"chervilridge/internal/jobentry"
 	"chervilridge/internal/peer"
 	"chervilridge/internal/schedulestore"
@@ -45,7 +44,7 @@
 
 // NewOwnerLink returns a link that is not attached. It knows the seed entries of node.
 func NewOwnerLink(agent *Agent, store schedulestore.Store, pool *peer.Pool, node *platform.NodeSettings) *OwnerLink {
-	return &OwnerLink{agent: agent, store: store, pool: pool, node: node, incarnation: ulid.Make().String(), entries: jobentry.SeedAddresses(node)}
+	return &OwnerLink{agent: agent, store: store, pool: pool, node: node, incarnation: ident.New(), entries: jobentry.SeedAddresses(node)}
 }
 
 // Run searches for the owner and attaches to it, again after each loss, until ctx ends.
