Count the runs of a job when they are granted, not when its tasks are visited

Cause: requests counted jobstate.MaxRuns down for each waiting task that it visited. Tasks that can't be placed used it up in the order of occurrences and steps.

The requests of a job now share a plan.RunBudget, which Place checks and counts down with each grant, of single tasks, isolated ones and gangs. A step offers at most as many tasks as are left. joinRequest looks at the requests of the same step only, which are the last ones, as more tasks may be visited.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -179,21 +179,26 @@
 		class, rank := e.urgency(en, queue, now)
 		runs := 0
 		en.job.ForEachRun(func(*jobstate.Run) { runs++ })
-		runsLeft := jobstate.MaxRuns - runs
-		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
+		budget := &plan.RunBudget{Left: jobstate.MaxRuns - runs}
+		var step plan.StepKey
+		ofStep := 0
+		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, waiting *jobstate.Step, task *jobstate.Task) {
 			if e.awaitsRetry(en, ref, task) {
 				return
 			}
-			if runsLeft--; runsLeft < 0 {
+			if key := stepKey(ref); key != step { // the tasks of a step follow each other
+				step, ofStep = key, 0
+			}
+			if ofStep++; ofStep > budget.Left {
 				return
 			}
 			request := plan.Request{
-				Key: stepKey(ref), Step: step.Spec, Queue: queue.Name, Service: queue.Service, Priority: queue.Priority,
-				Duration: e.lookahead.taskDuration(queue.Name, step.Spec),
+				Key: step, Step: waiting.Spec, Queue: queue.Name, Service: queue.Service, Priority: queue.Priority,
+				Duration: e.lookahead.taskDuration(queue.Name, waiting.Spec),
 				Class:    class, Rank: rank,
-				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref],
+				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Runs: budget,
 			}
-			if task.NeedsIsolation() && !step.Spec.Gang {
+			if task.NeedsIsolation() && !waiting.Spec.Gang {
 				if _, known := maxIsolated[queue.Service]; !known {
 					maxIsolated[queue.Service] = e.maxIsolated(queue.Service, e.clock())
 				}
@@ -220,9 +225,12 @@
 // joinRequest adds the task of a request to one of the same step in requests, and reports
 // whether there is one that it may join. Isolated tasks have requests of their own.
 func joinRequest(requests []plan.Request, task plan.Request) bool {
-	for i := range requests {
+	for i := range slices.Backward(requests) {
 		r := &requests[i]
-		if r.Key != task.Key || r.Isolated || task.Isolated {
+		if r.Key != task.Key { // the tasks of a step follow each other
+			return false
+		}
+		if r.Isolated || task.Isolated {
 			continue
 		}
 		if task.Step.Gang { // its members are placed together
--- a/internal/plan/isolate.go
+++ b/internal/plan/isolate.go
@@ -12,6 +12,10 @@
 // task in this round, so that it is free for the isolated one in a later round.
 func placeIsolated(workers []Worker, r *Request, out *Plan) {
 	for n, index := range r.Indexes {
+		if !r.Runs.allows(1) {
+			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes) - n, Reason: ReasonRunLimit})
+			return
+		}
 		best := -1
 		if isolatedWorkers(workers, r.Service) < r.MaxIsolated {
 			best = bestForIsolation(workers, r)
@@ -27,6 +31,7 @@
 			continue
 		}
 		w.assign(r)
+		r.Runs.use(1)
 		w.Isolated = true
 		out.Grants = append(out.Grants, Grant{Key: r.Key, Index: index, Worker: best})
 	}
--- a/internal/plan/model.go
+++ b/internal/plan/model.go
@@ -155,6 +155,22 @@
 	// SuspectAge is how long the tasks had been running at the crash of which they are
 	// suspected. The youngest are the most likely cause and come first.
 	SuspectAge time.Duration
+	// Runs bounds what is granted to the job; nil is no bound. All requests of a job share it.
+	Runs *RunBudget
+}
+
+// RunBudget is the number of runs that a job may still be granted. Only grants use it up, so that
+// tasks that find no worker take nothing from the others of their job.
+type RunBudget struct{ Left int }
+
+// allows reports whether n runs may be granted.
+func (b *RunBudget) allows(n int) bool { return b == nil || n <= b.Left }
+
+// use counts n runs as granted.
+func (b *RunBudget) use(n int) {
+	if b != nil {
+		b.Left -= n
+	}
 }
 
 // Grant assigns the task Index of a step to the worker at position Worker in the list of
@@ -180,4 +196,6 @@
 	ReasonNoRoom Reason = "no room"
 	// ReasonIsolation: no worker is free to run the task without others being started.
 	ReasonIsolation Reason = "no worker for an isolated task"
+	// ReasonRunLimit: the job has as many runs as it may have.
+	ReasonRunLimit Reason = "job at its limit of runs"
 )
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -85,12 +85,17 @@
 	c := newCandidates(workers, r, "")
 	c.pack = pack
 	for n, index := range r.Indexes {
+		if !r.Runs.allows(1) {
+			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes) - n, Reason: ReasonRunLimit})
+			return
+		}
 		best := c.choose()
 		if best < 0 {
 			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes) - n, Reason: ReasonNoRoom})
 			return
 		}
 		c.assign(best)
+		r.Runs.use(1)
 		out.Grants = append(out.Grants, Grant{Key: r.Key, Index: index, Worker: best})
 	}
 }
@@ -99,6 +104,10 @@
 // has room for the gang, the tasks are spread over racks. Workers to avoid are accepted if
 // there is no room without them.
 func placeGang(workers []Worker, r *Request, out *Plan) {
+	if !r.Runs.allows(len(r.Indexes)) {
+		out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: len(r.Indexes), Reason: ReasonRunLimit})
+		return
+	}
 	placed := tryPlaceGangOnRacks(workers, r, out)
 	if !placed && len(r.Avoid) > 0 && !r.StrictAvoid {
 		r.Avoid = nil
@@ -144,6 +153,7 @@
 		grants = append(grants, Grant{Key: r.Key, Index: index, Worker: best})
 	}
 	copy(workers, trial)
+	r.Runs.use(len(r.Indexes))
 	out.Grants = append(out.Grants, grants...)
 	return true
 }
