Keep agents from returning to an owner that was replaced

Agents that look for the owner took the first entry that says so, although the store had named an owner with a higher epoch.

An agent now ignores replies that name an older owner than the one it knows, of entries that lead and of those that offer to relay.

Test: TestAgentDoesNotReturnToAReplacedOwner, both cases fail before.

--- a/internal/workeragent/search.go
+++ b/internal/workeragent/search.go
@@ -123,10 +123,21 @@
 	}
 	l.observeOwner(reply.Owner)
 	l.addEntries(reply.Entries)
+	if l.knowsNewerOwner(reply.Owner) {
+		return searchReply{}
+	}
 	reachesOwner := reply.OwnerSeenMs >= 0 && reply.OwnerSeenMs < maxRelayContactAge.Milliseconds()
 	return searchReply{address: address, isOwner: reply.Leads, reachesOwner: reachesOwner && !reply.Leads}
 }
 
+// knowsNewerOwner reports whether a newer owner is known than the one in an entry's reply. Such an entry
+// neither owns the schedule nor relays to its owner, whatever it replies.
+func (l *OwnerLink) knowsNewerOwner(owner *chervilv2.OwnerRecord) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner.GetEpoch() > owner.GetEpoch()
+}
+
 // observeOwner records the owner if it is newer than the known one.
 func (l *OwnerLink) observeOwner(owner *chervilv2.OwnerRecord) {
 	if owner == nil {
--- a/internal/workeragent/search_test.go
+++ b/internal/workeragent/search_test.go
@@ -98,3 +98,40 @@
 	link.addEntries([]string{"", "10.0.0.2", "10.0.0.2:", ":7720", "10.0.0.2:0", "10.0.0.2:-1", "10.0.0.2:99999", "10.0.0.2:1e3", "unix:///x", "10.0.0.3:7720"})
 	assert.DeepEqual(t, link.entries, []string{"10.0.0.3:7720"})
 }
+
+// staleEntry is an entry that takes itself for the owner of an epoch that is over, as one whose engine hangs.
+type staleEntry struct {
+	chervilv2.UnimplementedSchedulerServer
+	reply *chervilv2.PingReply
+}
+
+func (e *staleEntry) Ping(context.Context, *chervilv2.PingRequest) (*chervilv2.PingReply, error) {
+	return e.reply, nil
+}
+
+// Guards against agents that attach to a replaced owner again and again while the next one is known, so that
+// their leases lapse and tasks that are to last stand still.
+func TestAgentDoesNotReturnToAReplacedOwner(t *testing.T) {
+	for name, reply := range map[string]*chervilv2.PingReply{
+		"that says it leads":             {Leads: true},
+		"that says it reaches the owner": {OwnerSeenMs: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			reply.Owner = &chervilv2.OwnerRecord{Epoch: 2, Node: "stale", Address: l.Addr().String()}
+			server := peer.NewServer()
+			chervilv2.RegisterSchedulerServer(server, &staleEntry{reply: reply})
+			go func() { _ = server.Serve(l) }()
+			t.Cleanup(server.Stop)
+			pool := peer.NewPool()
+			t.Cleanup(pool.Close)
+			node := &platform.NodeSettings{Name: "side-1"}
+			link := NewOwnerLink(NewAgent(node, platform.NewWorkerClient("127.0.0.1:1"), boottime.Now), unreachableStore{}, pool, node)
+			link.addEntries([]string{l.Addr().String()})
+			owner := &chervilv2.OwnerRecord{Epoch: 3, Node: "owner", Address: "127.0.0.1:1"} // not reached by this search
+			link.observeOwner(owner)
+			assert.Equal(t, link.search(context.Background()), owner.Address)
+		})
+	}
+}
