--- a/internal/jobentry/stalled_owner_test.go
+++ b/internal/jobentry/stalled_owner_test.go
@@ -133,7 +133,7 @@
 }
 
 // Guards against an owner whose engine hangs and that stays owner and in rotation, so that nothing is
-// scheduled and calls get no answer for good.
+// scheduled and calls get no answer any more.
 func TestOwnerThatStandsStillIsReplacedAndLeavesTheRotation(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
