Wait for the workers before a test of advice spoils them

With no worker that has room, those that would have room when empty are asked about, which is allowed and not what the test guards against. The check is unchanged; the test now waits until all workers are usable. 100 runs of it beside each other held.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -182,6 +182,11 @@
 			good := r.attachWith("side-1", &chervilv2.Worker{
 				Id: "good", BornUnixMs: 1, Service: testService, Zone: "pnw-a", CpuMilli: 16000, MemoryMb: 64000, Gpus: 1, Labels: []string{"b"}, Listed: true,
 			})
+			eventually(t, "all workers usable", func() bool { // else those without room now are asked about
+				r.engine.mu.Lock()
+				defer r.engine.mu.Unlock()
+				return len(r.engine.workers(r.view)) == unusable+1
+			})
 			r.engine.mu.Lock()
 			if c.spoil != nil {
 				c.spoil(r, nodes)
