Rename what a reader of the placement requests would stumble over

requests has the visited step's key and the number of its offered tasks under names that say so, and keeps step for the step; the share of the time of use that a policy may take is a divisor and is named so.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -26,9 +26,9 @@
 	// adviceTimeoutMargin is added to the expected response time to get the timeout of a
 	// request.
 	adviceTimeoutMargin = time.Second
-	// adviceShare is the part of the time for which tickets are of use that the policy may take
-	// for the workers of one request, as a divisor.
-	adviceShare = 2
+	// adviceTimeDivisor divides the time for which tickets are of use; the policy may take one part
+	// of it for the workers of one request.
+	adviceTimeDivisor = 2
 	// minAdviceDelay is the delay before a request that follows failed ones or, for the same step, ones
 	// whose tickets were of no use. It doubles with each of them up to maxAdviceDelay, which is
 	// below the 3 s for which a job with room may have nothing running.
@@ -199,7 +199,7 @@
 	case policy.TimePerWorker <= 0:
 		return maxWorkersPerAdvice
 	}
-	return int(min(max(ofUse/adviceShare/policy.TimePerWorker, 1), maxWorkersPerAdvice))
+	return int(min(max(ofUse/adviceTimeDivisor/policy.TimePerWorker, 1), maxWorkersPerAdvice))
 }
 
 // callPolicy queries the policy, in the background, about some of the workers.
@@ -230,7 +230,7 @@
 	delete(e.advisor.wantedSince, key) // waits behind the others if it needs more
 	if err != nil {
 		e.advisor.failures++
-		e.advisor.notBefore = now.Add(adviceDelay(e.advisor.failures + 1))
+		e.advisor.notBefore = now.Add(adviceDelay(e.advisor.failures + 1)) // never at once
 		events.PlacementPolicyFailed.LogError(err, "step", step, "workers", len(ids))
 		return
 	}
@@ -265,7 +265,7 @@
 	return ""
 }
 
-// recordTicketUse records that a run was granted.
+// recordTicketUse records that a run was granted with a ticket, if its queue has a placement policy.
 func (e *Engine) recordTicketUse(r *jobstate.Run) {
 	if cached := e.advisor.steps[stepKey(r.Ref)]; cached != nil {
 		cached.used = true
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -180,25 +180,25 @@
 		runs := 0
 		en.job.ForEachRun(func(*jobstate.Run) { runs++ })
 		budget := &plan.RunBudget{Left: jobstate.MaxRuns - runs}
-		var step plan.StepKey
-		ofStep := 0
-		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, waiting *jobstate.Step, task *jobstate.Task) {
+		var visited plan.StepKey
+		offered := 0 // tasks of the visited step
+		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
 			if e.awaitsRetry(en, ref, task) {
 				return
 			}
-			if key := stepKey(ref); key != step { // the tasks of a step follow each other
-				step, ofStep = key, 0
+			if key := stepKey(ref); key != visited { // the tasks of a step follow each other
+				visited, offered = key, 0
 			}
-			if ofStep++; ofStep > budget.Left {
+			if offered++; offered > budget.Left {
 				return
 			}
 			request := plan.Request{
-				Key: step, Step: waiting.Spec, Queue: queue.Name, Service: queue.Service, Priority: queue.Priority,
-				Duration: e.lookahead.taskDuration(queue.Name, waiting.Spec),
+				Key: visited, Step: step.Spec, Queue: queue.Name, Service: queue.Service, Priority: queue.Priority,
+				Duration: e.lookahead.taskDuration(queue.Name, step.Spec),
 				Class:    class, Rank: rank,
 				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Runs: budget,
 			}
-			if task.NeedsIsolation() && !waiting.Spec.Gang {
+			if task.NeedsIsolation() && !step.Spec.Gang {
 				if _, known := maxIsolated[queue.Service]; !known {
 					maxIsolated[queue.Service] = e.maxIsolated(queue.Service, e.clock())
 				}
