Log and count why a long-running task waits beside room

Nothing said why one given task waits. A long-running task that has waited for 3 s since its last confirmed start, although a worker in service has room for it, is now logged once a second (7231, at most three steps) with these workers counted by what keeps it from them: quarantine, reservation, start limit, isolated task, a failure of the task there, a worker that is not usable, a start that stays unconfirmed, or none known. notStarted counts the rejected starts in the wait. chervil_obstructed_tasks counts the same by obstacle. No decision changes: workers returns the quarantined workers beside the others, suits is split in two.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -185,7 +185,8 @@
 			eventually(t, "all workers usable", func() bool { // else those without room now are asked about
 				r.engine.mu.Lock()
 				defer r.engine.mu.Unlock()
-				return len(r.engine.workers(r.view)) == unusable+1
+				workers, _ := r.engine.workers(r.view)
+				return len(workers) == unusable+1
 			})
 			r.engine.mu.Lock()
 			if c.spoil != nil {
--- a/internal/dispatch/colocation.go
+++ b/internal/dispatch/colocation.go
@@ -153,7 +153,7 @@
 				continue
 			}
 			if workers == nil {
-				workers = e.workers(view)
+				workers, _ = e.workers(view)
 			}
 			request := plan.Request{
 				Key: stepKey(tr.run.Ref), Step: tr.step, Service: queue.Service, Indexes: []uint32{tr.run.Ref.Index},
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -167,6 +167,7 @@
 	n.removeRun(runKey{run.Ref, run.Attempt})
 	en := e.jobs[run.Ref.Job]
 	if r.started {
+		delete(en.waits, run.Ref)
 		en.job.ConfirmStart(run)
 	}
 	if evidence == jobstate.CrashUnexplained && en.job.AddCrashAge(run.Ref, r.age) {
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -109,6 +109,7 @@
 	modelStoredAt       boottime.Instant
 	lastMoveCheck       boottime.Instant
 	stateLoggedAt       boottime.Instant
+	waitsLoggedAt       boottime.Instant
 	forecasts           forecasts
 	lookahead           lookahead
 
@@ -138,6 +139,8 @@
 	failedOn map[jobstate.TaskRef]map[string]bool
 	// crashedAt is when the last run of each task ended with its worker.
 	crashedAt map[jobstate.TaskRef]boottime.Instant
+	// waits holds the long-running tasks that have been seen waiting since their last confirmed start.
+	waits map[jobstate.TaskRef]*taskWait
 	// idleSince is when the job was first seen with waiting tasks and no run; 0
 	// otherwise.
 	idleSince boottime.Instant
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -40,6 +40,7 @@
 	tasksGivenUp    = counter{name: "tasks_given_up", tag: "queue"}
 	jobsRefused     = counter{name: "jobs_refused", tag: "reason"}
 	reservations    = counter{name: "reservations", tag: "outcome"}
+	obstructedTasks = counter{name: "obstructed_tasks", tag: "obstacle"}
 )
 
 const (
@@ -58,7 +59,7 @@
 		h := scope.Histogram(name, buckets)
 		t.t.Store(&h)
 	}
-	for _, c := range []*counter{&workerCrashes, &taskSuspects, &suspectsCleared, &tasksGivenUp, &jobsRefused, &reservations} {
+	for _, c := range []*counter{&workerCrashes, &taskSuspects, &suspectsCleared, &tasksGivenUp, &jobsRefused, &reservations, &obstructedTasks} {
 		c.scope.Store(&scope)
 	}
 	errorBuckets := tally.MustMakeExponentialDurationBuckets(firstErrorBucket, bucketFactor, errorBucketCount)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -41,9 +41,10 @@
 		e.placeAhead(nil, nil) // drops the reservations
 		return
 	}
-	workers := e.workers(view)
+	workers, quarantined := e.workers(view)
 	planned := e.placeAhead(workers, requests)
 	e.logState(requests, planned, workers)
+	e.logWaits(view, requests, planned, workers, quarantined)
 	for _, g := range groupGangs(planned.Grants, requests) {
 		e.grant(g, workers)
 	}
@@ -94,8 +95,8 @@
 
 const stateLogInterval = time.Second
 
-// workers returns the workers that may get tasks, sorted by node name.
-func (e *Engine) workers(view *operatorconfig.View) []plan.Worker {
+// workers returns the workers that may get tasks, and those that are quarantined, both sorted by node name.
+func (e *Engine) workers(view *operatorconfig.View) (open, quarantined []plan.Worker) {
 	names := make([]string, 0, len(e.nodes))
 	for name := range e.nodes {
 		names = append(names, name)
@@ -117,19 +118,20 @@
 			startLimits[service] = maxStartingOnAlert
 		}
 	}
-	quarantined := map[string]int{}
-	out := make([]plan.Worker, 0, len(usable))
+	outOfUse := map[string]int{} // quarantined workers by service
+	open = make([]plan.Worker, 0, len(usable))
 	for _, n := range usable {
 		service := n.worker.Service
-		if n.health.quarantined(now) && (quarantined[service]+1)*100 <= maxQuarantinedPercent*inService[service] {
-			quarantined[service]++
-			continue
-		}
 		w := n.plannerWorker(e.model, now)
 		w.MaxStarting = startLimits[service]
-		out = append(out, w)
+		if n.health.quarantined(now) && (outOfUse[service]+1)*100 <= maxQuarantinedPercent*inService[service] {
+			outOfUse[service]++
+			quarantined = append(quarantined, w)
+			continue
+		}
+		open = append(open, w)
 	}
-	return out
+	return open, quarantined
 }
 
 // plannerWorker returns the node's worker in the form that the planner uses.
@@ -183,6 +185,7 @@
 		var visited plan.StepKey
 		offered := 0 // tasks of the visited step
 		en.job.ForEachWaitingTask(func(ref jobstate.TaskRef, step *jobstate.Step, task *jobstate.Task) {
+			e.observeWait(en, ref, step)
 			if e.awaitsRetry(en, ref, task) {
 				return
 			}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -249,6 +249,7 @@
 		e.lookahead.observe(en.job.Spec.Queue, tr.step, took)
 	}
 	n.removeRun(runKey{ref, end.Attempt})
+	delete(en.waits, ref)
 	effect := en.job.FinishRun(jobstate.RunEnd{Ref: ref, Attempt: end.Attempt, Kind: end.Kind, Checkpoint: end.Checkpoint}, e.maxAttempts(en), e.wall().UnixMilli())
 	events.RunEnded.Log("task", end.Task, "attempt", end.Attempt, "node", n.name, "how", end.Kind, "number", end.Number, "changed", effect.Changed)
 	e.recordOutcome(n, en, ref, end.Kind)
@@ -320,6 +321,9 @@
 		e.discardTicket(run)
 	}
 	events.RunNotStarted.Log("task", r.Task, "attempt", r.Attempt, "node", n.name, "answer", r.Answer)
+	if wait := en.waits[ref]; wait != nil {
+		wait.notStarted++
+	}
 	if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil {
 		e.dropRun(n, tr)
 	} else {
@@ -375,6 +379,7 @@
 func (e *Engine) confirmStart(tr *trackedRun, now boottime.Instant) {
 	if en := e.jobs[tr.run.Ref.Job]; en != nil {
 		en.job.ConfirmStart(tr.run)
+		delete(en.waits, tr.run.Ref)
 	}
 	if tr.startedAt == 0 {
 		tr.startedAt = now
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -52,6 +52,7 @@
 	JobQueueUnknown     = define(7222, Warning, "queue of a job in no known configuration, nothing of the job starts")
 	JobQueueChanged     = define(7223, Info, "settings of a job's queue changed")
 	RoomReserved        = define(7230, Info, "room reserved for large tasks that wait")
+	TaskObstructed      = define(7231, Warning, "long-running task waits although a worker has room for it")
 	JobRefused          = define(7240, Info, "job refused, it would end too late to be of use")
 	OrderRepeated       = define(7212, Warning, "unconfirmed start or stop order repeated")
 )
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -229,9 +229,12 @@
 
 // suits reports whether a task of the request may run on the worker once it has room and is
 // not to be avoided.
-func (w *Worker) suits(r *Request) bool {
+func (w *Worker) suits(r *Request) bool { return !w.Isolated && w.permits(r) }
+
+// permits is suits, also while an isolated task runs on the worker.
+func (w *Worker) permits(r *Request) bool {
 	switch {
-	case w.Service != r.Service, w.Isolated,
+	case w.Service != r.Service,
 		r.Step.RequiredLabel != "" && !slices.Contains(w.Labels, r.Step.RequiredLabel),
 		r.Allowed != nil && !r.Allowed[w.Key.ID],
 		r.Step.MaxPerWorker > 0 && w.RunsPerStep[r.Key] >= int(r.Step.MaxPerWorker):
