Confirm the end of a worker to its agent once it is stored

Workers leave while the owner is cut off from the store. The owner learns that their runs have ended and answers the reports, the agents take any answer for a confirmation and stop with their machines, and the owner never stores what it learned. The next owner finds the runs in the store and waits for leases that no agent holds: 2.5 s, the longest lease (10 s there) and 0.6 s. Class: an acknowledgement of what only the memory of its sender holds.

OwnerOrders.worker_end_stored now follows the append with the runs' ends, as stored_end does for single ends, and is repeated with each further report; the agent waits for it within its grace period. An owner of an earlier version never sends it, so that in a mixed fleet an agent whose worker is gone uses up its grace period and stops as before.

Same class, looked at: ends of runs (stored_end follows the store), submissions and cancels (answered once stored), shown phases (stored ones), crash reports (repeated to each owner; the agent now also stays for them, as their worker's end is confirmed last), results of starts (a new owner repeats the order and is answered), states of waves (stored after they are published, which is repeated). None of these changed.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -33,7 +33,7 @@
 }
 
 // order is sent to the agent of a node once its batch is stored. It starts a run, stops a
-// run or acknowledges the run ends up to storedEnd.
+// run, acknowledges the run ends up to storedEnd, or the end of the worker.
 type order struct {
 	node string
 	// run identifies the run to start or stop.
@@ -41,7 +41,8 @@
 	start     *chervilv2.StartOrder
 	stop      *chervilv2.StopOrder
 	storedEnd int64
-	// worker is the incarnation to start the run on, or whose ends are stored.
+	workerEnd bool
+	// worker is the incarnation to start the run on, whose ends are stored, or that has ended.
 	worker jobstate.WorkerKey
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -267,6 +267,12 @@
 		}
 		n.storedEnd = max(n.storedEnd, o.storedEnd)
 	}
+	if o.workerEnd {
+		if n.key != o.worker || n.workerEnd != workerEndPending {
+			return // the worker has been replaced, or lives
+		}
+		n.workerEnd = workerEndStored
+	}
 	if o.start != nil {
 		tr := n.runs[o.run]
 		if tr == nil || tr.run.Stopping || tr.run.Worker != n.key {
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -51,7 +51,9 @@
 	// lastEnd is the number of the last run end processed, storedEnd of the last one
 	// stored.
 	lastEnd, storedEnd int64
-	health             health
+	// workerEnd is how far the end of the worker is stored.
+	workerEnd workerEndState
+	health    health
 	// drainingSince is when draining for maintenance began; 0 if the node is not
 	// draining.
 	drainingSince boottime.Instant
@@ -71,6 +73,15 @@
 	isolationCrashedAt boottime.Instant
 }
 
+// workerEndState is how far it is stored that a worker has ended with its runs.
+type workerEndState int
+
+const (
+	workerLives workerEndState = iota
+	workerEndPending
+	workerEndStored
+)
+
 // trackedRun is a granted run with the owner's bookkeeping.
 type trackedRun struct {
 	run       *jobstate.Run
--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -241,6 +241,9 @@
 	answeredStops int
 	ackedEnd      int64
 	leases        int
+	// answered is the newest report that was answered, workerEndStored whether the end of the worker was confirmed.
+	answered        uint64
+	workerEndStored bool
 	// entryLists are the lists of live entries received.
 	entryLists [][]string
 	sequence   uint64
@@ -256,6 +259,7 @@
 	a.stops = append(a.stops, o.Stops...)
 	a.described = append(a.described, o.Runs...)
 	a.ackedEnd = max(a.ackedEnd, o.StoredEnd)
+	a.answered, a.workerEndStored = max(a.answered, o.Report), a.workerEndStored || o.WorkerEndStored
 	if len(o.Entries) > 0 {
 		a.entryLists = append(a.entryLists, o.Entries)
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -57,13 +57,14 @@
 			return
 		}
 		if next.WorkerId != o.worker.ID || next.BornUnixMs != o.worker.BornUnixMs {
-			next.Starts, next.StoredEnd = nil, 0
+			next.Starts, next.StoredEnd, next.WorkerEndStored = nil, 0, false
 			next.WorkerId, next.BornUnixMs = o.worker.ID, o.worker.BornUnixMs
 		}
 		if o.start != nil {
 			next.Starts = append(next.Starts, o.start)
 		}
 		next.StoredEnd = max(next.StoredEnd, o.storedEnd)
+		next.WorkerEndStored = next.WorkerEndStored || o.workerEnd
 	})
 }
 
@@ -170,6 +171,9 @@
 	if present && r.Worker.GetGone() && len(n.runs) > 0 { // the reported ends take precedence
 		e.loseRuns(n, r)
 	}
+	if present && r.Worker.GetGone() && r.Worker.GetId() != "" {
+		e.confirmWorkerEnd(n)
+	}
 	if r.Full {
 		e.settleEarlierRuns(n, r)
 		e.reconcile(n, r)
@@ -211,7 +215,7 @@
 	if n.key != key {
 		events.WorkerRegistered.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "service", w.Service, "zone", w.Zone,
 			"cpuMilli", w.CpuMilli, "memoryMB", w.MemoryMb, "labels", w.Labels)
-		n.key, n.lastEnd, n.storedEnd, n.health, n.drainingSince = key, 0, 0, health{}, 0
+		n.key, n.lastEnd, n.storedEnd, n.workerEnd, n.health, n.drainingSince = key, 0, 0, workerLives, health{}, 0
 		e.replan()
 	}
 	if n.leasable && key == n.crashed {
@@ -221,9 +225,26 @@
 		e.replan()
 	}
 	n.worker = w
+	if !w.Gone {
+		n.workerEnd = workerLives
+	}
 	return true
 }
 
+// confirmWorkerEnd tells the agent of a worker that is gone that the ends of its runs are stored, once they are. The
+// agent may stop after that, and another owner would wait for the leases of runs that it does not know to have ended.
+func (e *Engine) confirmWorkerEnd(n *node) {
+	end := order{node: n.name, workerEnd: true, worker: n.key}
+	switch n.workerEnd {
+	case workerLives:
+		n.workerEnd = workerEndPending
+		e.batch.orders = append(e.batch.orders, end)
+		e.wake()
+	case workerEndStored: // repeat a lost confirmation
+		n.session.addOrder(end)
+	}
+}
+
 // handleEnd processes the end of a run on the present worker, and acknowledges it to the agent
 // once it is stored.
 func (e *Engine) handleEnd(n *node, end *chervilv2.RunEnd) {
--- a/internal/sitetest/site_test.go
+++ b/internal/sitetest/site_test.go
@@ -348,3 +348,35 @@
 	s.waitExit(s.agentName(used))
 	assert.Equal(t, len(s.journal.Violations()), 0, s.journal.Violations())
 }
+
+// Guards against a wait for leases that no agent holds: an owner that could not reach the store acknowledged the
+// end of a worker, and its agent stopped before another owner had learned of it.
+func TestEndOfAWorkerThatItsOwnerCannotStoreReachesTheNextOwner(t *testing.T) {
+	const (
+		tasks = 4
+		// noticed is the time in which an agent notices that its worker is gone.
+		noticed = 600 * time.Millisecond
+		// maxRecovery is the time in which a task that has stopped must run again, less that for a takeover.
+		maxRecovery = 6 * time.Second
+	)
+	s := startSite(t, 2, 2)
+	s.taskDuration.Store(int64(time.Minute))
+	s.submit(0, tasks)
+	s.eventually("tasks run", func() bool { return s.countRunning() == tasks })
+	used := 0
+	if s.startsOnWorker(1) > 0 {
+		used = 1
+	}
+	old := s.owner()
+	s.store.SetFaults(metastore.Faults{RejectedCallers: map[string]bool{old: true}})
+	s.crashWorker(used)
+	time.Sleep(noticed)
+	s.signal(s.agentName(used), syscall.SIGTERM)
+	s.eventually("another owner", func() bool { return s.owner() != old })
+	s.store.SetFaults(metastore.Faults{})
+	began := time.Now()
+	s.eventually("all tasks run elsewhere", func() bool { return s.countRunning() == tasks })
+	assert.Assert(t, time.Since(began) < maxRecovery, "took %v", time.Since(began))
+	s.waitExit(s.agentName(used))
+	assert.Equal(t, len(s.journal.Violations()), 0, s.journal.Violations())
+}
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -87,7 +87,7 @@
 	gone          bool             // nothing runs on it any more, and it is not expected to return
 	goneAt        boottime.Instant // when it ended; 0 if it lives
 	leasesExpired bool             // all leases expired while it was unreachable
-	lossConfirmed bool             // the owner knows that it is gone
+	lossConfirmed bool             // the owner has stored that it is gone
 	listed        bool             // runs is the list that a hold call returned, and is still valid
 	// workerClock is the newest reading of the worker's clock, which the agent received
 	// at workerClockAt on its own clock. The reading may be older than that, so the
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -103,7 +103,6 @@
 		r := l.agent.buildReport()
 		r.Node, r.Incarnation, r.Address = l.node.Name, l.incarnation, jobentry.InternalAddress(l.node)
 		r.Sequence = tracker.nextSequence()
-		tracker.trackLoss(r)
 		l.agent.markCrashesSent(r)
 		if err := stream.Send(r); err != nil {
 			l.agent.restoreResults(r)
@@ -139,9 +138,6 @@
 	sentAt    map[uint64]boottime.Instant
 	lastReply boottime.Instant
 	attached  bool
-	// lossSequence is the first report in which lostWorker was gone.
-	lossSequence uint64
-	lostWorker   string
 }
 
 // nextSequence returns the number of the next report and records its time.
@@ -184,9 +180,6 @@
 		return false
 	}
 	t.agent.confirmCrashes(o.Report)
-	if lost := t.confirmedLoss(o.Report); lost != "" {
-		t.agent.confirmLoss(lost)
-	}
 	return true
 }
 
--- a/internal/workeragent/release.go
+++ b/internal/workeragent/release.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/events"
 	"chervilridge/internal/wait"
 )
@@ -16,10 +15,10 @@
 	releasePollInterval = 20 * time.Millisecond
 )
 
-// awaitRelease waits until the owner knows that the worker has ended and has stored the
-// ends of its runs. It returns at once while the worker lives, since the next agent process
-// finds it and its runs. If the agent stopped earlier, the owner would wait until all
-// leases on the runs have expired.
+// awaitRelease waits until the owner has stored that the worker and its runs have ended. It
+// returns at once while the worker lives, since the next agent process finds it and its runs.
+// If the agent stopped earlier, the next owner would wait until all leases on the runs have
+// expired. Owners of earlier versions never confirm it.
 func (a *Agent) awaitRelease(ctx context.Context) {
 	for a.lossUnconfirmed() {
 		if ctx.Err() != nil {
@@ -31,7 +30,7 @@
 }
 
 // lossUnconfirmed reports whether the worker has ended, or is about to, and the owner has
-// not confirmed that it knows.
+// not confirmed that it has stored that.
 func (a *Agent) lossUnconfirmed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -41,35 +40,3 @@
 	}
 	return !inc.lossConfirmed || len(inc.pendingEnds) > 0
 }
-
-// confirmLoss records that the owner has processed a report of the worker's end.
-func (a *Agent) confirmLoss(workerID string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.incarnation != nil && a.incarnation.id == workerID {
-		a.incarnation.lossConfirmed = true
-	}
-}
-
-// trackLoss records the first report of a worker that is gone.
-func (t *reportTracker) trackLoss(r *chervilv2.AgentReport) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch {
-	case !r.Worker.GetGone():
-		t.lostWorker = ""
-	case t.lostWorker != r.Worker.Id:
-		t.lossSequence, t.lostWorker = r.Sequence, r.Worker.Id
-	}
-}
-
-// confirmedLoss returns the ID of the worker whose end the owner has learned by a reply to
-// the report, or "".
-func (t *reportTracker) confirmedLoss(report uint64) string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.lostWorker == "" || report < t.lossSequence {
-		return ""
-	}
-	return t.lostWorker
-}
