Place long-running tasks that have waited for 5 s wherever they have room

What callers would see: a long-running task waits for half a minute and more although a worker has room. Each of these kept it from that worker for longer than the 9 s that the platform allows after its last run, or 7 s after a disturbance: a quarantine (12 s, begun again by each single failure, as only finished tasks lower the score of a worker), a reservation of another request (up to 30 s, and longer if requests of other priorities take it over), an isolated task (10 s each, one after another), the limit of isolated tasks, the start limit beside more urgent tasks, and a worker to avoid, which stays so while another one is merely held back. Class: what is believed about workers has no bound in what it costs the tasks that wait, and several bounded beliefs follow each other.

Tasks that must start alone still do, also in the first placement. Advice about overdue steps is asked about the same workers. The time is in memory: a new owner, which has none of these beliefs either, counts from its takeover.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -146,8 +146,9 @@
 }
 
 // requestAdvice requests advice for the first step in order of those that the planning round has
-// left waiting, unless a request is in flight. workers and requests are those of the round.
-func (e *Engine) requestAdvice(workers []plan.Worker, requests []plan.Request, unplaced []plan.Unplaced) {
+// left waiting, unless a request is in flight. requests are those of the round, workersFor returns the workers
+// that the round considers for one.
+func (e *Engine) requestAdvice(requests []plan.Request, unplaced []plan.Unplaced, workersFor func(*plan.Request) []plan.Worker) {
 	waiting := map[plan.StepKey]bool{}
 	for _, u := range unplaced {
 		waiting[u.Key] = true
@@ -162,7 +163,7 @@
 		}
 		cached := e.advisor.adviceFor(r.Key)
 		need := adviceNeed{request: r, since: now}
-		need.workers, need.roomNow = r.UnadvisedWorkers(workers, cached.denied)
+		need.workers, need.roomNow = r.UnadvisedWorkers(workersFor(r), cached.denied)
 		if len(need.workers) == 0 {
 			continue
 		}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,12 +43,18 @@
 	}
 	workers, quarantined := e.workers(view)
 	planned := e.placeAhead(workers, requests)
+	all, overdue := e.placeOverdue(view, &planned, requests, workers, quarantined)
 	e.logState(requests, planned, workers)
 	e.logWaits(view, requests, planned, workers, quarantined)
 	for _, g := range groupGangs(planned.Grants, requests) {
-		e.grant(g, workers)
+		e.grant(g, all)
 	}
-	e.requestAdvice(workers, requests, planned.Unplaced)
+	e.requestAdvice(requests, planned.Unplaced, func(r *plan.Request) []plan.Worker {
+		if overdue[r.Key] {
+			return all
+		}
+		return workers
+	})
 	e.updateForecast(view, planned.Unplaced)
 }
 
@@ -154,10 +160,12 @@
 		if tr.step.Fills {
 			w.BestEffortCPUMilli += int64(tr.step.CpuMilli)
 		}
-		if tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge {
+		starting := tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge
+		if starting {
 			w.Starting++
 		}
 		w.Isolated = w.Isolated || tr.run.Isolated
+		w.IsolatedStarting = w.IsolatedStarting || tr.run.Isolated && starting
 	}
 	w.Suspicion = n.health.currentSlowness(now)
 	if n.health.failureScore >= quarantineScore {
@@ -206,6 +214,7 @@
 					maxIsolated[queue.Service] = e.maxIsolated(queue.Service, e.clock())
 				}
 				request.Isolated, request.MaxIsolated = true, maxIsolated[queue.Service]
+				request.Overdue = en.overdue(ref, e.clock())
 				request.SuspectAge = e.crashes.suspectAge(ref)
 			}
 			if !joinRequest(out[first:], request) {
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -15,6 +15,10 @@
 )
 
 const (
+	// maxObstructedWait is how long a long-running task waits for workers that have room for it but are kept from
+	// it by a judgment or a reservation. The platform expects it to run again within 9 s after its last
+	// run, and within 7 s after a disturbance has ended.
+	maxObstructedWait = 5 * time.Second
 	// loggedWait is how long a long-running task has waited when it is logged with the obstacles to it.
 	loggedWait = 3 * time.Second
 	// waitLogInterval is the minimum interval between two logs of waiting tasks, maxLoggedWaits the most
@@ -49,6 +53,12 @@
 	en.waits[ref] = &taskWait{since: e.clock()}
 }
 
+// overdue reports whether the long-running task has waited for maxObstructedWait.
+func (en *jobEntry) overdue(ref jobstate.TaskRef, now boottime.Instant) bool {
+	wait := en.waits[ref]
+	return wait != nil && now.Sub(wait.since) >= maxObstructedWait
+}
+
 // obstructedTask is a long-running task that waits although workers have room for it.
 type obstructedTask struct {
 	ref  jobstate.TaskRef
@@ -67,6 +77,16 @@
 	}
 }
 
+// obstacleNames returns the obstacles with their counts, sorted.
+func (t *obstructedTask) obstacleNames() []string {
+	names := make([]string, 0, len(t.obstacles))
+	for o, workers := range t.obstacles {
+		names = append(names, fmt.Sprintf("%s: %d", o, workers))
+	}
+	slices.Sort(names)
+	return names
+}
+
 // logWaits logs the long-running tasks that have waited for loggedWait although a worker has room, longest first, at
 // most once per waitLogInterval. It is for the state after a planning round.
 func (e *Engine) logWaits(view *operatorconfig.View, requests []plan.Request, planned plan.Plan, workers, quarantined []plan.Worker) {
@@ -93,17 +113,78 @@
 	tasks = slices.DeleteFunc(tasks, func(t obstructedTask) bool { return len(t.obstacles) == 0 })
 	slices.SortStableFunc(tasks, func(a, b obstructedTask) int { return cmp.Compare(a.wait.since, b.wait.since) })
 	for _, t := range tasks[:min(len(tasks), maxLoggedWaits)] {
-		var names []string
-		for o, workers := range t.obstacles {
-			names = append(names, fmt.Sprintf("%s: %d", o, workers))
+		for o := range t.obstacles {
 			obstructedTasks.increment(string(o))
 		}
-		slices.Sort(names)
-		events.TaskObstructed.Log("task", t.ref.String(), "waited", now.Sub(t.wait.since), "workers", names, "node", t.node, "notStarted", t.wait.notStarted,
+		events.TaskObstructed.Log("task", t.ref.String(), "waited", now.Sub(t.wait.since), "workers", t.obstacleNames(), "node", t.node, "notStarted", t.wait.notStarted,
 			"cpuMilli", t.step.CpuMilli, "memoryMB", t.step.MemoryMb, "steps", len(tasks))
 	}
 }
 
+// placeOverdue adds grants for long-running tasks that have waited for maxObstructedWait, despite the obstacles to
+// them. all are the workers that grants refer to, those of the round first; for overdue steps nothing but what they run
+// keeps a task from them.
+func (e *Engine) placeOverdue(view *operatorconfig.View, planned *plan.Plan, requests []plan.Request, workers, quarantined []plan.Worker) (all []plan.Worker, overdue map[plan.StepKey]bool) {
+	waiting := e.overdueRequests(requests, planned.Grants)
+	if len(waiting) == 0 {
+		return workers, nil
+	}
+	overdue = map[plan.StepKey]bool{}
+	obstructed := map[plan.StepKey]obstructedTask{}
+	for i := range waiting {
+		r := &waiting[i]
+		overdue[r.Key] = true
+		t, _ := e.longestWait(r)
+		e.addObstacles(&t, view, r, workers, quarantined)
+		obstructed[r.Key] = t
+	}
+	all = slices.Concat(workers, quarantined)
+	before := len(planned.Grants)
+	planned.PlaceOverdue(all, waiting, e.model)
+	for _, g := range planned.Grants[before:] {
+		t := obstructed[g.Key]
+		events.OverdueTaskPlaced.Log("task", taskRef(g.Key, g.Index).String(), "waited", e.clock().Sub(t.wait.since), "workers", t.obstacleNames(),
+			"node", all[g.Worker].Key.Node, "notStarted", t.wait.notStarted)
+	}
+	return all, overdue
+}
+
+// overdueRequests returns the requests for the long-running tasks that have waited for maxObstructedWait and
+// have no grant.
+func (e *Engine) overdueRequests(requests []plan.Request, grants []plan.Grant) []plan.Request {
+	now := e.clock()
+	granted := map[jobstate.TaskRef]bool{}
+	for _, g := range grants {
+		granted[taskRef(g.Key, g.Index)] = true
+	}
+	var out []plan.Request
+	for _, r := range requests {
+		if !r.Step.LongRunning {
+			continue
+		}
+		en := e.jobs[r.Key.Job]
+		var overdue []uint32
+		for _, index := range r.Indexes {
+			ref := taskRef(r.Key, index)
+			if en.overdue(ref, now) && !granted[ref] {
+				overdue = append(overdue, index)
+			}
+		}
+		if len(overdue) == 0 {
+			continue
+		}
+		if !r.Step.Gang { // members of a gang are placed together
+			r.Indexes = overdue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func taskRef(key plan.StepKey, index uint32) jobstate.TaskRef {
+	return jobstate.TaskRef{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: index}
+}
+
 // unconfirmedTasks returns the tasks that have been granted a run whose start has not been confirmed for
 // loggedWait.
 func (e *Engine) unconfirmedTasks(now boottime.Instant) []obstructedTask {
@@ -129,7 +210,7 @@
 	en := e.jobs[r.Key.Job]
 	out := obstructedTask{step: r.Step, obstacles: map[plan.Obstacle]int{}}
 	for _, index := range r.Indexes {
-		ref := jobstate.TaskRef{Job: r.Key.Job, Occurrence: r.Key.Occurrence, Step: r.Key.Step, Index: index}
+		ref := taskRef(r.Key, index)
 		if wait := en.waits[ref]; wait != nil && (out.wait == nil || wait.since < out.wait.since) {
 			out.ref, out.wait = ref, wait
 		}
--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -53,6 +53,7 @@
 	JobQueueChanged     = define(7223, Info, "settings of a job's queue changed")
 	RoomReserved        = define(7230, Info, "room reserved for large tasks that wait")
 	TaskObstructed      = define(7231, Warning, "long-running task waits although a worker has room for it")
+	OverdueTaskPlaced   = define(7232, Info, "long-running task placed despite obstacles")
 	JobRefused          = define(7240, Info, "job refused, it would end too late to be of use")
 	OrderRepeated       = define(7212, Warning, "unconfirmed start or stop order repeated")
 )
--- a/internal/plan/isolate.go
+++ b/internal/plan/isolate.go
@@ -17,7 +17,7 @@
 			return
 		}
 		best := -1
-		if isolatedWorkers(workers, r.Service) < r.MaxIsolated {
+		if isolatedWorkers(workers, r) < r.MaxIsolated {
 			best = bestForIsolation(workers, r)
 		}
 		if best < 0 {
@@ -26,13 +26,13 @@
 		}
 		w := &workers[best]
 		if w.Starting > 0 {
-			w.Isolated = true
+			w.Isolated, w.IsolatedStarting = true, true
 			out.Unplaced = append(out.Unplaced, Unplaced{Key: r.Key, Count: 1, Reason: ReasonIsolation})
 			continue
 		}
 		w.assign(r)
 		r.Runs.use(1)
-		w.Isolated = true
+		w.Isolated, w.IsolatedStarting = true, true
 		out.Grants = append(out.Grants, Grant{Key: r.Key, Index: index, Worker: best})
 	}
 }
@@ -50,11 +50,19 @@
 	return out
 }
 
-// isolatedWorkers returns the number of workers of a service with an isolated task.
-func isolatedWorkers(workers []Worker, service string) int {
+// isolatedFor reports whether an isolated task keeps a task of the request from the worker.
+func (w *Worker) isolatedFor(r *Request) bool {
+	if r.Overdue {
+		return w.IsolatedStarting
+	}
+	return w.Isolated
+}
+
+// isolatedWorkers returns the number of workers of the request's service that an isolated task keeps from it.
+func isolatedWorkers(workers []Worker, r *Request) int {
 	n := 0
 	for i := range workers {
-		if workers[i].Service == service && workers[i].Isolated {
+		if workers[i].Service == r.Service && workers[i].isolatedFor(r) {
 			n++
 		}
 	}
--- a/internal/plan/obstacles.go
+++ b/internal/plan/obstacles.go
@@ -28,9 +28,9 @@
 	}
 	add(w.AtStartLimit() && !r.Step.Gang, ObstacleStartLimit)
 	add(w.hold != nil && !w.hold.allows(r), ObstacleReservation)
-	add(w.Isolated, ObstacleIsolatedTask)
+	add(w.isolatedFor(r), ObstacleIsolatedTask)
 	add(r.Avoid[w.Key.ID], ObstacleAvoided)
-	add(r.Isolated && isolatedWorkers(workers, r.Service) >= r.MaxIsolated, ObstacleIsolationLimit)
+	add(r.Isolated && isolatedWorkers(workers, r) >= r.MaxIsolated, ObstacleIsolationLimit)
 	add(r.Isolated && w.Starting > 0, ObstacleStarting)
 	return out
 }
