--- a/internal/dispatch/rig_test.go
+++ b/internal/dispatch/rig_test.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -151,6 +153,8 @@
 	// advisor is the placement policy; nil if there is none.
 	advisor  Advisor
 	machines *testMachines
+	// maxLease is the longest lease; 0 is 6 s.
+	maxLease time.Duration
 
 	entriesMu sync.Mutex
 	entries   []string // that agents are sent
@@ -199,7 +203,7 @@
 	assert.NilError(r.t, writer.Fence(context.Background()))
 	restored, err := schedulestore.Load(context.Background(), r.store)
 	assert.NilError(r.t, err)
-	settings := Settings{Node: "entry", Bounds: platform.Bounds{MaxLease: 6 * time.Second, StatusRetention: 2 * time.Minute}, Advisor: r.advisor}
+	settings := Settings{Node: "entry", Bounds: platform.Bounds{MaxLease: cmp.Or(r.maxLease, 6*time.Second), StatusRetention: 2 * time.Minute}, Advisor: r.advisor}
 	if r.machines != nil {
 		settings.Machines = r.machines
 	}
@@ -235,6 +239,8 @@
 	reports     chan *chervilv2.AgentReport
 	mu          sync.Mutex
 	starts      []*chervilv2.StartOrder
+	// startBirths are the births of the incarnations that the starts are for.
+	startBirths []int64
 	stops       []*chervilv2.StopOrder
 	described   []*chervilv2.RunInfo
 	// answeredStops is the number of stops that answerStops has answered.
@@ -253,6 +259,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.starts = append(a.starts, o.Starts...)
+	for range o.Starts {
+		a.startBirths = append(a.startBirths, o.BornUnixMs)
+	}
 	a.stops = append(a.stops, o.Stops...)
 	a.described = append(a.described, o.Runs...)
 	a.ackedEnd = max(a.ackedEnd, o.StoredEnd)
@@ -411,3 +420,49 @@
 }
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+const (
+	// maxIdleAfterRun is how long a long-running task may be without a run while a worker has room for it,
+	// and maxIdleInCalm the same from the end of all disruptions (rule LOST).
+	maxIdleAfterRun = 9 * time.Second
+	maxIdleInCalm   = 7 * time.Second
+	reportPause     = 400 * time.Millisecond
+)
+
+// lasting returns a job of one step with the given number of long-running tasks.
+func lasting(id string, tasks, cpuMilli uint32) *chervilv2.JobSpec {
+	return &chervilv2.JobSpec{Id: id, Queue: testQueue, Steps: []*chervilv2.Step{{
+		Tasks: tasks, CpuMilli: cpuMilli, MemoryMb: 100, LongRunning: true, TargetLatencyMs: 50, MayMiss: 1,
+	}}}
+}
+
+// startsOf returns the starts of tasks of the job that the agent has received.
+func (a *testAgent) startsOf(job string) []*chervilv2.StartOrder {
+	return slices.DeleteFunc(a.started(), func(s *chervilv2.StartOrder) bool { return !strings.HasPrefix(s.Task, job+".") })
+}
+
+// listing returns a full report of the runs.
+func listing(starts ...*chervilv2.StartOrder) *chervilv2.AgentReport {
+	r := &chervilv2.AgentReport{Full: true}
+	for _, s := range starts {
+		r.Runs = append(r.Runs, &chervilv2.Run{Task: s.Task, Attempt: s.Attempt, Percent: servingPercent})
+	}
+	return r
+}
+
+// awaitIn lets the time pass in steps in which the agents report, until the condition holds or the time is over.
+func (r *rig) awaitIn(limit time.Duration, report func(), holds func() bool) bool {
+	r.t.Helper()
+	for waited := time.Duration(0); ; waited += reportPause {
+		report()
+		r.engine.tick()
+		r.settle()
+		if holds() {
+			return true
+		}
+		if waited+reportPause > limit {
+			return false
+		}
+		r.clock.advance(reportPause)
+	}
+}
