Test that machines of waves get the long-running tasks that only they have room for

Two causes in internal/dispatch/maintenance.go: 1. The owner ends draining only if no uncompleted wave is left, so that the machine of a withdrawn wave gets no task for as long as another wave goes on. 2. A draining machine gets no task. While another task of the step is unavailable, MayMiss forbids to stop the one that runs there. If the missing task has room on that machine only, neither ever ends.

--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -176,3 +177,65 @@
 	}
 	assert.DeepEqual(t, seen, map[string]int{"m-side-1": 1, "m-side-2": 1})
 }
+
+// setWaves replaces the requested waves.
+func (r *rig) setWaves(waves map[string]operatorconfig.Wave) {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	next := *r.view
+	next.Waves = waves
+	r.view = &next
+}
+
+// draining reports whether the node is drained for maintenance.
+func (r *rig) draining(node string) bool {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	return r.engine.nodes[node].drainingSince != 0
+}
+
+// Guards against a machine that gets no task any more, since its wave was withdrawn while another one goes on.
+func TestMachineOfAWithdrawnWaveGetsTasksWhileAnotherWaveGoesOn(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1", "side-2")
+	r.setWaves(nil)
+	a := r.attach("side-1", 32000)
+	r.submit(spec(jobID(1), 1))
+	eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+	a.report(listing(a.started()...))
+	r.attach("side-2", 500)
+	withdrawn, goesOn := operatorconfig.Wave{Number: 7, Machines: []string{"m-side-1"}, MaxDown: 1}, operatorconfig.Wave{Number: 8, Machines: []string{"m-side-2"}, MaxDown: 1}
+	r.setWaves(map[string]operatorconfig.Wave{"7": withdrawn, "8": goesOn})
+	eventually(t, "one machine drains, the other is in maintenance", func() bool { return r.draining("side-1") && machines.startedCount() == 1 })
+	r.setWaves(map[string]operatorconfig.Wave{"8": goesOn})
+	r.submit(lasting(jobID(2), 1, 2000))
+	ok := r.awaitIn(maxIdleInCalm, func() {
+		time.Sleep(waveInterval / 2)
+		a.report(listing(a.started()...))
+	}, func() bool { return len(a.startsOf(jobID(2))) > 0 })
+	assert.Assert(t, ok, "the machine is still drained: %v", r.draining("side-1"))
+}
+
+// Guards against a machine that neither ends draining nor gets the task whose absence keeps it from being drained.
+func TestMachineThatMayNotBeDrainedYetGetsTheMissingTask(t *testing.T) {
+	r, machines := rigWithWave(t, "side-1")
+	waves := r.view.Waves
+	r.setWaves(nil)
+	a := r.attach("side-1", 8000)
+	r.submit(spec(jobID(1), 4)) // fills half of the worker
+	eventually(t, "tasks start", func() bool { return len(a.started()) == 4 })
+	filling := a.started()
+	r.submit(lasting(jobID(2), 2, 4000))
+	eventually(t, "one serving task starts", func() bool { return len(a.startsOf(jobID(2))) == 1 })
+	serving := a.startsOf(jobID(2))
+	a.report(listing(slices.Concat(filling, serving)...))
+	r.setWaves(waves)
+	eventually(t, "machine drains", func() bool { return r.draining("side-1") })
+	for i, s := range filling {
+		a.end(int64(i+1), s, done)
+	}
+	ok := r.awaitIn(maxIdleInCalm, func() {
+		time.Sleep(waveInterval / 2)
+		a.report(listing(a.startsOf(jobID(2))...))
+	}, func() bool { return len(a.startsOf(jobID(2))) > 1 })
+	assert.Assert(t, ok, "%d stops ordered, %d machines in maintenance", len(a.stopped()), machines.startedCount())
+}
