Test that the task of a machine that is lost without a word is started elsewhere in time

Cause: the owner keeps a grant until all leases that any owner may have granted are over. That takes 1.02 x max-hold-ms + 0.4 s from the last lease, and 2.5 s + 1.02 x max-hold-ms + 0.4 s from the start of a new owner's epoch.

TestTaskOfALostMachineStartsElsewhereInTime loses a machine, in half of the cases with the owner, and expects the task elsewhere after 9 s.

--- a/internal/dispatch/unreachable_test.go
+++ b/internal/dispatch/unreachable_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	chervilv2 "chervilridge/api/chervil/v2"
+	"chervilridge/internal/operatorconfig"
 	"chervilridge/internal/schedulestore"
 )
 
@@ -179,3 +180,35 @@
 	next.report(&chervilv2.AgentReport{Full: true, Runs: []*chervilv2.Run{{Task: start.Task, Attempt: start.Attempt}}})
 	eventually(t, "stop sent", func() bool { return len(next.stopped()) > 0 })
 }
+
+// Guards against a task that waits for the lease of a lost machine for longer than it may be without a run.
+func TestTaskOfALostMachineStartsElsewhereInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		maxLease time.Duration
+		newOwner bool
+	}{
+		"lease of 6 s": {6 * time.Second, false}, "lease of 6 s and next owner": {6 * time.Second, true},
+		"lease of 10 s": {10 * time.Second, false}, "lease of 10 s and next owner": {10 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &rig{t: t, store: newTestStore(), clock: &testClock{now: newRig(t).clock.read()}, view: testView(operatorconfig.Queue{}), maxLease: c.maxLease}
+			r.start(1)
+			a := r.attach("side-1", 32000)
+			r.submit(lasting(jobID(1), 1, 1000))
+			eventually(t, "task starts", func() bool { return len(a.started()) == 1 })
+			a.report(listing(a.started()...))
+			r.awaitIn(2*MaxConfirmationAge, func() { a.report(listing(a.started()...)) }, func() bool { return false })
+			r.disconnect(a)
+			if c.newOwner {
+				r.takeOver(2)
+			}
+			lost := r.clock.read()
+			b := r.attach("side-2", 32000)
+			ok := r.awaitIn(maxIdleAfterRun, func() { b.report(listing(b.started()...)) }, func() bool { return len(b.started()) > 0 })
+			if !ok {
+				r.awaitIn(time.Minute, func() { b.report(listing(b.started()...)) }, func() bool { return len(b.started()) > 0 })
+			}
+			assert.Assert(t, ok, "started %v after the machine was lost", r.clock.read().Sub(lost))
+		})
+	}
+}
