Test that a heartbeat of another writer doesn't hide those of the worker

Cause: updateHeartbeat ignores heartbeats with a lower sequence number, and a heartbeat that lacks its time of birth counts as one of any life of the id. One with a higher number, as of an earlier life of the same id, makes the agent ignore the worker's own for good. Once it is older than maxCapacityAge, the agent refuses every start ("worker's capacity was not reported lately"), while its reports show the worker as usable, so that the owner grants to it again and again.

TestHeartbeatOfAnotherWriterDoesNotHideThoseOfTheWorker expects a start to be called after 7 s of the worker's own heartbeats (rule LOST). That a writer sends such a heartbeat was not seen; the protocol allows fields to be missing.

--- a/internal/workeragent/registration_test.go
+++ b/internal/workeragent/registration_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"k8s.io/klog/v2"
 
+	chervilv2 "chervilridge/api/chervil/v2"
 	"chervilridge/internal/boottime"
 	"chervilridge/internal/limits"
 	"chervilridge/platform"
@@ -143,3 +145,29 @@
 func newTestGuard() *limits.Guard {
 	return limits.New(limits.Machine{MemoryBytes: 1 << 30, Descriptors: 10_000}, tally.NoopScope)
 }
+
+// Guards against a worker on which nothing is started any more, since its heartbeats count as older than one of another
+// writer.
+func TestHeartbeatOfAnotherWriterDoesNotHideThoseOfTheWorker(t *testing.T) {
+	const interval, maxIdleInCalm = 1500 * time.Millisecond, 7 * time.Second // rule LOST
+	var advanced atomic.Int64
+	clock := func() boottime.Instant { return boottime.Now().Add(time.Duration(advanced.Load())) }
+	w := &listingWorker{report: platform.RunReport{Clock: time.Second, BornUnixMs: 7}}
+	node := &platform.NodeSettings{Name: "side-1", HeartbeatInterval: interval, Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: 3 * time.Second}}
+	a := NewAgent(node, w, clock)
+	freshBeat(a, 1)
+	a.holdOnce(t.Context())
+	a.HandleHeartbeat(platform.Heartbeat{WorkerID: workerID, Service: "desk", Sequence: 1000, CPUMilli: 1000, MemoryMB: 1000}) // lacks the time of birth
+	for i := range int64(maxIdleInCalm / interval) {
+		advanced.Add(int64(interval))
+		freshBeat(a, 2+i)
+		a.holdOnce(t.Context())
+	}
+	start := &chervilv2.StartOrder{Task: task1, Attempt: 1, WorkerId: workerID, CpuMilli: 500, MemoryMb: 500}
+	a.HandleOrders(t.Context(), &chervilv2.OwnerOrders{Epoch: 1, HoldMs: 6000, Starts: []*chervilv2.StartOrder{start}}, clock())
+	eventually(t, "start called or refused", func() bool {
+		a.holdOnce(t.Context())
+		return w.called("start "+task1) || resultOf(a.buildReport(), task1) != chervilv2.StartAnswer_START_ANSWER_UNKNOWN
+	})
+	assert.Assert(t, w.called("start "+task1), "refused, though the worker reports itself and answers")
+}
