Proposal: end the draining of machines whose wave was withdrawn, beside other waves

Cause: uncompletedWaves ended draining only once no uncompleted wave was left, so that the machine of a withdrawn wave got no task for as long as another wave went on. A node now knows the wave that it is drained for, and its draining ends once that wave is no longer among the uncompleted ones.

A machine that is taken out of a wave that goes on is still drained.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// uncompletedWaves returns the requested waves that are not completed. If there are none,
-// it ends the draining of all nodes.
+// uncompletedWaves returns the requested waves that are not completed. It ends the draining of
+// nodes for all others.
 func (e *Engine) uncompletedWaves() map[string]operatorconfig.Wave {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -97,8 +97,8 @@
 			out[name] = requested
 		}
 	}
-	if len(out) == 0 { // end the draining for a wave that was withdrawn
-		for _, n := range e.nodes {
+	for _, n := range e.nodes {
+		if _, requested := out[n.drainingWave]; !requested {
 			n.drainingSince = 0
 		}
 	}
@@ -139,7 +139,7 @@
 	clear(w.calledSinceListing)
 	for _, machine := range d.Drain {
 		if n := e.nodeOnMachine(machine, listed); n != nil {
-			n.drainingSince = now
+			n.drainingSince, n.drainingWave = now, name
 			events.MachineDraining.Log("wave", name, "machine", machine, "node", n.name, "runs", len(n.runs))
 		}
 	}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -52,9 +52,10 @@
 	// stored.
 	lastEnd, storedEnd int64
 	health             health
-	// drainingSince is when draining for maintenance began; 0 if the node is not
-	// draining.
+	// drainingSince is when draining for maintenance began, drainingWave the wave that it is
+	// for; 0 if the node is not draining.
 	drainingSince boottime.Instant
+	drainingWave  string
 	// lastBestEffort is the CPU use of best-effort runs in the previous report, by image.
 	lastBestEffort map[string]float64
 	// agentIncarnation is that of the agent's last report. agentRestarted is set from the first
