Avoid workers that have just refused to start a task

What callers would see: a task does not start although a worker has room, as the owner grants it again and again to another one whose agent refuses the start. Nothing remembered a refusal, and the planner chose the worker with the most room each time. Class: a decision that is repeated without what its failure told.

A worker that refuses a start is avoided for the task for 3 s, like one on which it failed, and used all the same if no other has room.

Other places that repeat a choice: quarantine and failedOn remember failures, the advisor remembers denied workers.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -137,6 +137,8 @@
 	rejected *chervilv2.JobReply
 	// failedOn holds the IDs of the workers on which each task has failed.
 	failedOn map[jobstate.TaskRef]map[string]bool
+	// refusedAt is when workers last refused to start each task, by worker ID.
+	refusedAt map[jobstate.TaskRef]map[string]boottime.Instant
 	// crashedAt is when the last run of each task ended with its worker.
 	crashedAt map[jobstate.TaskRef]boottime.Instant
 	// waits holds the long-running tasks that have been seen waiting since their last confirmed start.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -207,7 +207,7 @@
 				Key: visited, Step: step.Spec, Queue: queue.Name, Service: queue.Service, Priority: queue.Priority,
 				Duration: e.lookahead.taskDuration(queue.Name, step.Spec),
 				Class:    class, Rank: rank,
-				Indexes: []uint32{ref.Index}, Avoid: en.failedOn[ref], Runs: budget,
+				Indexes: []uint32{ref.Index}, Avoid: en.avoidedWorkers(ref, e.clock()), Runs: budget,
 			}
 			if task.NeedsIsolation() && !step.Spec.Gang {
 				if _, known := maxIsolated[queue.Service]; !known {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -345,6 +345,9 @@
 	if wait := en.waits[ref]; wait != nil {
 		wait.notStarted++
 	}
+	if !run.Stopping && r.Answer != chervilv2.StartAnswer_START_ANSWER_TICKET {
+		en.recordRefusal(ref, run.Worker.ID, e.clock())
+	}
 	if tr := n.runs[runKey{ref, r.Attempt}]; tr != nil {
 		e.dropRun(n, tr)
 	} else {
