Grant leases to draining workers rarely, and record when they were granted

The worker of such a node drains before it leaves. Its agent is now granted a lease only when 4 s of the last one are left, and the node is on the stored record of unreachable agents in between, from which the next owner takes how old the last lease is. The record keeps its meaning and its rule: a node on it is granted nothing before the record without it is stored.

TestRefusalsFollowTheCapacity waited for a lease of a draining worker; it now waits until the report is handled, its checks are the same.

--- a/internal/dispatch/refuse_test.go
+++ b/internal/dispatch/refuse_test.go
@@ -251,7 +251,15 @@
 	assert.Assert(t, !r.check(queued(100, testQueue), func(*Engine) {}), "two workers")
 	drain := func(draining bool) {
 		agents[1].worker = withDraining(agents[1].worker, draining)
-		r.grantLease(agents[1])
+		agents[1].report(&chervilv2.AgentReport{Full: true})
+		eventually(t, "report handled", func() bool {
+			r.engine.mu.Lock()
+			defer r.engine.mu.Unlock()
+			return r.engine.nodes["side-2"].worker.Draining == draining
+		})
+		if !draining {
+			r.grantLease(agents[1])
+		}
 		r.forecast()
 	}
 	drain(true)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -186,7 +186,7 @@
 		n.session = nil
 	}
 	lease := time.Duration(0)
-	if n.leasable && e.writer.SinceConfirmed() < MaxConfirmationAge && !e.removeUnreachable(n) {
+	if n.leasable && !n.withholdsLease(e.clock()) && e.writer.SinceConfirmed() < MaxConfirmationAge && !e.removeUnreachable(n) {
 		lease = e.settings.Bounds.MaxLease
 		n.lastGrant = e.clock()
 		n.leaseUntil = n.lastGrant.Add(lease)
--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -16,6 +16,9 @@
 	// agents attach within a second, and one that is on the record gets its lease one
 	// report later.
 	unreachableAfter = time.Second
+	// drainingLeaseLeft is the remaining lease from which on the agent of a worker that drains is granted none. Both
+	// may be gone before the next report, and another owner waits for the leases of an agent that it has not heard of.
+	drainingLeaseLeft = 4 * time.Second
 )
 
 // unreachableAgents tracks for how long agents have been granted nothing, across owners.
@@ -23,7 +26,8 @@
 // follow each other quickly, each would begin that wait again, and the tasks of a lost
 // machine would not be restarted for all that time. The times are therefore stored, in the
 // record of unreachable agents. A node stays on the record as long as it is granted
-// nothing; before an owner grants it a lease, it stores the record without the node.
+// nothing; before an owner grants it a lease, it stores the record without the node. Nodes whose
+// worker drains are on it as well: they are granted leases rarely.
 //
 // A recorded time is the age of the confirmation of ownership that the last lease may
 // rest on, at least. The lease was granted at most MaxConfirmationAge after it.
@@ -49,15 +53,24 @@
 	return min(now.Sub(n.lastGrant)+MaxConfirmationAge, sinceEpochStart)
 }
 
-// unreachable reports whether a node has been granted nothing for unreachableAfter since
-// its agent is silent or has no worker. While the store is down no agent is granted
-// anything, which does not count.
+// withholdsLease reports whether the node is granted nothing for now since its worker drains and has enough of its
+// lease left.
+func (n *node) withholdsLease(now boottime.Instant) bool {
+	return n.worker.GetDraining() && n.leaseUntil.Sub(now) > drainingLeaseLeft
+}
+
+// unreachable reports whether a node is to be on the record: it is granted nothing since its worker drains, or has
+// been granted nothing for unreachableAfter since its agent is silent or has no worker. While the store is down no
+// agent is granted anything, which does not count.
 func (e *Engine) unreachable(n *node, now boottime.Instant) bool {
+	if n.withholdsLease(now) {
+		return true
+	}
 	ungranted, silent := now.Sub(max(e.epochStart, n.lastGrant)), now.Sub(max(e.epochStart, n.lastReport))
 	return ungranted >= unreachableAfter && (silent >= unreachableAfter || !n.leasable)
 }
 
-// recordUnreachable periodically stores the record of unreachable agents with runs.
+// recordUnreachable periodically stores the record of agents with runs that are unreachable or may soon be.
 func (e *Engine) recordUnreachable(now boottime.Instant) {
 	if now.Sub(e.unreachableAgents.recordedAt) < unreachableInterval || e.batch.unreachable != nil {
 		return
