Place overdue tasks only after room for them has lasted, and not beside suspects

Isolated tasks are left out of the placement of overdue tasks, and an isolated run keeps others from its worker until a list of the worker has shown it alive past its start. A task is placed once it has waited for 5 s and there has been room for it for 2 s, as the rule counts from when there is room. The placement runs twice a second, obstacles are computed for the tasks that are placed, and for the log of the twenty longest waits.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -110,6 +110,7 @@
 	lastMoveCheck       boottime.Instant
 	stateLoggedAt       boottime.Instant
 	waitsLoggedAt       boottime.Instant
+	overduePlacedAt     boottime.Instant
 	forecasts           forecasts
 	lookahead           lookahead
 
--- a/internal/dispatch/isolation.go
+++ b/internal/dispatch/isolation.go
@@ -36,6 +36,7 @@
 	}
 	outlived := lastSeen.Sub(tr.startedAt)
 	if outlived > suspectAge {
+		tr.outlivedStart = true
 		if task.Suspect {
 			e.clearSuspect(tr.run.Ref)
 		}
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -90,6 +90,8 @@
 	orderedAt boottime.Instant
 	// startedAt is when this owner learned of the start; 0 if it has not.
 	startedAt boottime.Instant
+	// outlivedStart is set once the worker was seen with the run after the time in which suspects crash.
+	outlivedStart bool
 	// fencing is set while a stop keeps late calls from starting the run on a later incarnation than
 	// the one that it was granted to. unreportedEnd is set if the end of that one is then to be
 	// counted as a crash that no agent has reported.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -160,12 +160,11 @@
 		if tr.step.Fills {
 			w.BestEffortCPUMilli += int64(tr.step.CpuMilli)
 		}
-		starting := tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge
-		if starting {
+		if tr.startedAt == 0 || now.Sub(tr.startedAt) <= suspectAge {
 			w.Starting++
 		}
 		w.Isolated = w.Isolated || tr.run.Isolated
-		w.IsolatedStarting = w.IsolatedStarting || tr.run.Isolated && starting
+		w.IsolatedStarting = w.IsolatedStarting || tr.run.Isolated && !tr.outlivedStart
 	}
 	w.Suspicion = n.health.currentSlowness(now)
 	if n.health.failureScore >= quarantineScore {
@@ -214,7 +213,6 @@
 					maxIsolated[queue.Service] = e.maxIsolated(queue.Service, e.clock())
 				}
 				request.Isolated, request.MaxIsolated = true, maxIsolated[queue.Service]
-				request.Overdue = en.overdue(ref, e.clock())
 				request.SuspectAge = e.crashes.suspectAge(ref)
 			}
 			if !joinRequest(out[first:], request) {
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -15,16 +15,20 @@
 )
 
 const (
-	// maxObstructedWait is how long a long-running task waits for workers that have room for it but are kept from
-	// it by a judgment or a reservation. The platform expects it to run again within 9 s after its last
-	// run, and within 7 s after a disturbance has ended.
-	maxObstructedWait = 5 * time.Second
+	// overdueAfter is the wait from which on a long-running task is placed despite obstacles, overdueRoomTime for how
+	// long there must have been room for it. The platform expects it to run within 9 s after its last run, and within 3 s
+	// once there is room.
+	overdueAfter    = 5 * time.Second
+	overdueRoomTime = 2 * time.Second
+	// overdueInterval is the minimum interval between two placements of overdue tasks.
+	overdueInterval = 500 * time.Millisecond
 	// loggedWait is how long a long-running task has waited when it is logged with the obstacles to it.
 	loggedWait = 3 * time.Second
 	// waitLogInterval is the minimum interval between two logs of waiting tasks, maxLoggedWaits the most
-	// steps that each names.
-	waitLogInterval = time.Second
-	maxLoggedWaits  = 3
+	// steps that each names, of the maxExaminedWaits that have waited longest.
+	waitLogInterval  = time.Second
+	maxLoggedWaits   = 3
+	maxExaminedWaits = 20
 )
 
 // Obstacles beside those that the planner knows.
@@ -38,6 +42,8 @@
 // earlier waits.
 type taskWait struct {
 	since boottime.Instant
+	// roomSince is since when there has been room for the task; 0 if there is none.
+	roomSince boottime.Instant
 	// notStarted counts the grants since then whose start was rejected.
 	notStarted int
 }
@@ -53,17 +59,13 @@
 	en.waits[ref] = &taskWait{since: e.clock()}
 }
 
-// overdue reports whether the long-running task has waited for maxObstructedWait.
-func (en *jobEntry) overdue(ref jobstate.TaskRef, now boottime.Instant) bool {
-	wait := en.waits[ref]
-	return wait != nil && now.Sub(wait.since) >= maxObstructedWait
-}
-
 // obstructedTask is a long-running task that waits although workers have room for it.
 type obstructedTask struct {
 	ref  jobstate.TaskRef
 	step *chervilv2.Step
 	wait *taskWait
+	// request is nil for a task that has a run, whose start is not confirmed.
+	request *plan.Request
 	// obstacles counts these workers by what keeps the task from them.
 	obstacles map[plan.Obstacle]int
 	node      string // of one of these workers
@@ -106,12 +108,17 @@
 			continue
 		}
 		if t, ok := e.longestWait(r); ok && now.Sub(t.wait.since) >= loggedWait {
-			e.addObstacles(&t, view, r, workers, quarantined)
 			tasks = append(tasks, t)
 		}
 	}
-	tasks = slices.DeleteFunc(tasks, func(t obstructedTask) bool { return len(t.obstacles) == 0 })
 	slices.SortStableFunc(tasks, func(a, b obstructedTask) int { return cmp.Compare(a.wait.since, b.wait.since) })
+	tasks = tasks[:min(len(tasks), maxExaminedWaits)]
+	for i := range tasks {
+		if tasks[i].request != nil {
+			e.addObstacles(&tasks[i], view, workers, quarantined)
+		}
+	}
+	tasks = slices.DeleteFunc(tasks, func(t obstructedTask) bool { return len(t.obstacles) == 0 })
 	for _, t := range tasks[:min(len(tasks), maxLoggedWaits)] {
 		for o := range t.obstacles {
 			obstructedTasks.increment(string(o))
@@ -121,37 +128,59 @@
 	}
 }
 
-// placeOverdue adds grants for long-running tasks that have waited for maxObstructedWait, despite the obstacles to
-// them. all are the workers that grants refer to, those of the round first; for overdue steps nothing but what they run
-// keeps a task from them.
+// placeOverdue adds grants for long-running tasks that have waited for overdueAfter, despite the obstacles to them.
+// all are the workers that grants refer to, those of the round first, overdue the steps for which obstacles on them do
+// not count.
 func (e *Engine) placeOverdue(view *operatorconfig.View, planned *plan.Plan, requests []plan.Request, workers, quarantined []plan.Worker) (all []plan.Worker, overdue map[plan.StepKey]bool) {
-	waiting := e.overdueRequests(requests, planned.Grants)
+	now := e.clock()
+	if e.overduePlacedAt != 0 && now.Sub(e.overduePlacedAt) < overdueInterval {
+		return workers, nil
+	}
+	e.overduePlacedAt = now
+	waiting := e.longWaitingRequests(requests, planned.Grants)
 	if len(waiting) == 0 {
 		return workers, nil
 	}
+	all = slices.Concat(workers, quarantined)
+	grants := plan.PlaceOverdue(all, waiting, e.model)
+	hasRoom := map[jobstate.TaskRef]bool{}
+	for _, g := range grants {
+		hasRoom[taskRef(g.Key, g.Index)] = true
+	}
 	overdue = map[plan.StepKey]bool{}
-	obstructed := map[plan.StepKey]obstructedTask{}
+	byKey := map[plan.StepKey]*plan.Request{}
 	for i := range waiting {
 		r := &waiting[i]
-		overdue[r.Key] = true
-		t, _ := e.longestWait(r)
-		e.addObstacles(&t, view, r, workers, quarantined)
-		obstructed[r.Key] = t
+		overdue[r.Key], byKey[r.Key] = true, r
+		for _, index := range r.Indexes {
+			ref := taskRef(r.Key, index)
+			wait := e.jobs[ref.Job].waits[ref]
+			switch {
+			case !hasRoom[ref]:
+				wait.roomSince = 0
+			case wait.roomSince == 0:
+				wait.roomSince = now
+			}
+		}
 	}
-	all = slices.Concat(workers, quarantined)
-	before := len(planned.Grants)
-	planned.PlaceOverdue(all, waiting, e.model)
-	for _, g := range planned.Grants[before:] {
-		t := obstructed[g.Key]
-		events.OverdueTaskPlaced.Log("task", taskRef(g.Key, g.Index).String(), "waited", e.clock().Sub(t.wait.since), "workers", t.obstacleNames(),
-			"node", all[g.Worker].Key.Node, "notStarted", t.wait.notStarted)
+	for _, g := range grants {
+		ref := taskRef(g.Key, g.Index)
+		wait := e.jobs[ref.Job].waits[ref]
+		if now.Sub(wait.since) < overdueAfter || now.Sub(wait.roomSince) < overdueRoomTime {
+			continue
+		}
+		planned.Add(g)
+		t := obstructedTask{ref: ref, step: byKey[g.Key].Step, wait: wait, request: byKey[g.Key], obstacles: map[plan.Obstacle]int{}}
+		e.addObstacles(&t, view, workers, quarantined)
+		events.OverdueTaskPlaced.Log("task", ref.String(), "waited", now.Sub(wait.since), "workers", t.obstacleNames(), "node", all[g.Worker].Key.Node,
+			"notStarted", wait.notStarted)
 	}
 	return all, overdue
 }
 
-// overdueRequests returns the requests for the long-running tasks that have waited for maxObstructedWait and
-// have no grant.
-func (e *Engine) overdueRequests(requests []plan.Request, grants []plan.Grant) []plan.Request {
+// longWaitingRequests returns the requests for the long-running tasks that will soon be overdue, or are, and have
+// no grant.
+func (e *Engine) longWaitingRequests(requests []plan.Request, grants []plan.Grant) []plan.Request {
 	now := e.clock()
 	granted := map[jobstate.TaskRef]bool{}
 	for _, g := range grants {
@@ -159,23 +188,21 @@
 	}
 	var out []plan.Request
 	for _, r := range requests {
-		if !r.Step.LongRunning {
+		if !r.Step.LongRunning || r.Isolated {
 			continue
 		}
-		en := e.jobs[r.Key.Job]
-		var overdue []uint32
+		waits := e.jobs[r.Key.Job].waits
+		var waiting []uint32
 		for _, index := range r.Indexes {
 			ref := taskRef(r.Key, index)
-			if en.overdue(ref, now) && !granted[ref] {
-				overdue = append(overdue, index)
+			if wait := waits[ref]; wait != nil && now.Sub(wait.since) >= overdueAfter-overdueRoomTime && !granted[ref] {
+				waiting = append(waiting, index)
 			}
 		}
-		if len(overdue) == 0 {
+		if r.Step.Gang && len(waiting) < len(r.Indexes) || len(waiting) == 0 { // members of a gang are placed together
 			continue
 		}
-		if !r.Step.Gang { // members of a gang are placed together
-			r.Indexes = overdue
-		}
+		r.Indexes = waiting
 		out = append(out, r)
 	}
 	return out
@@ -208,7 +235,7 @@
 // longestWait returns the task of the request that has waited longest, if any waits.
 func (e *Engine) longestWait(r *plan.Request) (obstructedTask, bool) {
 	en := e.jobs[r.Key.Job]
-	out := obstructedTask{step: r.Step, obstacles: map[plan.Obstacle]int{}}
+	out := obstructedTask{step: r.Step, request: r, obstacles: map[plan.Obstacle]int{}}
 	for _, index := range r.Indexes {
 		ref := taskRef(r.Key, index)
 		if wait := en.waits[ref]; wait != nil && (out.wait == nil || wait.since < out.wait.since) {
@@ -220,12 +247,13 @@
 
 // addObstacles counts what keeps the task from the workers that have room for it. Workers out of service do
 // not count.
-func (e *Engine) addObstacles(t *obstructedTask, view *operatorconfig.View, r *plan.Request, workers, quarantined []plan.Worker) {
-	inUse := map[string]bool{}
+func (e *Engine) addObstacles(t *obstructedTask, view *operatorconfig.View, workers, quarantined []plan.Worker) {
+	r, inUse := t.request, map[string]bool{}
+	atIsolationLimit := r.AtIsolationLimit(workers)
 	for i := range workers {
 		w := &workers[i]
 		inUse[w.Key.Node] = true
-		obstacles := w.Obstacles(workers, r)
+		obstacles := w.Obstacles(r, atIsolationLimit)
 		if len(obstacles) == 0 && !r.Step.Gang && w.HasRoom(r) {
 			obstacles = []plan.Obstacle{obstacleUnknown}
 		}
--- a/internal/plan/isolate.go
+++ b/internal/plan/isolate.go
@@ -17,7 +17,7 @@
 			return
 		}
 		best := -1
-		if isolatedWorkers(workers, r) < r.MaxIsolated {
+		if isolatedWorkers(workers, r.Service) < r.MaxIsolated {
 			best = bestForIsolation(workers, r)
 		}
 		if best < 0 {
@@ -50,19 +50,11 @@
 	return out
 }
 
-// isolatedFor reports whether an isolated task keeps a task of the request from the worker.
-func (w *Worker) isolatedFor(r *Request) bool {
-	if r.Overdue {
-		return w.IsolatedStarting
-	}
-	return w.Isolated
-}
-
-// isolatedWorkers returns the number of workers of the request's service that an isolated task keeps from it.
-func isolatedWorkers(workers []Worker, r *Request) int {
+// isolatedWorkers returns the number of workers of a service with an isolated task.
+func isolatedWorkers(workers []Worker, service string) int {
 	n := 0
 	for i := range workers {
-		if workers[i].Service == r.Service && workers[i].isolatedFor(r) {
+		if workers[i].Service == service && workers[i].Isolated {
 			n++
 		}
 	}
--- a/internal/plan/obstacles.go
+++ b/internal/plan/obstacles.go
@@ -14,9 +14,14 @@
 	ObstacleStarting       Obstacle = "starts other tasks"
 )
 
+// AtIsolationLimit reports whether no more of the workers may get an isolated task of the request.
+func (r *Request) AtIsolationLimit(workers []Worker) bool {
+	return r.Isolated && isolatedWorkers(workers, r.Service) >= r.MaxIsolated
+}
+
 // Obstacles returns why the worker does not get a task of the request, or nil if it gets one, may never
 // run it or has no room. It is for the state after a planning round.
-func (w *Worker) Obstacles(workers []Worker, r *Request) []Obstacle {
+func (w *Worker) Obstacles(r *Request, atIsolationLimit bool) []Obstacle {
 	if !w.HasRoom(r) {
 		return nil
 	}
@@ -28,9 +33,9 @@
 	}
 	add(w.AtStartLimit() && !r.Step.Gang, ObstacleStartLimit)
 	add(w.hold != nil && !w.hold.allows(r), ObstacleReservation)
-	add(w.isolatedFor(r), ObstacleIsolatedTask)
+	add(w.Isolated, ObstacleIsolatedTask)
 	add(r.Avoid[w.Key.ID], ObstacleAvoided)
-	add(r.Isolated && isolatedWorkers(workers, r) >= r.MaxIsolated, ObstacleIsolationLimit)
+	add(atIsolationLimit, ObstacleIsolationLimit)
 	add(r.Isolated && w.Starting > 0, ObstacleStarting)
 	return out
 }
--- a/internal/plan/overdue.go
+++ b/internal/plan/overdue.go
@@ -6,39 +6,36 @@
 // starts below it.
 const overdueStartFactor = 2
 
-// PlaceOverdue adds grants for requests whose tasks have waited so long that only what workers run and can run
-// keeps them from one, not what is believed about the workers: the tasks may use reserved room, workers to avoid,
-// workers at their start limit within bounds, and those beside an isolated task that has outlived its start.
-// workers are those of the round, after it, followed by workers that were left out.
-func (p *Plan) PlaceOverdue(workers []Worker, requests []Request, model InterferenceModel) {
+// PlaceOverdue returns grants for tasks that have waited too long. Reservations and workers to avoid do not keep them
+// from a worker, nor does an isolated task that was seen to outlive its start; the start limit is higher.
+// workers must be those of a round after Place, and may be followed by others, such as quarantined ones, that
+// Place was not given. Requests of isolated tasks get no grants.
+func PlaceOverdue(workers []Worker, requests []Request, model InterferenceModel) []Grant {
 	for i := range workers {
 		w := &workers[i]
 		w.model, w.hold = model, nil
 		w.MaxStarting *= overdueStartFactor
+		w.Isolated = w.IsolatedStarting
 	}
 	SortRequests(requests)
-	var overdue Plan
+	var out Plan
 	for i := range requests {
 		r := &requests[i]
-		r.Overdue = true
 		switch {
 		case r.Isolated:
-			placeIsolated(workers, r, &overdue)
 		case r.Step.Gang:
-			placeGang(workers, r, &overdue)
+			placeGang(workers, r, &out)
 		default:
-			placeTasks(workers, r, false, &overdue)
+			placeTasks(workers, r, false, &out)
 		}
 	}
-	p.Grants = append(p.Grants, overdue.Grants...)
-	for _, g := range overdue.Grants {
-		p.countPlaced(g.Key)
-	}
+	return out.Grants
 }
 
-// countPlaced takes a task of the step out of the unplaced ones.
-func (p *Plan) countPlaced(key StepKey) {
-	i := slices.IndexFunc(p.Unplaced, func(u Unplaced) bool { return u.Key == key })
+// Add adds a grant of PlaceOverdue to the plan.
+func (p *Plan) Add(g Grant) {
+	p.Grants = append(p.Grants, g)
+	i := slices.IndexFunc(p.Unplaced, func(u Unplaced) bool { return u.Key == g.Key })
 	if i < 0 {
 		return
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -229,7 +229,7 @@
 
 // suits reports whether a task of the request may run on the worker once it has room and is
 // not to be avoided.
-func (w *Worker) suits(r *Request) bool { return !w.isolatedFor(r) && w.permits(r) }
+func (w *Worker) suits(r *Request) bool { return !w.Isolated && w.permits(r) }
 
 // permits is suits, also while an isolated task runs on the worker.
 func (w *Worker) permits(r *Request) bool {
