Confirm the end of any worker that an agent reports as gone

An agent that reports a worker as gone without its ID, as after its own restart beside a worker that has ended, or since its leases have expired, stopped at once although the owner had dropped the runs in memory only. A confirmation that was still pending when the worker turned out to live could reach the agent together with new starts, and count for its next end.

Agent and owner now go by what the report says: reportedEnd is what reports, confirmations and the stop of the agent go by, and an end without an ID is confirmed without one. A confirmation is withdrawn with the first report of a worker that lives, and by a start.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -271,7 +271,7 @@
 		n.storedEnd = max(n.storedEnd, o.storedEnd)
 	}
 	if o.workerEnd {
-		if n.key != o.worker || n.workerEnd != workerEndPending {
+		if n.endedWorker != o.worker || n.workerEnd != workerEndPending {
 			return // the worker has been replaced, or lives
 		}
 		n.workerEnd = workerEndStored
--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -51,9 +51,10 @@
 	// lastEnd is the number of the last run end processed, storedEnd of the last one
 	// stored.
 	lastEnd, storedEnd int64
-	// workerEnd is how far the end of the worker is stored.
-	workerEnd workerEndState
-	health    health
+	// workerEnd is how far the end of endedWorker is stored. Its ID is empty if the agent did not know it.
+	workerEnd   workerEndState
+	endedWorker jobstate.WorkerKey
+	health      health
 	// drainingSince is when draining for maintenance began, drainingWave the wave that it is
 	// for; 0 if the node is not draining.
 	drainingSince boottime.Instant
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -62,6 +62,7 @@
 		}
 		if o.start != nil {
 			next.Starts = append(next.Starts, o.start)
+			next.WorkerEndStored = false
 		}
 		next.StoredEnd = max(next.StoredEnd, o.storedEnd)
 		next.WorkerEndStored = next.WorkerEndStored || o.workerEnd
@@ -171,8 +172,8 @@
 	if present && r.Worker.GetGone() && len(n.runs) > 0 { // the reported ends take precedence
 		e.loseRuns(n, r)
 	}
-	if present && r.Worker.GetGone() && r.Worker.GetId() != "" {
-		e.confirmWorkerEnd(n)
+	if present && r.Worker.GetGone() {
+		e.confirmWorkerEnd(n, jobstate.WorkerKey{Node: n.name, ID: r.Worker.Id, BornUnixMs: r.Worker.BornUnixMs})
 	}
 	if r.Full {
 		e.settleEarlierRuns(n, r)
@@ -199,6 +200,9 @@
 // listed its runs, or has ended after that: until then it is what a heartbeat claims.
 func (e *Engine) updateWorker(n *node, w *chervilv2.Worker) (present bool) {
 	n.leasable = w.GetListed() && !w.GetGone()
+	if !w.GetGone() {
+		n.withdrawWorkerEnd()
+	}
 	if w.GetId() == "" {
 		n.worker = nil
 		return true
@@ -215,7 +219,7 @@
 	if n.key != key {
 		events.WorkerRegistered.Log("node", n.name, "worker", w.Id, "born", w.BornUnixMs, "service", w.Service, "zone", w.Zone,
 			"cpuMilli", w.CpuMilli, "memoryMB", w.MemoryMb, "labels", w.Labels)
-		n.key, n.lastEnd, n.storedEnd, n.workerEnd, n.health, n.drainingSince = key, 0, 0, workerLives, health{}, 0
+		n.key, n.lastEnd, n.storedEnd, n.health, n.drainingSince = key, 0, 0, health{}, 0
 		e.replan()
 	}
 	if n.leasable && key == n.crashed {
@@ -225,22 +229,28 @@
 		e.replan()
 	}
 	n.worker = w
-	if !w.Gone {
-		n.workerEnd = workerLives
-	}
 	return true
 }
 
+// withdrawWorkerEnd takes back what is pending of the confirmation of a worker's end.
+func (n *node) withdrawWorkerEnd() {
+	if n.workerEnd == workerLives {
+		return
+	}
+	n.workerEnd = workerLives
+	n.session.update(func(next *chervilv2.OwnerOrders) { next.WorkerEndStored = false })
+}
+
 // confirmWorkerEnd tells the agent of a worker that is gone that the ends of its runs are stored, once they are. The
 // agent may stop after that, and another owner would wait for the leases of runs that it does not know to have ended.
-func (e *Engine) confirmWorkerEnd(n *node) {
-	end := order{node: n.name, workerEnd: true, worker: n.key}
-	switch n.workerEnd {
-	case workerLives:
-		n.workerEnd = workerEndPending
+func (e *Engine) confirmWorkerEnd(n *node, worker jobstate.WorkerKey) {
+	end := order{node: n.name, workerEnd: true, worker: worker}
+	switch {
+	case n.workerEnd == workerLives || n.endedWorker != worker:
+		n.workerEnd, n.endedWorker = workerEndPending, worker
 		e.batch.orders = append(e.batch.orders, end)
 		e.wake()
-	case workerEndStored: // repeat a lost confirmation
+	case n.workerEnd == workerEndStored: // repeat a lost confirmation
 		n.session.addOrder(end)
 	}
 }
--- a/internal/dispatch/worker_end_test.go
+++ b/internal/dispatch/worker_end_test.go
@@ -91,3 +91,19 @@
 	r.settle()
 	assert.Assert(t, !a.endOfWorkerConfirmed())
 }
+
+// Guards against a confirmation that reaches an agent together with starts on the worker, which lives.
+func TestConfirmationOfAnEndIsWithdrawnWhenTheWorkerLives(t *testing.T) {
+	s := newSession()
+	key := jobstate.WorkerKey{Node: "side-1", ID: "w", BornUnixMs: 1}
+	s.addOrder(order{workerEnd: true, worker: key})
+	s.addOrder(order{start: &chervilv2.StartOrder{Task: "t"}, worker: key})
+	assert.Assert(t, !s.takePending().WorkerEndStored)
+}
+
+// Guards against an agent that waits for ever for the end of a worker whose ID it never learned.
+func TestEndOfAWorkerWithoutAnIDIsConfirmed(t *testing.T) {
+	r := newRig(t)
+	a := r.attachWith("side-1", &chervilv2.Worker{Gone: true})
+	eventually(t, "end confirmed", a.endOfWorkerConfirmed)
+}
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -80,7 +80,7 @@
 
 // revive takes back that the incarnation has ended.
 func (inc *incarnation) revive() {
-	inc.gone, inc.goneAt, inc.leasesExpired, inc.refusedConnections = false, 0, false, 0
+	inc.gone, inc.goneAt, inc.leasesExpired, inc.refusedConnections, inc.lossConfirmed = false, 0, false, 0, false
 }
 
 // awaitsStoredEnds reports whether the owner still has to store run ends of this
--- a/internal/workeragent/orders.go
+++ b/internal/workeragent/orders.go
@@ -65,8 +65,10 @@
 		}
 		wake(a.wakeHold)
 	}
-	if inc != nil && inc.gone && o.WorkerEndStored && o.WorkerId == inc.id && o.BornUnixMs == inc.bornUnixMs {
-		inc.lossConfirmed = true
+	if inc != nil && o.WorkerEndStored {
+		if id, bornUnixMs, ended := inc.reportedEnd(); ended && o.WorkerId == id && o.BornUnixMs == bornUnixMs {
+			inc.lossConfirmed = true
+		}
 	}
 	for _, i := range o.Interference {
 		a.model.SetSlope(interference.Pair{Serving: i.Serving, BestEffort: i.Filling}, float64(i.SlopeMilli)/1000)
--- a/internal/workeragent/release.go
+++ b/internal/workeragent/release.go
@@ -35,8 +35,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	inc := a.incarnation
-	if inc == nil || inc.id == "" || !inc.gone && !inc.deregistered {
+	if inc == nil {
+		return false
+	}
+	if _, _, ended := inc.reportedEnd(); !ended && (inc.id == "" || !inc.deregistered) {
 		return false
 	}
 	return !inc.lossConfirmed || len(inc.pendingEnds) > 0
 }
+
+// reportedEnd reports whether reports say that the worker is gone, and by which ID and time of birth they name it. They
+// name none that has not answered a call.
+func (inc *incarnation) reportedEnd() (id string, bornUnixMs int64, ended bool) {
+	if inc.id == "" || !inc.confirmed {
+		return "", 0, inc.refusedConnections >= maxRefusedConnections
+	}
+	return inc.id, inc.bornUnixMs, inc.gone || inc.leasesExpired
+}
