Wait for the reports of both agent processes in a test of their order

TestLastReportOfAnEarlierAgentProcessDoesNotEndTheRunsOfThePresentLife submitted its job before the reports of its two agents were handled, in either order.

--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -113,12 +113,25 @@
 	}
 }
 
+// awaitAgent waits until a report of the agent process has been handled.
+func (r *rig) awaitAgent(a *testAgent) {
+	r.t.Helper()
+	eventually(r.t, "report handled", func() bool {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		n := r.engine.nodes[a.node]
+		return n != nil && n.agentIncarnation == a.incarnation
+	})
+}
+
 // Guards against two runs of a task: the wall clock was set back between two lives of a worker, and the
 // owner was paused and reads what the earlier agent process sent last after the reports of the present one.
 func TestLastReportOfAnEarlierAgentProcessDoesNotEndTheRunsOfThePresentLife(t *testing.T) {
 	r := newRig(t)
 	a := r.attachWith("side-1", life(&chervilv2.Worker{Id: "worker", Service: testService, Zone: "pnw-a", CpuMilli: 32000, MemoryMb: 64000}, 9, true))
+	r.awaitAgent(a)
 	c := r.attachIncarnation("side-1", "2", life(a.worker, 3, true))
+	r.awaitAgent(c)
 	r.submit(spec(jobID(1), 1))
 	eventually(t, "task starts", func() bool { return len(a.started())+len(c.started()) == 1 })
 	b := r.attach("side-2", 32000)
