--- a/internal/dispatch/node.go
+++ b/internal/dispatch/node.go
@@ -75,15 +75,6 @@
 	isolationCrashedAt boottime.Instant
 }
 
-// workerEndState is how far it is stored that a worker has ended with its runs.
-type workerEndState int
-
-const (
-	workerLives workerEndState = iota
-	workerEndPending
-	workerEndStored
-)
-
 // trackedRun is a granted run with the owner's bookkeeping.
 type trackedRun struct {
 	run       *jobstate.Run
--- a/internal/dispatch/unreachable.go
+++ b/internal/dispatch/unreachable.go
@@ -16,8 +16,8 @@
 	// agents attach within a second, and one that is on the record gets its lease one
 	// report later.
 	unreachableAfter = time.Second
-	// drainingLeaseLeft is the remaining lease from which on the agent of a worker that drains is granted none. Both
-	// may be gone before the next report, and another owner waits for the leases of an agent that it has not heard of.
+	// drainingLeaseLeft is the remaining lease above which the agent of a draining worker is granted none. Both may be
+	// gone before the next report, and another owner would wait for the lease of an agent that it cannot reach.
 	drainingLeaseLeft = 4 * time.Second
 )
 
--- a/internal/plan/obstacles.go
+++ b/internal/plan/obstacles.go
@@ -8,7 +8,7 @@
 	ObstacleStartLimit   Obstacle = "start limit"
 	ObstacleReservation  Obstacle = "reserved for another task"
 	ObstacleIsolatedTask Obstacle = "runs an isolated task"
-	ObstacleAvoided      Obstacle = "task failed there"
+	ObstacleAvoided      Obstacle = "task failed or was refused there"
 	// The task itself must be isolated.
 	ObstacleIsolationLimit Obstacle = "limit of isolated tasks"
 	ObstacleStarting       Obstacle = "starts other tasks"
