Soak: a worker that is to crash loses start calls until it has, also after the end of the fault

The fault that loses start calls begins a run of its task once only, so that it does not itself crash two workers under an innocent task. But it ended before the crashes that it had begun: a start call that was repeated in between began a run, and up to 0.7 s later the worker crashed under it.

Now no further worker is chosen once the fault ends, and those that are to crash lose start calls until then.

--- a/internal/sitetest/soak_faults_test.go
+++ b/internal/sitetest/soak_faults_test.go
@@ -5,8 +5,11 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"chervilridge/internal/standin/hostile"
 	"chervilridge/internal/standin/metastore"
 	"chervilridge/internal/standin/proxy"
@@ -291,6 +294,7 @@
 	begins     bool // the first call of a task starts its run; only the answer is lost
 	allTasks   bool // a worker that is to crash loses the start calls of all tasks
 	crashDelay time.Duration
+	ending     bool // no further worker is to crash
 
 	task      string    // whose calls are lost; "" before the first
 	lastCrash time.Time // time of the latest crash after a call of the task, which may be to come
@@ -316,12 +320,43 @@
 		return
 	}
 	name := fmt.Sprintf("starts lost, first one begun %t, all tasks %t, crashes after %v", l.begins, l.allTasks, l.crashDelay)
-	set := func(l *startLoss) {
+	k.injectFault(duration, name, func() { k.setStartLoss(l) }, func() { k.endStartLoss(l) })
+}
+
+func (k *soak) setStartLoss(l *startLoss) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.startLoss = l
+}
+
+// endStartLoss ends the fault. The workers that are to crash lose start calls until they have crashed;
+// otherwise a repeated call would begin the run just before, and a second worker crash under the task.
+func (k *soak) endStartLoss(l *startLoss) {
+	k.mu.Lock()
+	l.ending = true
+	k.mu.Unlock()
+	l.crashes.Wait()
+	k.setStartLoss(nil)
+}
+
+// Guards against an innocent job that is given up because the fault itself crashed two workers under a task.
+func TestWorkersThatAreToCrashLoseStartsAfterTheEndOfTheFault(t *testing.T) {
+	const job, task = "0000000000000001", "0000000000000001.0.0.0"
+	k := newSoak(t, 1, 1, 2)
+	k.startTime, k.jobs[job] = time.Now(), &soakJob{id: job}
+	l := &startLoss{crashDelay: time.Second, crashing: map[int]bool{}}
+	k.setStartLoss(l)
+	assert.Equal(t, k.loseStart(0, task), taskworker.LostStart)
+	k.wg.Go(func() { k.endStartLoss(l) })
+	k.eventually("fault ending", func() bool {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.startLoss = l
-	}
-	k.injectFault(duration, name, func() { set(l) }, func() { set(nil); l.crashes.Wait() })
+		return l.ending
+	})
+	assert.Equal(t, k.loseStart(0, task), taskworker.LostStart)
+	assert.Equal(t, k.loseStart(1, task), taskworker.NoStartFault)
+	k.wg.Wait()
+	assert.Equal(t, k.loseStart(0, task), taskworker.NoStartFault)
 }
 
 // loseStart implements site.startFault by the active startLoss.
@@ -335,7 +370,7 @@
 		return taskworker.NoStartFault
 	case l.crashing[worker] && (l.allTasks || task == l.task || job != nil && job.deadly): // crashByTask could not count this crash
 		return taskworker.LostStart
-	case job == nil || job.deadly:
+	case l.ending, job == nil || job.deadly:
 		return taskworker.NoStartFault
 	case l.task == "" || time.Since(l.lastCrash) > nextTaskDelay:
 		l.task, l.lastCrash = task, time.Now()
