Place an overdue gang only once all of its tasks are overdue

A gang is granted as a whole, but each of its tasks was judged by its own wait. If one member had had a run meanwhile, the other's wait and room were older, and a part of the gang was granted: the owner ended with an index out of range.

--- a/internal/dispatch/overdue_test.go
+++ b/internal/dispatch/overdue_test.go
@@ -180,3 +180,30 @@
 	l.playFor(failingFor)
 	assert.Assert(t, w.ends-before <= maxFailures, "%d runs failed on the worker in %v", w.ends-before, failingFor)
 }
+
+// Guards against a part of a gang that is placed, since its tasks have not waited equally long.
+func TestOverdueGangIsPlacedAsAWhole(t *testing.T) {
+	const tasks = 2
+	r := newRig(t)
+	a := r.attach("side-1", 4000)
+	r.grantLease(a)
+	job := longRunningSpec(jobID(1), tasks, 1000)
+	job.Steps[0].Gang = true
+	r.engine.mu.Lock()
+	r.engine.nodes["side-1"].health.quarantinedUntil = r.clock.read().Add(time.Hour)
+	r.engine.mu.Unlock()
+	for _, b := range []string{"side-2", "side-3"} {
+		r.grantLease(r.attach(b, 500))
+	}
+	r.submit(job)
+	r.settle()
+	r.engine.mu.Lock()
+	now, waits := r.clock.read(), r.engine.jobs[jobID(1)].waits
+	*waits[jobstate.TaskRef{Job: jobID(1)}] = taskWait{since: now.Add(-2 * overdueAfter), roomSince: now.Add(-overdueAfter)}
+	*waits[jobstate.TaskRef{Job: jobID(1), Index: 1}] = taskWait{since: now.Add(-overdueAfter)}
+	r.engine.mu.Unlock()
+	placed := map[int]bool{}
+	r.awaitIn(overdueAfter+2*overdueRoomTime, func() { r.grantLease(a); placed[len(a.started())] = true }, func() bool { return len(a.started()) == tasks })
+	assert.Equal(t, len(a.started()), tasks)
+	assert.Assert(t, !placed[1], "a part of the gang was started")
+}
--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -164,13 +164,13 @@
 		}
 	}
 	for _, g := range grants {
-		ref := taskRef(g.Key, g.Index)
+		r, ref := byKey[g.Key], taskRef(g.Key, g.Index)
 		wait := e.jobs[ref.Job].waits[ref]
-		if now.Sub(wait.since) < overdueAfter || now.Sub(wait.roomSince) < overdueRoomTime {
+		if !wait.overdue(now) || r.Step.Gang && !e.allOverdue(r, now) { // a gang starts as a whole
 			continue
 		}
 		planned.Add(g)
-		t := obstructedTask{ref: ref, step: byKey[g.Key].Step, wait: wait, request: byKey[g.Key], obstacles: map[plan.Obstacle]int{}}
+		t := obstructedTask{ref: ref, step: r.Step, wait: wait, request: r, obstacles: map[plan.Obstacle]int{}}
 		e.addObstacles(&t, view, workers, quarantined)
 		events.OverdueTaskPlaced.Log("task", ref.String(), "waited", now.Sub(wait.since), "workers", t.obstacleNames(), "node", all[g.Worker].Key.Node,
 			"notStarted", wait.notStarted)
@@ -178,6 +178,17 @@
 	return all, overdue
 }
 
+// overdue reports whether the task is to be placed despite obstacles.
+func (w *taskWait) overdue(now boottime.Instant) bool {
+	return now.Sub(w.since) >= overdueAfter && w.roomSince != 0 && now.Sub(w.roomSince) >= overdueRoomTime
+}
+
+// allOverdue reports whether all tasks of the request are overdue. They must wait.
+func (e *Engine) allOverdue(r *plan.Request, now boottime.Instant) bool {
+	waits := e.jobs[r.Key.Job].waits
+	return !slices.ContainsFunc(r.Indexes, func(index uint32) bool { return !waits[taskRef(r.Key, index)].overdue(now) })
+}
+
 // longWaitingRequests returns the requests for the long-running tasks that will soon be overdue, or are, and have
 // no grant.
 func (e *Engine) longWaitingRequests(requests []plan.Request, grants []plan.Grant) []plan.Request {
