--- a/internal/dispatch/refused.go
+++ b/internal/dispatch/refused.go
@@ -8,7 +8,7 @@
 )
 
 // refusalTTL is how long a worker that refused to start a task is avoided for it. A worker with the most room would
-// otherwise be chosen again in each round, although its agent knows why the task can't start there.
+// otherwise be chosen again in each round for as long as its agent refuses the task.
 const refusalTTL = 3 * time.Second
 
 // recordRefusal records that a worker did not start a run of the task.
--- a/internal/dispatch/worker_end.go
+++ b/internal/dispatch/worker_end.go
@@ -23,7 +23,7 @@
 	n.session.update(func(next *chervilv2.OwnerOrders) { next.WorkerEndStored = false })
 }
 
-// confirmWorkerEnd tells the agent of a worker that is gone that the ends of its runs are stored, once they are. The
+// confirmWorkerEnd confirms the end of a worker to its agent once the ends of its runs are stored. The
 // agent may stop after that, and another owner would wait for the leases of runs that it does not know to have ended.
 func (e *Engine) confirmWorkerEnd(n *node, worker jobstate.WorkerKey) {
 	end := order{node: n.name, workerEnd: true, worker: worker}
--- a/internal/dispatch/worker_end_test.go
+++ b/internal/dispatch/worker_end_test.go
@@ -12,7 +12,7 @@
 	"chervilridge/internal/schedulestore"
 )
 
-// endOfWorkerConfirmed reports whether the agent was told that the end of its worker is stored.
+// endOfWorkerConfirmed reports whether the agent has received the confirmation that the end of its worker is stored.
 func (a *testAgent) endOfWorkerConfirmed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
