--- a/review/harness3/site.go
+++ b/review/harness3/site.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -312,20 +311,6 @@
 	return 0
 }
 
-// signal sends a signal to a process of the site.
-func (p *process) signal(sig syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(sig)
-}
-
-// endings returns how often the process has ended by itself.
-func (p *process) endings() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ended
-}
-
 func (s *site) ready(entry int) bool {
 	response, err := s.client.Get("http://" + s.address(100+entry, s.ports.ready) + "/v1/readiness")
 	if err != nil {
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -73,14 +73,6 @@
 	s.topic(name).add([][]byte{append(append([]byte{byte(len(key))}, key...), value...)})
 }
 
-// forget expires all records of a topic but the newest of each key.
-func (s *store) forget(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(name)
-	t.first = int64(len(t.records))
-}
-
 // add appends records and wakes readers. The store's mu is held.
 func (t *topic) add(contents [][]byte) {
 	for _, c := range contents {
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -346,24 +345,6 @@
 	return starts, done
 }
 
-// jobRuns returns the runs of the tasks of a job.
-func (l *runLog) jobRuns(job string) (starts, done int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for task, runs := range l.runs {
-		if !strings.HasPrefix(task, job+".") {
-			continue
-		}
-		for _, r := range runs {
-			starts++
-			if r.how == "done" {
-				done++
-			}
-		}
-	}
-	return starts, done
-}
-
 // twice returns what breaks TWICE: two runs of a task at the same time, or a start after a run has ended done whose
 // end was taken note of. lapses are the times at which leases of a worker lapsed: an end before one that
 // was acknowledged after it does not count.
