--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # built by the command of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/ ./review/harness3
+go build -tags review3 -o target/review-3/ ./review/harness3
--- a/review/harness3/ends.go
+++ b/review/harness3/ends.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command harness3 runs the scripted cases of the third review. It starts the project's programs as separate
 // processes, with stand-ins for the platform, clients and workers, and judges by what these see.
 //
@@ -21,6 +23,7 @@
 var cases = map[string]func(r *record, trouble bool) (verdict, error){
 	"bodies": largeBodies,
 	"ends":   manyEnds,
+	"fills":  fillingTasks,
 }
 
 func main() {
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -7,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -224,7 +227,11 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, r := range w.running {
-		running = append(running, []any{r.task, r.attempt, "", 50, 10})
+		percent := 50
+		if time.Until(r.ends) > lastsFor/2 {
+			percent = 100 // it is at work
+		}
+		running = append(running, []any{r.task, r.attempt, "", percent, 10})
 	}
 	for _, e := range w.ended[:min(len(w.ended), endsAtATime)] {
 		finished = append(finished, []any{e.number, e.task, e.attempt, e.how, ""})
@@ -345,6 +352,19 @@
 	return starts, done
 }
 
+// tasksOf returns how many tasks of a job have started.
+func (l *runLog) tasksOf(job string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for task := range l.runs {
+		if strings.HasPrefix(task, job+".") {
+			n++
+		}
+	}
+	return n
+}
+
 // twice returns what breaks TWICE: two runs of a task at the same time, or a start after a run has ended done whose
 // end was taken note of. lapses are the times at which leases of a worker lapsed: an end before one that
 // was acknowledged after it does not count.
