--- a/review/harness3/fills.go
+++ b/review/harness3/fills.go
@@ -56,6 +56,6 @@
 	}
 	time.Sleep(fillsObserved)
 	started := s.runs.tasksOf(filling)
-	text := fmt.Sprintf("%d of %d tasks that last and fill have started %v after their job was accepted; each runner has 80 of 128 GB and 8 of 32 cores beside its serving tasks", started, fillsTasks, fillsObserved)
+	text := fmt.Sprintf("%d of %d tasks that last and fill have started %v after their job was accepted; each runner has 104 of 128 GB and 8 of 32 cores beside its serving tasks", started, fillsTasks, fillsObserved)
 	return verdict{broken: started < fillsTasks, text: text}, nil
 }
