--- a/review/harness3/bodies.go
+++ b/review/harness3/bodies.go
@@ -140,13 +140,13 @@
 	machines := 0
 	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
 		p.mu.Lock()
-		r.log("%s: ended %d times, at most %d of %d MB", p.name, p.ended, p.peak, p.memoryMB)
-		if p.ended >= 3 {
+		r.log("%s: ended %d times, %d of them by its memory; at most %d of %d MB", p.name, p.ended, p.exceeded, p.peak, p.memoryMB)
+		if p.exceeded >= 3 {
 			machines++
 		}
 		p.mu.Unlock()
 	}
-	text := fmt.Sprintf("%d machines whose process ended three times or more; %d large bodies accepted, %d refused, %d without an answer; %d ordinary jobs accepted, %d of them without an answer at the end, %d not completed; longest time without an answer to an ordinary job %.1f s",
+	text := fmt.Sprintf("%d machines whose process exceeded its memory three times or more; %d large bodies accepted, %d refused, %d without an answer; %d ordinary jobs accepted, %d of them without an answer at the end, %d not completed; longest time without an answer to an ordinary job %.1f s",
 		machines, accepted.Load(), refused.Load(), silent.Load(), len(jobs), unknown, open, longest.Seconds())
 	return verdict{broken: machines >= 2, text: text}, nil
 }
--- a/review/harness3/site.go
+++ b/review/harness3/site.go
@@ -60,17 +60,19 @@
 	memoryMB                   int
 	restart                    bool // start it again after it has ended
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	done  chan struct{}
-	peak  int // MB
-	ended int // times that it ended without a signal of the case, memory over the limit included
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	done     chan struct{}
+	peak     int // MB
+	exceeded int // times that it ended since it exceeded its memory
+	ended    int // times that it ended without a signal of the case, memory over the limit included
 }
 
 // site is a deployment on loopback addresses.
 type site struct {
 	dir       string // for settings and logs
 	second    int    // second byte of all addresses
+	hold      net.Listener
 	zones     int
 	ports     ports
 	store     *store
@@ -130,6 +132,10 @@
 		s.second = 20 + rand.IntN(200)
 		base := 20000 + 40*rand.IntN(300)
 		s.ports = ports{front: base, ready: base + 1, control: base + 2, app: base + 3, first: base + 10}
+		hold, err := net.Listen("tcp", net.JoinHostPort(s.ip(254), "19999")) // no other script gets these addresses
+		if err != nil {
+			continue
+		}
 		free := true
 		for _, port := range []int{base, base + 1, base + 2, base + 3, base + 10} {
 			l, err := net.Listen("tcp", net.JoinHostPort(s.ip(1), strconv.Itoa(port)))
@@ -140,8 +146,10 @@
 			_ = l.Close()
 		}
 		if free {
+			s.hold = hold
 			return nil
 		}
+		_ = hold.Close()
 	}
 	return fmt.Errorf("%w: no free loopback address", errCannotRun)
 }
@@ -293,6 +301,9 @@
 				s.record.log("%s has %d MB, over its limit of %d MB: killed, as the platform does", p.name, mb, p.memoryMB)
 				_ = cmd.Process.Kill()
 				<-done
+				p.mu.Lock()
+				p.exceeded++
+				p.mu.Unlock()
 			}
 		}
 	}
