Log what the worker's list showed when a start did not take place

An agent reports a start that its worker refused, or that a stop fenced off, only after a newer list of the worker shows neither the run nor its end. Nothing said what that list was: how many ends it named, up to which number, and whether the start was then reported.

Event 7330 names the list by its runs, its ends and the highest number among them.

No logic changes.

--- a/internal/events/site.go
+++ b/internal/events/site.go
@@ -80,6 +80,7 @@
 	OwnerAttached           = define(7307, Info, "attached to the owner")
 	OwnerDetached           = define(7308, Warning, "connection to the owner lost")
 	StartResolved           = define(7309, Info, "start order resolved")
+	StartRefusalListed      = define(7330, Info, "start that did not take place compared with the worker's list")
 	StartUnconfirmed        = define(7310, Warning, "start of a run not confirmed by the worker")
 	StopUnconfirmed         = define(7311, Warning, "stop of a run not confirmed by the worker")
 	WorkerUnresponsive      = define(7312, Warning, "worker does not answer lease renewals")
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -116,6 +116,10 @@
 	runs        map[runKey]platform.Run
 	pendingEnds []platform.RunEnd // not yet stored by the owner, sorted by number
 	storedEnd   int64             // number of the newest run end that the owner has stored
+	// listedEnds is how many run ends the newest list names, lastListedEnd the highest number of them; 0
+	// if it names none.
+	listedEnds    int
+	lastListedEnd int64
 }
 
 // newIncarnation returns an incarnation of which nothing is known yet.
@@ -373,6 +377,10 @@
 	for _, r := range runs.Running {
 		inc.runs[runKey{r.Task, r.Attempt}] = r
 	}
+	inc.listedEnds, inc.lastListedEnd = len(runs.Ended), 0
+	for _, e := range runs.Ended {
+		inc.lastListedEnd = max(inc.lastListedEnd, e.Number)
+	}
 	fresh := slices.DeleteFunc(runs.Ended, func(e platform.RunEnd) bool { return e.Number <= inc.storedEnd })
 	slices.SortFunc(fresh, func(x, y platform.RunEnd) int { return cmp.Compare(x.Number, y.Number) })
 	if len(fresh) > len(inc.pendingEnds) || len(fresh) > 0 && len(inc.pendingEnds) > 0 && fresh[len(fresh)-1].Number != inc.pendingEnds[len(inc.pendingEnds)-1].Number {
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -239,7 +239,10 @@
 	for _, r := range unconfirmed {
 		key := runKey{r.Task, r.Attempt}
 		delete(a.pendingOrders, key)
-		if inc.hasStarted(key) || inc.ended(key) { // its end is, or will be, reported instead
+		started := inc.hasStarted(key) || inc.ended(key)
+		events.StartRefusalListed.Log("task", r.Task, "attempt", r.Attempt, "answer", r.Answer, "worker", inc.id, "born", inc.bornUnixMs, "gone", inc.gone,
+			"reported", !started, "listedRuns", len(inc.runs), "listedEnds", inc.listedEnds, "lastListedEnd", inc.lastListedEnd, "storedEnd", inc.storedEnd)
+		if started { // its end is, or will be, reported instead
 			a.survived(key)
 			delete(a.rejectedRuns, key)
 			continue
