Report a start as not carried out only once all run ends are listed

Cause: a worker lists its 500 oldest run ends, and others once the owner has stored those. With a slow store thousands wait. The owner repeats the starts of runs that a full report does not name, the worker refuses them since the runs have ended, and Agent.confirmResults took the next list, which did not show these ends yet, for proof that the runs had never started. The owner dropped them and granted the tasks again.

The agent keeps a result unresolved until a list shows the run or its end, or names all ends. Meanwhile full reports name the run as starting, so that its order is neither repeated nor granted again. Acknowledged ends make room for others in the list, so each such list brings the end nearer.

Why this works: the list of active runs is complete and was asked for after the outcome was known, so a run that it does not show has ended or can't start; a complete list of ends tells the two apart.

The stand-in worker lists 500 ends at a time now.

--- a/internal/standin/taskworker/worker.go
+++ b/internal/standin/taskworker/worker.go
@@ -16,6 +16,8 @@
 	// maxLease caps a lease, from the time of its renewal.
 	maxLease     = 6 * time.Second
 	stepInterval = 5 * time.Millisecond
+	// maxListedEnds is how many ends a hold call lists, the oldest ones.
+	maxListedEnds = 500
 )
 
 // Config describes a worker: its identity, its capacity and the rate of its clock.
@@ -278,7 +280,8 @@
 
 // renewLease extends the lease up to the deadline, unless it has expired with runs left or
 // the fence is old; a deadline of 0 leaves it. It drops the acknowledged ends and returns the
-// runs and the ends that are not acknowledged, in the form of the hold call's response.
+// runs and the oldest of the ends that are not acknowledged, in the form of the hold call's
+// response.
 func (w *Worker) renewLease(deadline time.Duration, fence uint64, acknowledged int64) (running, finished [][]any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -298,7 +301,7 @@
 	for task, r := range w.running {
 		running = append(running, []any{task, r.key.attempt, "", 50, 10})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		finished = append(finished, []any{e.number, e.key.task, e.key.attempt, e.outcome, ""})
 	}
 	return running, finished
--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -120,6 +120,8 @@
 	// if it names none.
 	listedEnds    int
 	lastListedEnd int64
+	// endsTruncated is set if the worker may have more run ends than the newest list names.
+	endsTruncated bool
 }
 
 // newIncarnation returns an incarnation of which nothing is known yet.
@@ -146,7 +148,7 @@
 	// rejectedRuns are the runs reported as not started, with the time of the decision.
 	rejectedRuns map[runKey]boottime.Instant
 	// unconfirmedResults are start results that are reported only after a newer list of
-	// runs confirms that the run is not active.
+	// runs and of all ends confirms that the run is not active and has not ended.
 	unconfirmedResults []*chervilv2.StartResult
 	// unansweredStarts are the starts that a call may still carry out, with the time of the
 	// last call.
@@ -377,10 +379,7 @@
 	for _, r := range runs.Running {
 		inc.runs[runKey{r.Task, r.Attempt}] = r
 	}
-	inc.listedEnds, inc.lastListedEnd = len(runs.Ended), 0
-	for _, e := range runs.Ended {
-		inc.lastListedEnd = max(inc.lastListedEnd, e.Number)
-	}
+	inc.recordListedEnds(runs, len(unconfirmed))
 	fresh := slices.DeleteFunc(runs.Ended, func(e platform.RunEnd) bool { return e.Number <= inc.storedEnd })
 	slices.SortFunc(fresh, func(x, y platform.RunEnd) int { return cmp.Compare(x.Number, y.Number) })
 	if len(fresh) > len(inc.pendingEnds) || len(fresh) > 0 && len(inc.pendingEnds) > 0 && fresh[len(fresh)-1].Number != inc.pendingEnds[len(inc.pendingEnds)-1].Number {
@@ -394,6 +393,24 @@
 	a.adjustPaces(ctx, inc)
 }
 
+// recordListedEnds records which ends a list names, and logs if it is the first one that is truncated or complete
+// again. unconfirmed is the number of start results that wait for a list.
+func (inc *incarnation) recordListedEnds(list platform.RunReport, unconfirmed int) {
+	inc.listedEnds, inc.lastListedEnd = len(list.Ended), 0
+	for _, e := range list.Ended {
+		inc.lastListedEnd = max(inc.lastListedEnd, e.Number)
+	}
+	if list.EndsTruncated != inc.endsTruncated {
+		event := events.EndsComplete
+		if list.EndsTruncated {
+			event = events.EndsTruncated
+		}
+		event.Log("worker", inc.id, "born", inc.bornUnixMs, "listed", inc.listedEnds, "lastListedEnd", inc.lastListedEnd, "storedEnd", inc.storedEnd,
+			"runs", len(list.Running), "unconfirmedResults", unconfirmed)
+	}
+	inc.endsTruncated = list.EndsTruncated
+}
+
 // pruneRunInfos drops the data of runs that are neither listed nor being started and were
 // not described by the owner for runInfoTTL.
 func (a *Agent) pruneRunInfos(inc *incarnation) {
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -229,17 +229,22 @@
 	return listed || unlisted
 }
 
-// confirmResults ends the orders whose outcome was known before the list of runs was
-// made. A result is reported only if the list shows neither the run nor its end.
+// confirmResults ends the orders whose outcome was known before the list of runs was made. A
+// result is reported only if the list shows neither the run nor its end. If the list of ends is
+// truncated, the result of a run that it does not show is kept for a later list.
 func (a *Agent) confirmResults(inc *incarnation, unconfirmed []*chervilv2.StartResult) {
 	if len(unconfirmed) == 0 {
 		return
 	}
-	a.unconfirmedResults = a.unconfirmedResults[len(unconfirmed):]
+	var undecided []*chervilv2.StartResult
 	for _, r := range unconfirmed {
 		key := runKey{r.Task, r.Attempt}
-		delete(a.pendingOrders, key)
 		started := inc.hasStarted(key) || inc.ended(key)
+		if !started && inc.endsTruncated && !inc.gone {
+			undecided = append(undecided, r)
+			continue
+		}
+		delete(a.pendingOrders, key)
 		events.StartRefusalListed.Log("task", r.Task, "attempt", r.Attempt, "answer", r.Answer, "worker", inc.id, "born", inc.bornUnixMs, "gone", inc.gone,
 			"reported", !started, "listedRuns", len(inc.runs), "listedEnds", inc.listedEnds, "lastListedEnd", inc.lastListedEnd, "storedEnd", inc.storedEnd)
 		if started { // its end is, or will be, reported instead
@@ -249,6 +254,10 @@
 		}
 		a.startResults = append(a.startResults, r)
 	}
+	a.unconfirmedResults = append(undecided, a.unconfirmedResults[len(unconfirmed):]...)
+	if len(undecided) == len(unconfirmed) {
+		return
+	}
 	a.reportAllRuns = true
 	wake(a.wakeReport)
 }
