Remember runs that have ended while their ends are not listed yet

What callers saw: nothing.

Cause: an agent forgot that a run had been on its worker as soon as a list named it no more, although the end had not been listed. A full report then named the run neither as running nor as ended, and Engine.reconcile repeats such orders.

Change: the agent keeps the runs that the worker has listed or confirmed, that run no more by a list requested later, and whose ends no list has named. It names them in full reports as starting, and answers a repeated start as started without a call. They are forgotten once their end is listed, or a list names all ends. A restarted agent does not know them; its orders are refused and wait for the end, as before.

--- a/internal/workeragent/agent.go
+++ b/internal/workeragent/agent.go
@@ -122,12 +122,15 @@
 	lastListedEnd int64
 	// endsTruncated is set if the worker may have more run ends than the newest list names.
 	endsTruncated bool
+	// awaitedEnds are the runs that have ended on the worker, but whose ends no list has named yet.
+	awaitedEnds map[runKey]bool
 }
 
 // newIncarnation returns an incarnation of which nothing is known yet.
 func newIncarnation(now boottime.Instant) *incarnation {
 	return &incarnation{
 		runs: map[runKey]platform.Run{}, startedAt: map[runKey]boottime.Instant{}, firstSentAt: map[runKey]boottime.Instant{}, unlisted: map[runKey]boottime.Instant{}, lastAnswer: now,
+		awaitedEnds: map[runKey]bool{},
 	}
 }
 
@@ -375,6 +378,7 @@
 		wake(a.wakeReport)
 	}
 	inc.unansweredHolds, inc.refusedConnections, inc.listed, inc.leasesExpired = 0, 0, true, false
+	previousRuns := inc.runs
 	inc.runs = make(map[runKey]platform.Run, len(runs.Running))
 	for _, r := range runs.Running {
 		inc.runs[runKey{r.Task, r.Attempt}] = r
@@ -386,6 +390,7 @@
 		wake(a.wakeReport)
 	}
 	inc.pendingEnds = fresh
+	inc.updateAwaitedEnds(previousRuns, runs, sentAt)
 	inc.pruneUnlisted(runs, sentAt)
 	inc.pruneStarts(now)
 	a.confirmResults(inc, unconfirmed)
@@ -393,6 +398,29 @@
 	a.adjustPaces(ctx, inc)
 }
 
+// updateAwaitedEnds records which runs have ended without a list that names their end: those that the worker has shown
+// before, and that a list requested at the time names neither as running nor as ended.
+func (inc *incarnation) updateAwaitedEnds(previousRuns map[runKey]platform.Run, list platform.RunReport, requestedAt boottime.Instant) {
+	if !list.EndsTruncated {
+		clear(inc.awaitedEnds)
+		return
+	}
+	for key := range previousRuns {
+		inc.awaitedEnds[key] = true
+	}
+	for key, confirmedAt := range inc.unlisted {
+		if confirmedAt < requestedAt {
+			inc.awaitedEnds[key] = true
+		}
+	}
+	for key := range inc.runs {
+		delete(inc.awaitedEnds, key)
+	}
+	for _, e := range list.Ended {
+		delete(inc.awaitedEnds, runKey{e.Task, e.Attempt})
+	}
+}
+
 // recordListedEnds records which ends a list names, and logs if it is the first one that is truncated or complete
 // again. unconfirmed is the number of start results that wait for a list.
 func (inc *incarnation) recordListedEnds(list platform.RunReport, unconfirmed int) {
--- a/internal/workeragent/incarnation.go
+++ b/internal/workeragent/incarnation.go
@@ -219,14 +219,15 @@
 	return slices.ContainsFunc(inc.pendingEnds, func(e platform.RunEnd) bool { return e.Task == key.task && e.Attempt == key.attempt })
 }
 
-// hasStarted reports whether the worker has listed the run, or has confirmed its start since.
+// hasStarted reports whether the worker has listed the run, or has confirmed its start since. The run may have ended
+// if no list has named its end yet.
 func (inc *incarnation) hasStarted(key runKey) bool {
 	if inc == nil {
 		return false
 	}
 	_, listed := inc.runs[key]
 	_, unlisted := inc.unlisted[key]
-	return listed || unlisted
+	return listed || unlisted || inc.awaitedEnds[key]
 }
 
 // confirmResults ends the orders whose outcome was known before the list of runs was made. A
--- a/internal/workeragent/owner.go
+++ b/internal/workeragent/owner.go
@@ -239,6 +239,11 @@
 			r.Runs = append(r.Runs, &chervilv2.Run{Task: key.task, Attempt: key.attempt, Starting: true})
 		}
 	}
+	for key := range inc.awaitedEnds {
+		if a.pendingOrders[key] == nil {
+			r.Runs = append(r.Runs, &chervilv2.Run{Task: key.task, Attempt: key.attempt, Starting: true})
+		}
+	}
 	for key := range a.pendingOrders {
 		if _, listed := inc.runs[key]; !listed {
 			r.Runs = append(r.Runs, &chervilv2.Run{Task: key.task, Attempt: key.attempt, Starting: true})
