Leave runs that have ended out of crash reports while their ends are not listed

A task whose runs end within a second could be counted as a possible cause of a crash that came after its run had ended, and was isolated or given up the sooner.

Cause: a crash report names the runs that were started up to a second before the worker's last answer and that the list names neither as running nor as ended. With more ends than the worker lists, these include runs that had ended as done.

Change: the awaited ends count as ended. The run is then dropped as one of a worker that is gone, and its task runs again, as it has to: the end is lost with the worker.

--- a/internal/workeragent/awaited_ends_test.go
+++ b/internal/workeragent/awaited_ends_test.go
@@ -1,6 +1,7 @@
 package workeragent
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -12,8 +13,21 @@
 )
 
 // endingWorker is a worker that lists the runs that it is called to start. After endRuns, all of them have ended behind
-// another end, the only one that it lists.
-type endingWorker struct{ listingWorker }
+// another end, the only one that it lists. After crash, it refuses connections.
+type endingWorker struct {
+	listingWorker
+	crashed bool
+}
+
+func (w *endingWorker) RenewLease(ctx context.Context, id string, r platform.LeaseRenewal) (platform.RunReport, error) {
+	w.mu.Lock()
+	crashed := w.crashed
+	w.mu.Unlock()
+	if crashed {
+		return platform.RunReport{}, &platform.Error{Kind: platform.ConnectionRefused}
+	}
+	return w.listingWorker.RenewLease(ctx, id, r)
+}
 
 func (w *endingWorker) list(report platform.RunReport) {
 	w.mu.Lock()
@@ -26,6 +40,12 @@
 	w.list(platform.RunReport{Ended: []platform.RunEnd{{Number: 1, Task: task2, Attempt: 1, Kind: platform.EndDone}}, EndsTruncated: true})
 }
 
+func (w *endingWorker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashed = true
+}
+
 // newAwaitedEnd returns an agent that has started task1 on its worker, where the run has ended, and whose lists do not
 // name the end yet. listed is set if a list has named the run before.
 func newAwaitedEnd(t *testing.T, listed bool) (*endingWorker, *Agent) {
@@ -74,3 +94,20 @@
 		})
 	}
 }
+
+// Guards against a crash that counts against tasks whose runs had ended before it.
+func TestCrashDoesNotNameRunsWhoseEndsAreNotListedYet(t *testing.T) {
+	for name, listed := range map[string]bool{"listed before": true, "confirmed only": false} {
+		t.Run(name, func(t *testing.T) {
+			w, a := newAwaitedEnd(t, listed)
+			w.crash()
+			for range maxRefusedConnections {
+				a.holdOnce(t.Context())
+			}
+			r := a.buildReport()
+			assert.Assert(t, r.Worker.Gone)
+			assert.Equal(t, len(r.Crashes), 1)
+			assert.Equal(t, len(r.Crashes[0].Runs), 0, "%v", r.Crashes[0].Runs)
+		})
+	}
+}
--- a/internal/workeragent/crash.go
+++ b/internal/workeragent/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -131,7 +132,7 @@
 // crashedRuns returns the runs that the crash may have ended: those that the worker listed
 // and those started since.
 func (inc *incarnation) crashedRuns() []runKey {
-	ended := map[runKey]bool{}
+	ended := maps.Clone(inc.awaitedEnds)
 	for _, e := range inc.pendingEnds {
 		ended[runKey{e.Task, e.Attempt}] = true
 	}
