--- a/internal/workeragent/awaited_ends_test.go
+++ b/internal/workeragent/awaited_ends_test.go
@@ -12,8 +12,7 @@
 	"chervilridge/platform"
 )
 
-// endingWorker is a worker that lists the runs that it is called to start. After endRuns, all of them have ended behind
-// another end, the only one that it lists. After crash, it refuses connections.
+// endingWorker is a worker whose lists the test sets. After crash, it refuses connections.
 type endingWorker struct {
 	listingWorker
 	crashed bool
@@ -29,6 +28,7 @@
 	return w.listingWorker.RenewLease(ctx, id, r)
 }
 
+// list sets the list that the worker answers with.
 func (w *endingWorker) list(report platform.RunReport) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -36,6 +36,7 @@
 	w.report = report
 }
 
+// endRuns makes the worker list no run, and only the end of another one of several that it has.
 func (w *endingWorker) endRuns() {
 	w.list(platform.RunReport{Ended: []platform.RunEnd{{Number: 1, Task: task2, Attempt: 1, Kind: platform.EndDone}}, EndsTruncated: true})
 }
--- a/internal/workeragent/ends_explore_test.go
+++ b/internal/workeragent/ends_explore_test.go
@@ -36,6 +36,7 @@
 	defer w.mu.Unlock()
 	w.clock += time.Millisecond
 	w.ended = slices.DeleteFunc(w.ended, func(e platform.RunEnd) bool { return e.Number <= r.AckedEndNumber })
+	// A full list may be truncated, as the platform's workers do not say whether it is.
 	out := platform.RunReport{Clock: w.clock, BornUnixMs: 7, EndsTruncated: len(w.ended) > 0}
 	for key := range w.running {
 		out.Running = append(out.Running, platform.Run{Task: key.task, Attempt: key.attempt})
@@ -80,8 +81,8 @@
 	w.ended = append(w.ended, platform.RunEnd{Number: w.ends, Task: key.task, Attempt: key.attempt, Kind: kind})
 }
 
-// mayCount reports whether the run runs, or its end can still be listed.
-func (w *pagingWorker) mayCount(key runKey) bool {
+// hasOutcome reports whether the run runs, or its end can still be listed.
+func (w *pagingWorker) hasOutcome(key runKey) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.running[key] || slices.ContainsFunc(w.ended, func(e platform.RunEnd) bool { return e.Task == key.task && e.Attempt == key.attempt })
@@ -110,6 +111,7 @@
 	return h
 }
 
+// restart replaces the agent by one that knows nothing.
 func (h *endsHistory) restart() {
 	h.agent = NewAgent(&platform.NodeSettings{Name: "side-1", Bounds: platform.Bounds{MaxLease: 6 * time.Second, ReactionTime: time.Minute}}, h.worker,
 		func() boottime.Instant { return boottime.Now().Add(h.ahead) })
@@ -131,7 +133,7 @@
 		if result.Answer == chervilv2.StartAnswer_START_ANSWER_STARTED {
 			continue
 		}
-		if h.worker.mayCount(key) {
+		if h.worker.hasOutcome(key) {
 			h.violation = fmt.Sprintf("%v of %s is reported as %s, but runs or its end will be listed", key.attempt, key.task, result.Answer)
 		}
 		h.resolved[key] = true
@@ -182,7 +184,7 @@
 	{Name: "start repeated", Value: func(h *endsHistory) { h.start(historyTasks[0]) }},
 	{Name: "stop ordered", Value: func(h *endsHistory) { h.stop(historyTasks[0]) }},
 	{Name: "ends stored", Value: (*endsHistory).store},
-	{Name: "agent restarts", Value: func(h *endsHistory) { h.restart() }},
+	{Name: "agent restarts", Value: (*endsHistory).restart},
 }
 
 // endsHistorySteps is the number of steps of a history, with a hold call after each.
